--- a/api.go
+++ b/api.go
@@ -1,8 +1,8 @@
-// Package starlingwell makes the decisions of a dispatcher that pushes jobs to
+// Package hollyyoke makes the decisions of a dispatcher that pushes jobs to
 // workers: which jobs to take, which worker gets each, when to try again and
 // when to refuse. It is a pure state machine: feed it events with the time at
 // which they happened, and carry out the actions it returns.
-package starlingwell
+package hollyyoke
 
 import (
 	"cmp"
--- a/cmd/starlingwell-sim/main.go
+++ b/cmd/hollyyoke-sim/main.go
@@ -1,4 +1,4 @@
-// Command starlingwell-sim hosts dispatchers on the simulator's wire: it reads
+// Command hollyyoke-sim hosts dispatchers on the simulator's wire: it reads
 // batches of events on standard input and writes their actions to standard output.
 package main
 
@@ -9,13 +9,13 @@
 	"io"
 	"os"
 
-	"starlingwell.example/starlingwell"
-	"starlingwell.example/starlingwell/internal/wire"
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/wire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "starlingwell-sim:", err)
+		fmt.Fprintln(os.Stderr, "hollyyoke-sim:", err)
 		os.Exit(1)
 	}
 }
@@ -24,7 +24,7 @@
 func run(in io.Reader, out io.Writer) error {
 	r := bufio.NewReaderSize(in, 1<<20)
 	w := bufio.NewWriterSize(out, 1<<20)
-	h := host{dispatchers: map[int64]*starlingwell.Dispatcher{}, decoder: wire.NewDecoder()}
+	h := host{dispatchers: map[int64]*hollyyoke.Dispatcher{}, decoder: wire.NewDecoder()}
 	var long []byte
 	for {
 		line, err := r.ReadSlice('\n')
@@ -59,9 +59,9 @@
 type host struct {
 	decoder     *wire.Decoder
 	encoder     wire.Encoder
-	dispatchers map[int64]*starlingwell.Dispatcher // nil once it has exited
+	dispatchers map[int64]*hollyyoke.Dispatcher // nil once it has exited
 	now         wire.Batch
-	actions     []starlingwell.Action
+	actions     []hollyyoke.Action
 }
 
 func (h *host) answer(line []byte) ([]byte, error) {
@@ -78,7 +78,7 @@
 	d, known := h.dispatchers[m.Instance]
 	switch m.Op {
 	case wire.Boot:
-		d, err := starlingwell.New(m.Settings, m.Seed)
+		d, err := hollyyoke.New(m.Settings, m.Seed)
 		if err != nil {
 			return fmt.Errorf("dispatcher %d: %w", m.Instance, err)
 		}
--- a/example_test.go
+++ b/example_test.go
@@ -1,17 +1,17 @@
-package starlingwell_test
+package hollyyoke_test
 
 import (
 	"fmt"
 	"time"
 
-	"starlingwell.example/starlingwell"
+	"hollyyoke.example/hollyyoke"
 )
 
 func Example() {
-	d, err := starlingwell.New(starlingwell.Settings{
-		Classes: []starlingwell.Class{{
+	d, err := hollyyoke.New(hollyyoke.Settings{
+		Classes: []hollyyoke.Class{{
 			Worth: 1, Aim: 200 * time.Millisecond, Stretch: 2, Deadline: 5 * time.Second,
-			Repeat: starlingwell.Retryable,
+			Repeat: hollyyoke.Retryable,
 		}},
 		Peers: 1, Tick: time.Millisecond, MaxAttempts: 3,
 	}, 42)
@@ -19,16 +19,16 @@
 		panic(err)
 	}
 	now := time.Hour // any monotonic clock
-	d.Handle(now, starlingwell.Event{
-		Kind: starlingwell.WorkerList, List: starlingwell.ListComplete,
-		Entries: []starlingwell.Entry{{Worker: "10.0.0.1:9000"}},
+	d.Handle(now, hollyyoke.Event{
+		Kind: hollyyoke.WorkerList, List: hollyyoke.ListComplete,
+		Entries: []hollyyoke.Entry{{Worker: "10.0.0.1:9000"}},
 	}, nil)
-	actions := d.Handle(now, starlingwell.Event{
-		Kind: starlingwell.Arrival, Request: 1, Slots: 1,
+	actions := d.Handle(now, hollyyoke.Event{
+		Kind: hollyyoke.Arrival, Request: 1, Slots: 1,
 		Work: 100 * time.Millisecond, Left: 5 * time.Second,
 	}, nil)
 	for _, a := range actions {
-		if a.Kind == starlingwell.Assign {
+		if a.Kind == hollyyoke.Assign {
 			fmt.Println("send request", a.Request, "to", a.Worker)
 		}
 	}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -1,5 +1,5 @@
 // Package wire translates the simulator's line protocol to the types of package
-// starlingwell and back. It takes no decisions.
+// hollyyoke and back. It takes no decisions.
 package wire
 
 import (
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"starlingwell.example/starlingwell"
+	"hollyyoke.example/hollyyoke"
 )
 
 // Op tells what a Message asks of the host of the instances.
@@ -27,8 +27,8 @@
 type Message struct {
 	Op       Op
 	Instance int64
-	Event    starlingwell.Event
-	Settings starlingwell.Settings
+	Event    hollyyoke.Event
+	Settings hollyyoke.Settings
 	Seed     uint64
 }
 
@@ -44,7 +44,7 @@
 // outlive a batch.
 type Decoder struct {
 	parser fastjson.Parser
-	tables [tableCount][]starlingwell.Entry
+	tables [tableCount][]hollyyoke.Entry
 	filled [tableCount]bool
 	names  map[string]string // interned worker names
 	free   map[int64]string  // by instance: the report value that tells free slots
@@ -119,16 +119,16 @@
 	case "roster_change":
 		return true, d.roster(v, ev)
 	case "ingress":
-		ev.Kind = starlingwell.Arrival
+		ev.Kind = hollyyoke.Arrival
 		ev.Class, ev.Tenant = v.GetInt("class"), v.GetInt("client_group")
 		ev.Slots = v.GetFloat64("needs")
 		ev.Work, ev.Left = duration(v, "effort_us"), duration(v, "left_us")
 		ev.ClientRetry = v.GetBool("retry")
 		ev.Key = string(v.GetStringBytes("key"))
 	case "first_byte":
-		ev.Kind = starlingwell.FirstByte
+		ev.Kind = hollyyoke.FirstByte
 	case "response":
-		ev.Kind = starlingwell.Response
+		ev.Kind = hollyyoke.Response
 		ev.Settled = v.GetBool("settled")
 		ev.Load = d.load(m.Instance, v.Get("gauge"))
 		if ev.Outcome, err = outcome(v.GetStringBytes("rc")); err != nil {
@@ -137,27 +137,27 @@
 	case "interim":
 		switch v.GetInt("kind") {
 		case 1:
-			ev.Kind = starlingwell.Started
+			ev.Kind = hollyyoke.Started
 		case 2:
-			ev.Kind = starlingwell.ProgressMade
+			ev.Kind = hollyyoke.ProgressMade
 			ev.Fraction = v.GetFloat64("x")
 		default:
 			return false, nil
 		}
 	case "pong":
-		ev.Kind = starlingwell.ProbeResult
+		ev.Kind = hollyyoke.ProbeResult
 		ev.Load = d.load(m.Instance, v.Get("gauge"))
 		ev.Worker = d.intern(v.GetStringBytes("worker"))
 		ev.Outcome, err = outcome(v.GetStringBytes("rc"))
 		return err == nil, err
 	case "hangup":
-		ev.Kind = starlingwell.HungUp
+		ev.Kind = hollyyoke.HungUp
 	case "due":
-		ev.Kind = starlingwell.TimerDue
+		ev.Kind = hollyyoke.TimerDue
 		ev.Timer, err = identity(v, "handle")
 		return err == nil, err
 	case "peer_data":
-		ev.Kind = starlingwell.PeerMessage
+		ev.Kind = hollyyoke.PeerMessage
 		return true, nil
 	default:
 		return false, fmt.Errorf("unknown message %q", cmd)
@@ -177,20 +177,20 @@
 	}
 	elements := v.GetArray("elements")
 	// A new slice each time: dispatchers may still read the one it replaces.
-	list := make([]starlingwell.Entry, 0, len(elements))
+	list := make([]hollyyoke.Entry, 0, len(elements))
 	for _, e := range elements {
-		entry := starlingwell.Entry{
+		entry := hollyyoke.Entry{
 			Worker: d.intern(e.GetStringBytes("worker")),
 			Zone:   e.GetInt("failure_domain"), Kind: e.GetInt("shape"), Cell: e.GetInt("pod"),
 			LastStart: duration(e, "last_start_us"), Weight: e.GetFloat64("capacity_hint"),
 		}
 		switch state := e.GetStringBytes("readiness"); string(state) {
 		case "Running":
-			entry.State = starlingwell.Running
+			entry.State = hollyyoke.Running
 		case "Stopping":
-			entry.State = starlingwell.Stopping
+			entry.State = hollyyoke.Stopping
 		case "Deleted":
-			entry.State = starlingwell.Deleted
+			entry.State = hollyyoke.Deleted
 		default:
 			return fmt.Errorf("table %d: unknown readiness %q", n, state)
 		}
@@ -211,17 +211,17 @@
 	return n, nil
 }
 
-func (d *Decoder) roster(v *fastjson.Value, ev *starlingwell.Event) error {
-	ev.Kind = starlingwell.WorkerList
+func (d *Decoder) roster(v *fastjson.Value, ev *hollyyoke.Event) error {
+	ev.Kind = hollyyoke.WorkerList
 	switch how := v.GetStringBytes("how"); string(how) {
 	case "Partial":
-		ev.List = starlingwell.ListChanges
+		ev.List = hollyyoke.ListChanges
 	case "Complete":
-		ev.List = starlingwell.ListComplete
+		ev.List = hollyyoke.ListComplete
 	case "Persisted":
-		ev.List = starlingwell.ListPersisted
+		ev.List = hollyyoke.ListPersisted
 	case "Error":
-		ev.List = starlingwell.ListError
+		ev.List = hollyyoke.ListError
 		return nil
 	default:
 		return fmt.Errorf("unknown kind of list %q", how)
@@ -247,14 +247,14 @@
 	return s
 }
 
-var outcomes = map[string]starlingwell.Outcome{
-	"completed": starlingwell.Completed, "errored": starlingwell.Errored,
-	"saturated": starlingwell.Saturated, "overdue": starlingwell.Overdue,
-	"refused_conn": starlingwell.RefusedConn, "severed": starlingwell.Severed,
-	"recalled": starlingwell.Recalled, "superseded": starlingwell.Superseded,
+var outcomes = map[string]hollyyoke.Outcome{
+	"completed": hollyyoke.Completed, "errored": hollyyoke.Errored,
+	"saturated": hollyyoke.Saturated, "overdue": hollyyoke.Overdue,
+	"refused_conn": hollyyoke.RefusedConn, "severed": hollyyoke.Severed,
+	"recalled": hollyyoke.Recalled, "superseded": hollyyoke.Superseded,
 }
 
-func outcome(b []byte) (starlingwell.Outcome, error) {
+func outcome(b []byte) (hollyyoke.Outcome, error) {
 	o, ok := outcomes[string(b)]
 	if !ok {
 		return 0, fmt.Errorf("unknown outcome %q", b)
@@ -263,7 +263,7 @@
 }
 
 // load reads a report. Values that no decision rests on are passed over.
-func (d *Decoder) load(instance int64, v *fastjson.Value) (l starlingwell.Load) {
+func (d *Decoder) load(instance int64, v *fastjson.Value) (l hollyyoke.Load) {
 	if v == nil {
 		return l
 	}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"starlingwell.example/starlingwell"
+	"hollyyoke.example/hollyyoke"
 )
 
 // Encoder builds the reply to one batch.
@@ -24,7 +24,7 @@
 }
 
 // Add appends the actions of one instance.
-func (e *Encoder) Add(instance int64, actions []starlingwell.Action) {
+func (e *Encoder) Add(instance int64, actions []hollyyoke.Action) {
 	for i := range actions {
 		e.add(instance, &actions[i])
 	}
@@ -36,7 +36,7 @@
 	return e.buf
 }
 
-func (e *Encoder) add(instance int64, a *starlingwell.Action) {
+func (e *Encoder) add(instance int64, a *hollyyoke.Action) {
 	if !e.empty {
 		e.buf = append(e.buf, ',')
 	}
@@ -46,36 +46,36 @@
 	e.buf = append(e.buf, `","dispatcher":`...)
 	e.buf = strconv.AppendInt(e.buf, instance, 10)
 	switch a.Kind {
-	case starlingwell.Assign:
+	case hollyyoke.Assign:
 		e.number("corr", a.Request)
 		e.text("worker", a.Worker)
-	case starlingwell.Refuse:
+	case hollyyoke.Refuse:
 		e.number("corr", a.Request)
 		if a.Delay > 0 {
 			e.number("come_back_us", microseconds(a.Delay))
 		}
-	case starlingwell.FinishError:
+	case hollyyoke.FinishError:
 		e.number("corr", a.Request)
-	case starlingwell.StopAttempt:
+	case hollyyoke.StopAttempt:
 		e.number("corr", a.Request)
 		e.number("trial", uint64(a.Attempt))
-	case starlingwell.SetTimer:
+	case hollyyoke.SetTimer:
 		e.number("handle", a.Timer)
 		e.number("span_us", min(microseconds(a.Delay), longestTimer))
-	case starlingwell.Probe, starlingwell.Release:
+	case hollyyoke.Probe, hollyyoke.Release:
 		e.text("worker", a.Worker)
-	case starlingwell.Subscribe:
+	case hollyyoke.Subscribe:
 		e.buf = append(e.buf, `,"active":true`...)
-	case starlingwell.Log:
+	case hollyyoke.Log:
 		e.text("reason_text", a.Text)
 	}
 	e.buf = append(e.buf, '}')
 }
 
 var actionNames = [...]string{
-	starlingwell.Assign: "assign", starlingwell.Refuse: "not_now", starlingwell.FinishError: "finish_error",
-	starlingwell.StopAttempt: "stop_attempt", starlingwell.SetTimer: "set_alarm", starlingwell.Probe: "probe",
-	starlingwell.Subscribe: "listen", starlingwell.Release: "release", starlingwell.Log: "say_log",
+	hollyyoke.Assign: "assign", hollyyoke.Refuse: "not_now", hollyyoke.FinishError: "finish_error",
+	hollyyoke.StopAttempt: "stop_attempt", hollyyoke.SetTimer: "set_alarm", hollyyoke.Probe: "probe",
+	hollyyoke.Subscribe: "listen", hollyyoke.Release: "release", hollyyoke.Log: "say_log",
 }
 
 // longestTimer is the longest timer of the wire, 71 minutes, in microseconds.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,25 +7,25 @@
 
 	"github.com/valyala/fastjson"
 
-	"starlingwell.example/starlingwell"
+	"hollyyoke.example/hollyyoke"
 )
 
-var repeats = map[string]starlingwell.Repeat{
-	"retryable": starlingwell.Retryable, "dedup": starlingwell.Dedup, "fragile": starlingwell.Fragile,
+var repeats = map[string]hollyyoke.Repeat{
+	"retryable": hollyyoke.Retryable, "dedup": hollyyoke.Dedup, "fragile": hollyyoke.Fragile,
 }
 
-var groups = map[string]starlingwell.Group{
-	"": starlingwell.GroupAll, "all": starlingwell.GroupAll,
-	"zone": starlingwell.GroupZone, "cell": starlingwell.GroupCell,
+var groups = map[string]hollyyoke.Group{
+	"": hollyyoke.GroupAll, "all": hollyyoke.GroupAll,
+	"zone": hollyyoke.GroupZone, "cell": hollyyoke.GroupCell,
 }
 
 // settings translates the settings of a boot message.
-func settings(v *fastjson.Value) (s starlingwell.Settings, err error) {
+func settings(v *fastjson.Value) (s hollyyoke.Settings, err error) {
 	if v == nil || v.Type() != fastjson.TypeObject {
 		return s, errors.New("boot without params")
 	}
 	limits, rules, prices, domain := v.Get("limits"), v.Get("rules"), v.Get("prices"), v.Get("domain")
-	s = starlingwell.Settings{
+	s = hollyyoke.Settings{
 		OverQuotaWorth: v.GetFloat64("over_share_worth"),
 		WorthByWork:    string(v.GetStringBytes("worth_by")) == "work",
 		Zone:           v.GetInt("my_zone"),
@@ -63,7 +63,7 @@
 	}
 	kinds, stretches := domain.GetArray("class_kind"), domain.GetArray("class_stretch")
 	for i, c := range v.GetArray("classes") {
-		class := starlingwell.Class{
+		class := hollyyoke.Class{
 			Worth: c.GetFloat64("worth"), LateWorth: c.GetFloat64("late_worth"),
 			Aim: duration(c, "slo_us"), Deadline: duration(c, "deadline_us"),
 			Stretch: c.GetFloat64("aim_stretch"), Window: duration(c, "window_us"),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"starlingwell.example/starlingwell"
+	"hollyyoke.example/hollyyoke"
 )
 
 const bootLine = `{"moment_us":5000000,"turn":1,"msgs":[{"cmd":"boot","dispatcher":3,"rng_seed":77,"params":{` +
@@ -44,16 +44,16 @@
 	if b != (Batch{Now: 5 * time.Second, Turn: 1}) {
 		t.Fatalf("batch %+v", b)
 	}
-	want := starlingwell.Settings{
-		Classes: []starlingwell.Class{
+	want := hollyyoke.Settings{
+		Classes: []hollyyoke.Class{
 			{
 				Worth: 1.5, LateWorth: 0.25, Aim: 200 * time.Millisecond, Stretch: 2.5, Deadline: 5 * time.Second,
-				Repeat: starlingwell.Dedup, Group: starlingwell.GroupCell, Window: 4 * time.Second,
+				Repeat: hollyyoke.Dedup, Group: hollyyoke.GroupCell, Window: 4 * time.Second,
 				Stream: true,
 			},
 			{
 				Worth: 2, Aim: 100 * time.Microsecond, Stretch: 3, Deadline: 9 * time.Second,
-				Repeat: starlingwell.Fragile, Kinds: []int{1}, Zones: []int{1}, InTurn: true,
+				Repeat: hollyyoke.Fragile, Kinds: []int{1}, Zones: []int{1}, InTurn: true,
 			},
 		},
 		TenantQuotas: []float64{12.5}, OverQuotaWorth: 0.1, WorthByWork: true, Zone: 1, Peers: 4,
@@ -71,12 +71,12 @@
 	if !reflect.DeepEqual(got[0].Settings, want) {
 		t.Fatalf("settings\n got %+v\nwant %+v", got[0].Settings, want)
 	}
-	entry := starlingwell.Entry{
-		Worker: "10.0.0.1:1", Zone: 1, Kind: 2, Cell: 3, State: starlingwell.Stopping, Weight: 1.5,
+	entry := hollyyoke.Entry{
+		Worker: "10.0.0.1:1", Zone: 1, Kind: 2, Cell: 3, State: hollyyoke.Stopping, Weight: 1.5,
 		LastStart: 6100 * time.Millisecond,
 	}
 	ev := got[1].Event
-	if ev.List != starlingwell.ListPersisted || len(ev.Entries) != 1 || ev.Entries[0] != entry {
+	if ev.List != hollyyoke.ListPersisted || len(ev.Entries) != 1 || ev.Entries[0] != entry {
 		t.Fatalf("list %+v", ev)
 	}
 }
@@ -88,37 +88,37 @@
 	}
 	for _, test := range []struct {
 		line string
-		want starlingwell.Event
+		want hollyyoke.Event
 	}{
 		{`{"cmd":"ingress","dispatcher":3,"corr":3363244424729028,"effort_us":12000,"class":1,"needs":2,"left_us":240000,` +
 			`"client_group":4,"key":"fn:a","retry":true}`,
-			starlingwell.Event{
-				Kind: starlingwell.Arrival, Request: 3363244424729028, Class: 1, Tenant: 4, Slots: 2, Key: "fn:a",
+			hollyyoke.Event{
+				Kind: hollyyoke.Arrival, Request: 3363244424729028, Class: 1, Tenant: 4, Slots: 2, Key: "fn:a",
 				Work: 12 * time.Millisecond, Left: 240 * time.Millisecond, ClientRetry: true,
 			}},
 		{`{"cmd":"response","dispatcher":3,"corr":7,"trial":1,"worker":"w","rc":"saturated","rtt_us":18500,` +
 			`"settled":true,"gauge":{"x0":0.5,"other":1}}`,
-			starlingwell.Event{
-				Kind: starlingwell.Response, Request: 7, Attempt: 1, Worker: "w", Outcome: starlingwell.Saturated,
+			hollyyoke.Event{
+				Kind: hollyyoke.Response, Request: 7, Attempt: 1, Worker: "w", Outcome: hollyyoke.Saturated,
 				Settled: true,
-				Load:    starlingwell.Load{FreeSlots: 0.5, HasFreeSlots: true},
+				Load:    hollyyoke.Load{FreeSlots: 0.5, HasFreeSlots: true},
 			}},
 		{`{"cmd":"interim","dispatcher":3,"corr":7,"worker":"w","kind":1}`,
-			starlingwell.Event{Kind: starlingwell.Started, Request: 7, Worker: "w"}},
+			hollyyoke.Event{Kind: hollyyoke.Started, Request: 7, Worker: "w"}},
 		{`{"cmd":"interim","dispatcher":3,"corr":7,"worker":"w","kind":2,"x":0.5}`,
-			starlingwell.Event{Kind: starlingwell.ProgressMade, Request: 7, Worker: "w", Fraction: 0.5}},
+			hollyyoke.Event{Kind: hollyyoke.ProgressMade, Request: 7, Worker: "w", Fraction: 0.5}},
 		{`{"cmd":"first_byte","dispatcher":3,"corr":7,"worker":"w","rtt_us":9}`,
-			starlingwell.Event{Kind: starlingwell.FirstByte, Request: 7, Worker: "w"}},
+			hollyyoke.Event{Kind: hollyyoke.FirstByte, Request: 7, Worker: "w"}},
 		{`{"cmd":"pong","dispatcher":3,"worker":"w","rc":"completed","rtt_us":9,"gauge":{"x0":3,"outstanding":2,"backlog":4}}`,
-			starlingwell.Event{
-				Kind: starlingwell.ProbeResult, Worker: "w",
-				Load: starlingwell.Load{FreeSlots: 3, HasFreeSlots: true, Outstanding: 2, HasOutstanding: true, Backlog: 4, HasBacklog: true},
+			hollyyoke.Event{
+				Kind: hollyyoke.ProbeResult, Worker: "w",
+				Load: hollyyoke.Load{FreeSlots: 3, HasFreeSlots: true, Outstanding: 2, HasOutstanding: true, Backlog: 4, HasBacklog: true},
 			}},
-		{`{"cmd":"hangup","dispatcher":3,"corr":7}`, starlingwell.Event{Kind: starlingwell.HungUp, Request: 7}},
+		{`{"cmd":"hangup","dispatcher":3,"corr":7}`, hollyyoke.Event{Kind: hollyyoke.HungUp, Request: 7}},
 		{`{"cmd":"due","dispatcher":3,"handle":4611686018427387904}`,
-			starlingwell.Event{Kind: starlingwell.TimerDue, Timer: 1 << 62}},
+			hollyyoke.Event{Kind: hollyyoke.TimerDue, Timer: 1 << 62}},
 		{`{"cmd":"roster_change","dispatcher":3,"how":"Error"}`,
-			starlingwell.Event{Kind: starlingwell.WorkerList, List: starlingwell.ListError}},
+			hollyyoke.Event{Kind: hollyyoke.WorkerList, List: hollyyoke.ListError}},
 	} {
 		_, got, err := decode(t, d, `{"moment_us":1,"turn":2,"msgs":[`+test.line+`]}`)
 		if err != nil || len(got) != 1 || !reflect.DeepEqual(got[0].Event, test.want) {
@@ -166,17 +166,17 @@
 func TestEncode(t *testing.T) {
 	var e Encoder
 	e.Begin(12)
-	e.Add(3, []starlingwell.Action{
-		{Kind: starlingwell.Assign, Request: 7, Worker: "10.0.0.1:1"},
-		{Kind: starlingwell.Refuse, Request: 7, Delay: 250 * time.Millisecond},
-		{Kind: starlingwell.Refuse, Request: 8},
-		{Kind: starlingwell.FinishError, Request: 7},
-		{Kind: starlingwell.StopAttempt, Request: 7, Attempt: 2},
-		{Kind: starlingwell.SetTimer, Timer: 1 << 62, Delay: 1500 * time.Nanosecond},
-		{Kind: starlingwell.Probe, Worker: "w"},
-		{Kind: starlingwell.Subscribe},
-		{Kind: starlingwell.Release, Worker: "w"},
-		{Kind: starlingwell.Log, Text: "say \"é\"\n"},
+	e.Add(3, []hollyyoke.Action{
+		{Kind: hollyyoke.Assign, Request: 7, Worker: "10.0.0.1:1"},
+		{Kind: hollyyoke.Refuse, Request: 7, Delay: 250 * time.Millisecond},
+		{Kind: hollyyoke.Refuse, Request: 8},
+		{Kind: hollyyoke.FinishError, Request: 7},
+		{Kind: hollyyoke.StopAttempt, Request: 7, Attempt: 2},
+		{Kind: hollyyoke.SetTimer, Timer: 1 << 62, Delay: 1500 * time.Nanosecond},
+		{Kind: hollyyoke.Probe, Worker: "w"},
+		{Kind: hollyyoke.Subscribe},
+		{Kind: hollyyoke.Release, Worker: "w"},
+		{Kind: hollyyoke.Log, Text: "say \"é\"\n"},
 	})
 	const want = `{"turn":12,"cmds":[` +
 		`{"cmd":"assign","dispatcher":3,"corr":7,"worker":"10.0.0.1:1"},` +
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package starlingwell
+package hollyyoke
 
 import (
 	"cmp"
