--- a/api.go
+++ b/api.go
@@ -35,6 +35,7 @@
 
 // Class describes one class of requests.
 type Class struct {
+	Name      string        // as wires call it; no decision rests on it
 	Worth     float64       // worth of an answer inside the aim
 	LateWorth float64       // share of Worth still earned after the aim
 	Aim       time.Duration // answers within Aim + Stretch*work earn full worth; both 0: within Deadline
@@ -90,6 +91,12 @@
 	FetchPrice     float64       // points lost when for every request what its key names must be fetched
 	MarksRetry     bool          // clients mark their repeats
 	LiveWeights    bool          // the list's weights fall with the load
+
+	// Facts of the deployment for those who carry decisions out; none rests on them.
+	ZoneNames  []string // the names of zones and kinds, by number
+	KindNames  []string
+	FreeSlots  string        // the load report's value that tells free slots; empty: none
+	DrainGrace time.Duration // how long after the news a draining worker may still be sent to
 }
 
 // normalize checks the settings and fills in what must not be zero.
--- /dev/null
+++ b/cmd/hollyyoke/main.go
@@ -0,0 +1,185 @@
+// Command hollyyoke is the dispatcher: it takes jobs from clients over sockets
+// and has backends run them, as the module decides. This file owns the
+// process: what it is told at its start, its limits, and its planned end. It
+// must never exit while an answer is owed, but on a second signal or a bad start.
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/net"
+	"hollyyoke.example/hollyyoke/internal/platform"
+	"hollyyoke.example/hollyyoke/internal/settings"
+)
+
+func main() {
+	runtime.GOMAXPROCS(1) // one goroutine owns all state, and the core is shared with others
+	if err := run(os.Args[1:], os.Getenv, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "hollyyoke:", err)
+		os.Exit(1)
+	}
+}
+
+// arrivalWindow is how long new connections and requests may still come after
+// SIGTERM: 0.4 s by the platform's page, and some for a slow machine.
+const arrivalWindow = 600 * time.Millisecond
+
+// config is what the dispatcher is told: the file, with the environment before it.
+type config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      any    `json:"seed"`
+	Limits    struct {
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  float64 `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+func readConfig(env func(string) string) (c config, s hollyyoke.Settings, err error) {
+	path := env("BALANCER_CONFIG")
+	if path == "" {
+		return c, s, errors.New("BALANCER_CONFIG: not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return c, s, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	if err := json.Unmarshal(raw, &c); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) && wrong.Field != "" {
+			return c, s, fmt.Errorf("config: %s: a %s cannot stand here", wrong.Field, wrong.Value)
+		}
+		return c, s, fmt.Errorf("config: %w", err)
+	}
+	c.Name = cmp.Or(env("BALANCER_NAME"), c.Name, "hollyyoke")
+	c.Listen = cmp.Or(env("BALANCER_LISTEN"), c.Listen)
+	c.Discovery = cmp.Or(env("BALANCER_DISCOVERY"), c.Discovery)
+	if len(c.Settings) == 0 {
+		return c, s, errors.New("config: settings: missing")
+	}
+	if s, err = settings.Read(c.Settings); err != nil {
+		return c, s, fmt.Errorf("config: settings: %w", err)
+	}
+	for i, class := range s.Classes {
+		if class.Name == "" {
+			return c, s, fmt.Errorf("config: settings: classes[%d].name: missing", i)
+		}
+	}
+	return c, s, nil
+}
+
+// seed turns what the config says into a number: hexadecimal digits, else any text.
+func (c *config) seed() uint64 {
+	text := fmt.Sprint(c.Seed)
+	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	io.WriteString(h, text)
+	return h.Sum64()
+}
+
+// descriptors is the smaller of what the config and the system allow.
+func (c *config) descriptors() int {
+	n := 1024
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < 1<<20 {
+		n = int(limit.Cur)
+	}
+	if c.Limits.Sockets >= 1 {
+		n = min(n, int(c.Limits.Sockets))
+	}
+	return n
+}
+
+func run(args []string, env func(string) string, log io.Writer) error {
+	flags := flag.NewFlagSet("hollyyoke", flag.ContinueOnError)
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	c, s, err := readConfig(env)
+	if err != nil {
+		return err
+	}
+	if c.Listen == "" {
+		return errors.New("config: listen: missing")
+	}
+	if mb := c.Limits.MemoryMB; mb >= 1 {
+		debug.SetMemoryLimit(int64(mb * 0.6 * (1 << 20)))
+	}
+	loop := core.NewLoop()
+	d, err := core.New(loop, s, c.seed())
+	if err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	d.Log = func(text string) { fmt.Fprintf(log, "%s: %s\n", c.Name, text) }
+	engine, err := net.NewEngine(loop, c.descriptors())
+	if err != nil {
+		return err
+	}
+	backends := platform.NewBackends(d, engine, c.Discovery)
+	if err := backends.Known(c.Known); err != nil {
+		return fmt.Errorf("config: known: %w", err)
+	}
+	front := platform.NewFront(d, engine, func() bool { return d.Backends() > 0 })
+	addr, err := front.Listen(c.Listen, net.Accepted(c.descriptors()))
+	if err != nil {
+		return fmt.Errorf("config: listen: %w", err)
+	}
+	d.Log("listening on " + addr)
+
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		loop.Post(func() { stop(d, front, loop) })
+		<-signals
+		os.Exit(1)
+	}()
+	loop.Run()
+	n := d.Counts()
+	d.Log(fmt.Sprintf("stopped: taken %d, served %d, refused %d, failed %d, hung up %d, fetches %d",
+		n.Taken, n.Served, n.Refused, n.Failed, n.HungUp, n.Fetches))
+	return nil
+}
+
+// stop is the planned end: all that comes in the arrival window is served like
+// before, then sessions end between requests, and the last answer ends the program.
+func stop(d *core.Core, front *platform.Front, loop *core.Loop) {
+	front.Stop()
+	loop.After(arrivalWindow, func() {
+		front.Close()
+		patience := loop.Now() + time.Second // for requests that have begun to come in
+		var last func()
+		last = func() {
+			if d.Owed() == 0 && (front.Sessions() == 0 || loop.Now() > patience) {
+				// What was answered just now is still on its way out of the sockets.
+				loop.After(lastBytes, loop.Stop)
+				return
+			}
+			loop.After(5*time.Millisecond, last)
+		}
+		last()
+	})
+}
+
+// lastBytes is left to sockets for their last bytes before the process ends.
+const lastBytes = 50 * time.Millisecond
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,429 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+)
+
+// This file owns reqs and their fetches: it turns what fronts and carriers
+// report into the module's events, and carries out the module's actions. It
+// must never decide by itself where a req goes, nor answer one twice.
+
+// Job is what a req asks for, in no wire's words.
+type Job struct {
+	ID     string // the client's name for it
+	Class  int
+	Key    string // what it concerns; may be empty
+	Target string // path and query as the client wrote them; empty where its wire has none
+	Body   []byte // valid until Release
+	Slots  float64
+	Work   time.Duration // hinted run time; 0: no hint
+	Left   time.Duration // how long the client waits, from Since on; 0: as long as the class says
+	Since  time.Duration // clock time from which Left runs
+	Retry  bool          // marked as a client's repeat
+
+	Release func() // called once, when the job's bytes are needed no more; may be nil
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The verdicts. Refused is a synthetic answer that promises that nothing has run.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+)
+
+func (v Verdict) String() string { return [...]string{"served", "refused", "failed"}[v] }
+
+// Answer is a final answer.
+type Answer struct {
+	Verdict    Verdict
+	Result     []byte        // what the backend made; valid during the call only
+	RetryAfter time.Duration // for Refused: when to come back; 0: not told
+	MayHaveRun bool          // some fetch of the req may have had an effect
+}
+
+// Front is what hands in reqs. Answer is called once for each req it handed
+// in, unless it hung up first.
+type Front interface {
+	Answer(token uint64, a Answer)
+}
+
+// Fetch is one attempt, as a carrier sees it.
+type Fetch struct {
+	Handle   uint64
+	Backend  string
+	Job      *Job
+	Deadline time.Duration // when the client gives up
+	Copy     int           // how many attempts came before
+}
+
+// Carrier takes fetches to backends. It reports how each ended by Ended, once,
+// unless Stop came first.
+type Carrier interface {
+	Start(f Fetch)
+	Stop(handle uint64) (neverRan bool) // give it up
+	Release(backend string)             // close idle connections
+	Probe(backend string)               // answer with Probed
+	Subscribe()                         // ask for list changes from now on
+}
+
+// answerMargin is by how much the final answer leaves before the client gives
+// up. It covers the way there and a late timer on a shared core.
+const answerMargin = 12 * time.Millisecond
+
+// Core is one dispatcher. All its methods belong to the loop's goroutine.
+type Core struct {
+	Loop     *Loop
+	Settings hollyyoke.Settings
+	Log      func(text string)
+
+	module   *hollyyoke.Dispatcher
+	reqs     Table[req]
+	fetches  Table[fetch]
+	sources  []Carrier // those that list backends
+	listed   map[string]listing
+	pending  []hollyyoke.Event
+	actions  []hollyyoke.Action
+	handling bool
+	owed     int
+	counts   Counts
+}
+
+// Counts tells what became of the reqs taken so far.
+type Counts struct{ Taken, Served, Refused, Failed, HungUp, Fetches uint64 }
+
+type req struct {
+	handle   uint64
+	front    Front
+	token    uint64
+	job      Job
+	deadline time.Duration
+	attempts []attempt
+	out      int
+	answered bool
+	timer    Deadline // the module's own, of the req's number
+	due      Deadline // its last moment
+}
+
+type attempt struct {
+	fetch    uint64 // 0: never started
+	neverRan bool
+}
+
+type fetch struct {
+	req     uint64
+	attempt int
+	backend string
+	carrier Carrier
+}
+
+type listing struct {
+	entry  hollyyoke.Entry
+	source Carrier
+}
+
+// New returns a core that knows no backend yet.
+func New(loop *Loop, s hollyyoke.Settings, seed uint64) (*Core, error) {
+	m, err := hollyyoke.New(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{Loop: loop, Settings: s, Log: func(string) {}, module: m, listed: map[string]listing{}}, nil
+}
+
+// Owed is the number of reqs taken that have no final answer yet.
+func (c *Core) Owed() int { return c.owed }
+
+// Counts tells what became of the reqs taken so far.
+func (c *Core) Counts() Counts { return c.counts }
+
+// Backends is the number of backends listed that take new work.
+func (c *Core) Backends() (ready int) {
+	for _, l := range c.listed {
+		if l.entry.State == hollyyoke.Running {
+			ready++
+		}
+	}
+	return ready
+}
+
+// Take takes a req. From now on a final answer is owed to front under token.
+// It returns the req's handle, for HangUp; the answer may come before it returns.
+func (c *Core) Take(front Front, token uint64, job Job) uint64 {
+	now := c.Loop.Now()
+	r := &req{front: front, token: token, job: job}
+	left := c.Settings.Classes[job.Class].Deadline
+	if job.Left > 0 {
+		left = min(left, job.Left)
+	}
+	if job.Since == 0 {
+		job.Since = now
+	}
+	r.deadline = max(job.Since+left-answerMargin, now)
+	r.handle = c.reqs.Put(r)
+	r.due.Fire = func() { c.lastMoment(r) }
+	r.timer.Fire = func() { c.handle(hollyyoke.Event{Kind: hollyyoke.TimerDue, Timer: r.handle}) }
+	c.Loop.Set(&r.due, r.deadline)
+	c.owed++
+	c.counts.Taken++
+	c.handle(hollyyoke.Event{
+		Kind: hollyyoke.Arrival, Request: r.handle, Class: job.Class, Slots: job.Slots, Work: job.Work,
+		Left: max(r.deadline-now, 0), ClientRetry: job.Retry, Key: job.Key,
+	})
+	return r.handle
+}
+
+// HangUp tells that the client of a req wants no answer any more.
+func (c *Core) HangUp(handle uint64) {
+	r := c.reqs.Get(handle)
+	if r == nil || r.answered {
+		return
+	}
+	c.counts.HungUp++
+	c.settle(r)
+	c.handle(hollyyoke.Event{Kind: hollyyoke.HungUp, Request: handle})
+	c.tidy(r)
+}
+
+// lastMoment guards against a lost req: what is still out is overdue, and if
+// the module has no word even then, the req has failed.
+func (c *Core) lastMoment(r *req) {
+	for i := 0; i < len(r.attempts) && c.reqs.Get(r.handle) == r; i++ {
+		if h := r.attempts[i].fetch; c.fetches.Get(h) != nil {
+			c.stop(h, hollyyoke.Overdue)
+		}
+	}
+	if !r.answered {
+		c.answer(r, Answer{Verdict: Failed})
+		c.handle(hollyyoke.Event{Kind: hollyyoke.HungUp, Request: r.handle})
+		c.tidy(r)
+	}
+}
+
+// answer gives the one final answer.
+func (c *Core) answer(r *req, a Answer) {
+	if r.answered {
+		return
+	}
+	for _, t := range r.attempts {
+		a.MayHaveRun = a.MayHaveRun || !t.neverRan
+	}
+	switch a.Verdict {
+	case Served:
+		c.counts.Served++
+	case Refused:
+		c.counts.Refused++
+	default:
+		c.counts.Failed++
+	}
+	c.settle(r)
+	r.front.Answer(r.token, a)
+}
+
+func (c *Core) settle(r *req) {
+	r.answered = true
+	c.owed--
+	c.Loop.Clear(&r.timer)
+}
+
+// tidy drops a req that is over. Its last moment stands until then: a fetch
+// that goes on after the answer, where none may be called off, ends there too.
+func (c *Core) tidy(r *req) {
+	if r.answered && r.out == 0 && c.reqs.Get(r.handle) == r {
+		c.Loop.Clear(&r.due)
+		c.reqs.Drop(r.handle)
+		if r.job.Release != nil {
+			r.job.Release()
+		}
+	}
+}
+
+// ---- What carriers report.
+
+// Ended tells how a fetch ended. For Completed, result is the body of the answer.
+func (c *Core) Ended(handle uint64, o hollyyoke.Outcome, load hollyyoke.Load, result []byte) {
+	f := c.fetches.Get(handle)
+	if f == nil {
+		return
+	}
+	r := c.reqs.Get(f.req)
+	c.fetches.Drop(handle)
+	r.out--
+	r.attempts[f.attempt].neverRan = o == hollyyoke.Saturated && !c.Settings.FullNoProof ||
+		o == hollyyoke.RefusedConn || o == hollyyoke.Superseded
+	if o == hollyyoke.Completed {
+		c.answer(r, Answer{Verdict: Served, Result: result})
+	}
+	c.handle(hollyyoke.Event{
+		Kind: hollyyoke.Response, Request: f.req, Attempt: f.attempt, Worker: f.backend,
+		Outcome: o, Settled: r.answered, Load: load,
+	})
+	c.tidy(r)
+}
+
+// Started tells that a backend has begun with a fetch.
+func (c *Core) Started(handle uint64) {
+	if f := c.fetches.Get(handle); f != nil {
+		c.handle(hollyyoke.Event{
+			Kind: hollyyoke.Started, Request: f.req, Attempt: f.attempt, Worker: f.backend,
+		})
+	}
+}
+
+// Progress tells what share of a fetch is done.
+func (c *Core) Progress(handle uint64, share float64) {
+	if f := c.fetches.Get(handle); f != nil {
+		c.handle(hollyyoke.Event{
+			Kind: hollyyoke.ProgressMade, Request: f.req, Attempt: f.attempt, Worker: f.backend, Fraction: share,
+		})
+	}
+}
+
+// Probed tells a backend's load, asked for or not.
+func (c *Core) Probed(backend string, o hollyyoke.Outcome, load hollyyoke.Load) {
+	c.handle(hollyyoke.Event{Kind: hollyyoke.ProbeResult, Worker: backend, Outcome: o, Load: load})
+}
+
+// Listen makes a carrier a source of backends.
+func (c *Core) Listen(source Carrier) { c.sources = append(c.sources, source) }
+
+// List takes in what a source says of its backends. What another source lists
+// stays: a complete list is complete for its own source alone.
+func (c *Core) List(source Carrier, kind hollyyoke.ListKind, entries []hollyyoke.Entry) {
+	ev := hollyyoke.Event{Kind: hollyyoke.WorkerList, List: kind, Entries: entries}
+	if kind == hollyyoke.ListComplete || kind == hollyyoke.ListPersisted {
+		for name, l := range c.listed {
+			if l.source == source {
+				delete(c.listed, name)
+			}
+		}
+		var others []hollyyoke.Entry
+		for _, l := range c.listed {
+			others = append(others, l.entry)
+		}
+		slices.SortFunc(others, func(a, b hollyyoke.Entry) int { // a map's order would make runs differ
+			if a.Worker < b.Worker {
+				return -1
+			}
+			return 1
+		})
+		ev.Entries = append(slices.Clone(entries), others...)
+	}
+	for _, e := range entries {
+		if e.State == hollyyoke.Deleted {
+			delete(c.listed, e.Worker)
+		} else {
+			c.listed[e.Worker] = listing{e, source}
+		}
+	}
+	c.handle(ev)
+}
+
+// ---- What the module wants done.
+
+// handle feeds the module. What an action brings about at once waits its turn.
+func (c *Core) handle(ev hollyyoke.Event) {
+	c.pending = append(c.pending, ev)
+	if c.handling {
+		return
+	}
+	c.handling = true
+	for len(c.pending) > 0 {
+		ev := c.pending[0]
+		c.pending = append(c.pending[:0], c.pending[1:]...)
+		c.actions = c.module.Handle(c.Loop.Now(), ev, c.actions[:0])
+		for i := range c.actions {
+			c.act(&c.actions[i])
+		}
+	}
+	c.handling = false
+}
+
+func (c *Core) act(a *hollyyoke.Action) {
+	switch a.Kind {
+	case hollyyoke.Assign:
+		c.assign(a.Request, a.Worker)
+	case hollyyoke.Refuse, hollyyoke.FinishError:
+		if r := c.reqs.Get(a.Request); r != nil {
+			answer := Answer{Verdict: Failed}
+			if a.Kind == hollyyoke.Refuse {
+				answer = Answer{Verdict: Refused, RetryAfter: a.Delay}
+			}
+			c.answer(r, answer)
+			c.tidy(r)
+		}
+	case hollyyoke.StopAttempt:
+		if r := c.reqs.Get(a.Request); r != nil && a.Attempt < len(r.attempts) {
+			c.stop(r.attempts[a.Attempt].fetch, hollyyoke.Recalled)
+		}
+	case hollyyoke.SetTimer:
+		c.setTimer(a.Timer, c.Loop.Now()+a.Delay)
+	case hollyyoke.Probe:
+		if l, ok := c.listed[a.Worker]; ok {
+			l.source.Probe(a.Worker)
+		}
+	case hollyyoke.Release:
+		if l, ok := c.listed[a.Worker]; ok {
+			l.source.Release(a.Worker)
+		}
+	case hollyyoke.Subscribe:
+		for _, s := range c.sources {
+			s.Subscribe()
+		}
+	case hollyyoke.Log:
+		c.Log(a.Text)
+	}
+}
+
+func (c *Core) setTimer(number uint64, at time.Duration) {
+	if r := c.reqs.Get(number); r != nil {
+		if !r.answered {
+			c.Loop.Set(&r.timer, at)
+		}
+		return
+	}
+	c.Loop.Set(&Deadline{Fire: func() {
+		c.handle(hollyyoke.Event{Kind: hollyyoke.TimerDue, Timer: number})
+	}}, at)
+}
+
+// assign starts the next fetch of a req.
+func (c *Core) assign(handle uint64, backend string) {
+	r := c.reqs.Get(handle)
+	if r == nil {
+		c.Log("the module assigned a req that is over")
+		return
+	}
+	n := len(r.attempts)
+	l, ok := c.listed[backend]
+	if r.answered || !ok || n >= max(c.Settings.MaxAttempts, 1) || c.Loop.Now() >= r.deadline {
+		r.attempts = append(r.attempts, attempt{neverRan: true})
+		c.handle(hollyyoke.Event{
+			Kind: hollyyoke.Response, Request: handle, Attempt: n, Worker: backend,
+			Outcome: hollyyoke.Superseded, Settled: r.answered,
+		})
+		return
+	}
+	h := c.fetches.Put(&fetch{req: handle, attempt: n, backend: backend, carrier: l.source})
+	r.attempts = append(r.attempts, attempt{fetch: h})
+	r.out++
+	c.counts.Fetches++
+	l.source.Start(Fetch{Handle: h, Backend: backend, Job: &r.job, Deadline: r.deadline, Copy: n})
+}
+
+// stop gives a fetch up. If it is known never to have run, that is what is told.
+func (c *Core) stop(handle uint64, o hollyyoke.Outcome) {
+	f := c.fetches.Get(handle)
+	if f == nil {
+		return
+	}
+	if f.carrier.Stop(handle) {
+		o = hollyyoke.Superseded
+	}
+	c.Ended(handle, o, hollyyoke.Load{}, nil)
+}
--- /dev/null
+++ b/internal/core/loop.go
@@ -0,0 +1,232 @@
+// Package core is the dispatcher between a front and the decision module. It
+// owns the module, the clock, the tables of reqs and fetches, and the one
+// ordered structure that all deadlines hang in. It deals in reqs, fetches and
+// outcomes; it must never know a wire, a socket or a file.
+package core
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// This file owns time: the clock, the deadlines and the goroutine on which all
+// state lives. It must never call back on another goroutine, nor fire a
+// deadline before its time.
+
+// Loop runs everything that touches state on one goroutine. Only Post, Now and
+// Stop may be called from elsewhere.
+type Loop struct {
+	start time.Time
+	unix  time.Duration
+
+	mu      sync.Mutex
+	posted  []func()
+	stopped bool
+	wake    chan struct{}
+
+	spare []func()
+	due   deadlines
+	seq   uint64
+}
+
+// NewLoop returns a loop whose clock reads Unix time.
+func NewLoop() *Loop {
+	now := time.Now()
+	return &Loop{start: now, unix: time.Duration(now.UnixNano()), wake: make(chan struct{}, 1)}
+}
+
+// Now is Unix time at the start plus what has passed since by the monotonic
+// clock: it compares with times told by others, and never steps.
+func (l *Loop) Now() time.Duration { return l.unix + time.Since(l.start) }
+
+// Post hands f over to the loop's goroutine, in order.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, f)
+	l.mu.Unlock()
+	l.kick()
+}
+
+// Stop makes Run return after the work at hand.
+func (l *Loop) Stop() {
+	l.mu.Lock()
+	l.stopped = true
+	l.mu.Unlock()
+	l.kick()
+}
+
+func (l *Loop) kick() {
+	select {
+	case l.wake <- struct{}{}:
+	default: // it is awake already
+	}
+}
+
+// Run does what is posted and fires what is due until Stop.
+func (l *Loop) Run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		work, stopped := l.posted, l.stopped
+		l.posted = l.spare[:0]
+		l.mu.Unlock()
+		if stopped {
+			return
+		}
+		for _, f := range work {
+			f()
+		}
+		clear(work)
+		l.spare = work[:0]
+		l.fire()
+		if wait := l.wait(); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-l.wake:
+			case <-timer.C:
+			}
+		}
+	}
+}
+
+// wait is how long nothing is due, 0 if something is or work was posted.
+func (l *Loop) wait() time.Duration {
+	l.mu.Lock()
+	busy := len(l.posted) > 0 || l.stopped
+	l.mu.Unlock()
+	if busy {
+		return 0
+	}
+	if len(l.due) == 0 {
+		return time.Hour
+	}
+	return max(l.due[0].at-l.Now(), 0)
+}
+
+// fire fires what was due at its start; what that sets for now waits for the next turn.
+func (l *Loop) fire() {
+	now, last := l.Now(), l.seq
+	for len(l.due) > 0 && l.due[0].at <= now && l.due[0].seq <= last {
+		d := l.due[0]
+		heap.Pop(&l.due)
+		d.Fire()
+	}
+}
+
+// Deadline is a moment at which Fire is called on the loop's goroutine. Its
+// owner embeds it, and may set it again and again.
+type Deadline struct {
+	Fire func()
+	at   time.Duration
+	seq  uint64
+	pos  int // in the heap, counted from 1; 0: not set
+}
+
+// Set sets d, or moves it, to the time at.
+func (l *Loop) Set(d *Deadline, at time.Duration) {
+	l.seq++
+	d.at, d.seq = at, l.seq
+	if d.pos > 0 {
+		heap.Fix(&l.due, d.pos-1)
+		return
+	}
+	heap.Push(&l.due, d)
+}
+
+// Clear withdraws d if it is set.
+func (l *Loop) Clear(d *Deadline) {
+	if d.pos > 0 {
+		heap.Remove(&l.due, d.pos-1)
+	}
+}
+
+// After calls f once, span from now.
+func (l *Loop) After(span time.Duration, f func()) {
+	l.Set(&Deadline{Fire: f}, l.Now()+span)
+}
+
+// deadlines is a heap by time, then by the order in which they were set.
+type deadlines []*Deadline
+
+func (h deadlines) Len() int { return len(h) }
+func (h deadlines) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h deadlines) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].pos, h[j].pos = i+1, j+1
+}
+func (h *deadlines) Push(x any) {
+	d := x.(*Deadline)
+	*h = append(*h, d)
+	d.pos = len(*h)
+}
+func (h *deadlines) Pop() any {
+	old := *h
+	d := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	d.pos = 0
+	return d
+}
+
+// Table is a table of numbered slots. A handle names a slot and its
+// generation, so that one that has been dropped finds nothing, not what has
+// the slot now. Handles are never 0, below 2^62, and never used again.
+type Table[T any] struct {
+	slots []slot[T]
+	free  []uint32
+}
+
+type slot[T any] struct {
+	value      *T
+	generation uint64
+}
+
+const slotBits = 20
+
+// Put stores v and returns its handle.
+func (t *Table[T]) Put(v *T) uint64 {
+	if len(t.free) == 0 {
+		t.slots = append(t.slots, slot[T]{})
+		t.free = append(t.free, uint32(len(t.slots)-1))
+	}
+	n := t.free[len(t.free)-1]
+	t.free = t.free[:len(t.free)-1]
+	s := &t.slots[n]
+	s.generation++
+	s.value = v
+	return s.generation<<slotBits | uint64(n)
+}
+
+// Get finds what a handle names; nil once it has been dropped.
+func (t *Table[T]) Get(handle uint64) *T {
+	n := handle & (1<<slotBits - 1)
+	if n >= uint64(len(t.slots)) || t.slots[n].generation != handle>>slotBits {
+		return nil
+	}
+	return t.slots[n].value
+}
+
+// Drop frees the slot of a handle. Dropping twice does nothing.
+func (t *Table[T]) Drop(handle uint64) {
+	if t.Get(handle) != nil {
+		n := uint32(handle & (1<<slotBits - 1))
+		t.slots[n].value = nil
+		t.free = append(t.free, n)
+	}
+}
+
+// Len is the number of slots in use.
+func (t *Table[T]) Len() int { return len(t.slots) - len(t.free) }
+
+// All calls f for each value, in the order of the slots. f may drop any of them.
+func (t *Table[T]) All(f func(handle uint64, v *T)) {
+	for n := range t.slots {
+		if s := t.slots[n]; s.value != nil {
+			f(s.generation<<slotBits|uint64(n), s.value)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/backend.go
@@ -0,0 +1,936 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	stdnet "net"
+	"strconv"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/net"
+	"hollyyoke.example/hollyyoke/internal/settings"
+)
+
+// This file owns fetches on the platform's wire, the connections to backends
+// that they run on, and the discovery watch that names the backends. It must
+// never send a request twice by itself once its last byte may have left, nor
+// take an answer for one that it was not made for.
+
+// Backends carries fetches to the backends that discovery lists.
+type Backends struct {
+	core   *core.Core
+	engine *net.Engine
+	hosts  map[string]*backend
+	lines  map[uint64]*line // by the fetch that runs on it
+	out    []byte
+	watch  watch
+}
+
+// backend is one backend as discovery told it last.
+type backend struct {
+	name, dial string
+	state      hollyyoke.WorkerState
+	told       time.Duration // when that state was told
+	idle       []*line       // the one used last at the end
+}
+
+// phase is where the answer on a line stands.
+type phase uint8
+
+const (
+	resting   phase = iota // nothing is out: idle, or still dialing
+	waiting                // for the head of an answer
+	streaming              // inside the body
+)
+
+// line is one connection to a backend. It carries one request at a time.
+type line struct {
+	set     *Backends
+	b       *backend
+	conn    *net.Conn // nil while dialing
+	phase   phase
+	fetch   uint64 // the fetch whose outcome is owed; 0: none
+	job     core.Fetch
+	probe   bool
+	mark    int64 // behind the last byte of the request
+	in      *net.Buffer
+	text    *net.Buffer // the line of the body at hand
+	chunked bool
+	chunk   chunks
+	left    int // of a body of known length; -1: it ends with the connection
+	last    bool
+	status  int
+	due     core.Deadline // connect, probe, idle or clearing time
+	lost    bool          // dialed in vain: whoever wanted it has gone
+	over    bool          // the answer has ended
+	end     *end          // the outcome, until the piece at hand has been read
+}
+
+// end is how a fetch ended.
+type end struct {
+	o      hollyyoke.Outcome
+	load   hollyyoke.Load
+	result []byte
+}
+
+const (
+	idleMargin = time.Second // idle connections close so long before the backend may
+	probeTime  = time.Second // for the answer to a probe
+	clearTime  = time.Second // for the rest of an answer whose outcome is known
+	drainSlack = 100 * time.Millisecond
+	unknownRun = 250 * time.Millisecond // connect time where the settings name none
+)
+
+// NewBackends returns a carrier that follows discovery at addr.
+func NewBackends(c *core.Core, e *net.Engine, discovery string) *Backends {
+	s := &Backends{core: c, engine: e, hosts: map[string]*backend{}, lines: map[uint64]*line{}}
+	s.watch = watch{set: s, addr: discovery}
+	s.watch.due.Fire = func() { s.watch.fail("silent") }
+	c.Listen(s)
+	return s
+}
+
+func (s *Backends) connectTime() time.Duration {
+	if t := s.core.Settings.ConnectTimeout; t > 0 {
+		return t
+	}
+	return unknownRun
+}
+
+// Start sends a fetch on the connection used last, or on a new one.
+func (s *Backends) Start(f core.Fetch) {
+	b := s.hosts[f.Backend]
+	if b == nil {
+		s.core.Ended(f.Handle, hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
+		return
+	}
+	l := b.take()
+	if l == nil {
+		l = s.dial(b)
+	}
+	l.fetch, l.job = f.Handle, f
+	s.lines[f.Handle] = l
+	if l.conn != nil {
+		l.send()
+	}
+}
+
+// take returns an idle connection that is still open, the newest first.
+func (b *backend) take() *line {
+	if n := len(b.idle); n > 0 {
+		l := b.idle[n-1]
+		b.idle = b.idle[:n-1]
+		l.set.core.Loop.Clear(&l.due)
+		return l
+	}
+	return nil
+}
+
+// dial opens a connection. Silence is an answer too, after the connect time.
+func (s *Backends) dial(b *backend) *line {
+	l := &line{set: s, b: b}
+	l.due.Fire = l.expire
+	s.core.Loop.Set(&l.due, s.core.Loop.Now()+s.connectTime())
+	s.engine.Dial(b.dial, s.connectTime()+50*time.Millisecond, l, func(c *net.Conn, err error) {
+		if err != nil {
+			if errors.Is(err, net.ErrFull) {
+				s.shed()
+			}
+			l.fail(hollyyoke.RefusedConn)
+			return
+		}
+		s.core.Loop.Clear(&l.due)
+		l.conn = c
+		switch {
+		case l.lost || l.fetch == 0 && !l.probe:
+			l.lost = false
+			l.rest()
+		default:
+			l.send()
+		}
+	})
+	return l
+}
+
+// shed closes all idle connections, since no descriptor is free for a new one.
+func (s *Backends) shed() {
+	for _, b := range s.hosts {
+		b.closeIdle()
+	}
+}
+
+func (b *backend) closeIdle() {
+	for _, l := range b.idle {
+		l.close()
+	}
+	b.idle = nil
+}
+
+// late tells whether a backend that drains or has gone may get nothing new any more.
+func (b *backend) late(now, grace time.Duration) bool {
+	return b.state != hollyyoke.Running && now-b.told > max(grace-drainSlack, 0)
+}
+
+// send writes the request of the line's fetch or probe.
+func (l *line) send() {
+	s := l.set
+	now := s.core.Loop.Now()
+	// Guards the drain rule: a connect may have taken so long that the news is too old by now.
+	if l.fetch != 0 && (l.b.late(now, s.core.Settings.DrainGrace) || l.job.Deadline <= now) {
+		l.settle(hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
+		l.rest()
+		return
+	}
+	out := s.out[:0]
+	if l.probe {
+		out = append(out, "GET /load HTTP/1.1\r\nHost: "...)
+		out = append(out, l.b.dial...)
+		out = append(out, "\r\n\r\n"...)
+	} else {
+		j := l.job.Job
+		out = append(out, "POST "...)
+		out = appendTarget(out, j, s.core.Settings.Classes[j.Class].Name)
+		out = append(out, " HTTP/1.1\r\nHost: "...)
+		out = append(out, l.b.dial...)
+		out = append(out, "\r\nX-Correlation-Id: "...)
+		out = append(out, j.ID...)
+		out = append(out, "\r\nX-Time-Left-Ms: "...)
+		out = strconv.AppendInt(out, max((l.job.Deadline-now).Milliseconds(), 1), 10)
+		out = append(out, "\r\nContent-Length: "...)
+		out = strconv.AppendInt(out, int64(len(j.Body)), 10)
+		out = append(out, "\r\n\r\n"...)
+		out = append(out, j.Body...)
+	}
+	s.out = out
+	l.phase = waiting
+	ok := l.conn.Write(out)
+	l.mark = l.conn.Mark()
+	if ok {
+		return
+	}
+	// The connection was dead already. The request's last byte has not left, so
+	// nothing ran, and the fetch goes on on another connection.
+	f, reused := l.fetch, l.probe || l.conn.Opened+s.connectTime() < now
+	probe := l.probe
+	l.fetch = 0
+	l.close()
+	switch {
+	case probe:
+		s.core.Probed(l.b.name, hollyyoke.RefusedConn, hollyyoke.Load{})
+	case reused:
+		n := l.b.take()
+		if n == nil {
+			n = s.dial(l.b)
+		}
+		n.fetch, n.job = f, l.job
+		s.lines[f] = n
+		if n.conn != nil {
+			n.send()
+		}
+	default:
+		delete(s.lines, f)
+		s.core.Ended(f, hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
+	}
+}
+
+// appendTarget appends what a job concerns, as its client wrote it or, where its wire has no paths, made anew.
+func appendTarget(out []byte, j *core.Job, class string) []byte {
+	if j.Target != "" {
+		return append(out, j.Target...)
+	}
+	out = append(append(out, '/'), class...)
+	if j.Key == "" {
+		return out
+	}
+	out = append(out, '/')
+	for i := range len(j.Key) {
+		c := j.Key[i]
+		if c > ' ' && c < 0x7f && bytes.IndexByte([]byte(`/?#%"<>`), c) < 0 {
+			out = append(out, c)
+		} else {
+			out = append(out, '%', "0123456789ABCDEF"[c>>4], "0123456789ABCDEF"[c&15])
+		}
+	}
+	return out
+}
+
+// expire is told that a connect, a probe or an idle connection has had its time.
+func (l *line) expire() {
+	switch {
+	case l.conn == nil:
+		l.fail(hollyyoke.RefusedConn)
+	case l.probe:
+		l.fail(hollyyoke.Overdue)
+		l.close()
+	default:
+		l.unlist()
+		l.close()
+	}
+}
+
+// fail tells how what was wanted of the line ended, unless that is told.
+func (l *line) fail(o hollyyoke.Outcome) {
+	l.lost = true
+	if l.probe {
+		l.probe = false
+		l.set.core.Probed(l.b.name, o, hollyyoke.Load{})
+	}
+	l.settle(o, hollyyoke.Load{}, nil)
+}
+
+// settle tells the outcome of the line's fetch, once.
+func (l *line) settle(o hollyyoke.Outcome, load hollyyoke.Load, result []byte) {
+	if f := l.fetch; f != 0 {
+		l.fetch = 0
+		delete(l.set.lines, f)
+		l.set.core.Ended(f, o, load, result)
+	}
+}
+
+// Stop gives a fetch up. Nothing ran if its request had not left whole.
+func (s *Backends) Stop(handle uint64) (neverRan bool) {
+	l := s.lines[handle]
+	if l == nil {
+		return false
+	}
+	delete(s.lines, handle)
+	l.fetch = 0
+	if l.conn == nil { // the connection may serve another
+		l.lost = true
+		return true
+	}
+	neverRan = l.phase == resting || !l.conn.Passed(l.mark)
+	l.close()
+	return neverRan
+}
+
+// rest keeps the line for the next fetch, for a while.
+func (l *line) rest() {
+	l.phase, l.probe, l.over, l.status = resting, false, false, 0
+	l.free()
+	if l.conn == nil || l.conn.Handle == 0 {
+		return
+	}
+	if l.last || l.b.state == hollyyoke.Deleted || l.set.hosts[l.b.name] != l.b {
+		l.close()
+		return
+	}
+	l.b.idle = append(l.b.idle, l)
+	if idle := l.set.core.Settings.ConnIdle; idle > 0 {
+		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+max(idle-idleMargin, idle/2))
+	}
+}
+
+func (l *line) free() {
+	l.set.engine.Pool.Put(l.in)
+	l.set.engine.Pool.Put(l.text)
+	l.in, l.text = nil, nil
+}
+
+func (l *line) unlist() {
+	for i, other := range l.b.idle {
+		if other == l {
+			l.b.idle = append(l.b.idle[:i], l.b.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+func (l *line) close() {
+	l.set.core.Loop.Clear(&l.due)
+	l.free()
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+// Closed is told that the backend has closed, or the connection broke.
+func (l *line) Closed(c *net.Conn, _ error) {
+	l.set.core.Loop.Clear(&l.due)
+	l.unlist()
+	if l.phase == streaming && !l.chunked && l.left < 0 && l.done() == nil { // it ends with the connection
+		l.tell()
+	}
+	l.free()
+	if l.phase == waiting && !c.Passed(l.mark) {
+		l.fail(hollyyoke.RefusedConn)
+		return
+	}
+	l.fail(hollyyoke.Severed)
+}
+
+// Release closes the idle connections to a backend.
+func (s *Backends) Release(name string) {
+	if b := s.hosts[name]; b != nil {
+		b.closeIdle()
+	}
+}
+
+// Probe asks a backend for its load.
+func (s *Backends) Probe(name string) {
+	b := s.hosts[name]
+	if b == nil {
+		return
+	}
+	l := b.take()
+	if l == nil {
+		l = s.dial(b)
+	}
+	l.probe = true
+	if l.conn != nil {
+		s.core.Loop.Set(&l.due, s.core.Loop.Now()+probeTime)
+		l.send()
+	}
+}
+
+// Subscribe opens the discovery watch anew.
+func (s *Backends) Subscribe() { s.watch.open() }
+
+// ---- Answers.
+
+// Data takes in what the backend sent.
+func (l *line) Data(_ *net.Conn, b *net.Buffer) {
+	if l.phase == resting { // nothing was asked: what comes is no answer to anything
+		l.set.engine.Pool.Put(b)
+		l.unlist()
+		l.close()
+		return
+	}
+	if !collect(&l.set.engine.Pool, &l.in, b) {
+		l.broken()
+		return
+	}
+	for l.in != nil && !l.over {
+		more, err := l.step()
+		if err != nil {
+			l.broken()
+			return
+		}
+		if !more {
+			break
+		}
+	}
+	if l.over {
+		l.last = l.last || l.in != nil // bytes behind the answer
+		// Idle first, told then: the fetch that the module starts on this news finds the connection.
+		l.set.core.Loop.Clear(&l.due)
+		l.rest()
+	}
+	l.tell()
+}
+
+// tell tells the outcome that the answer held, if any.
+func (l *line) tell() {
+	e := l.end
+	if l.end = nil; e == nil {
+		return
+	}
+	if l.phase != resting && l.conn.Handle != 0 {
+		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+clearTime)
+	}
+	l.settle(e.o, e.load, e.result)
+}
+
+// broken gives up a line whose bytes make no sense. The job may have run.
+func (l *line) broken() {
+	l.close()
+	l.tell()
+	l.fail(hollyyoke.Severed)
+}
+
+// step takes one piece out of the input; false: more must come first.
+func (l *line) step() (bool, error) {
+	in := l.in.Bytes()
+	switch {
+	case l.phase == waiting:
+		var h head
+		if ok, err := parseHead(in, &h); !ok {
+			return false, err
+		}
+		err := l.head(&h)
+		l.cut(h.size)
+		return true, err
+	case l.chunked:
+		data, used, err := l.chunk.next(in)
+		if err != nil || used == 0 {
+			return false, err
+		}
+		err = l.body(data)
+		l.cut(used)
+		if l.chunk.done && err == nil {
+			err = l.done()
+		}
+		return true, err
+	default:
+		n := len(in)
+		if l.left >= 0 {
+			n = min(n, l.left)
+			l.left -= n
+		}
+		err := l.body(in[:n])
+		l.cut(n)
+		if l.left == 0 && err == nil {
+			err = l.done()
+		}
+		return true, err
+	}
+}
+
+func (l *line) cut(n int) {
+	if l.in == nil {
+		return
+	}
+	if l.in.Cut(n); len(l.in.Bytes()) == 0 {
+		l.set.engine.Pool.Put(l.in)
+		l.in = nil
+	}
+}
+
+// head takes in the head of an answer. All but a 200 tell the outcome at once.
+func (l *line) head(h *head) error {
+	status, ok := number(h.b)
+	if !ok || !bytes.HasPrefix(h.a, []byte("HTTP/1.")) {
+		return errMalformed
+	}
+	if status < 200 {
+		return nil // an interim answer; the real one follows
+	}
+	length, chunked, err := h.framing()
+	if err != nil {
+		return err
+	}
+	l.status, l.chunked, l.left, l.chunk = status, chunked, length, chunks{}
+	l.last = h.has("Connection", "close") || !chunked && length < 0
+	l.phase = streaming
+	if !l.probe && status != 200 {
+		var load hollyyoke.Load
+		if v := h.get("X-Backend-Load"); v != nil {
+			load = settings.Load(&l.set.core.Settings, v)
+		}
+		o := hollyyoke.Errored // 500, and what the protocol does not name: it may have run
+		if (status == 503 || status == 504) && bytes.Equal(h.get("X-Unprocessed"), []byte("1")) {
+			o = hollyyoke.Saturated
+		}
+		l.end = &end{o, load, nil}
+	}
+	if length == 0 {
+		return l.done()
+	}
+	return nil
+}
+
+// body takes in a piece of the body. Each line of a 200 is one object.
+func (l *line) body(data []byte) error {
+	if l.probe {
+		return l.keep(data)
+	}
+	if l.status != 200 || l.fetch == 0 || l.end != nil {
+		return nil
+	}
+	for len(data) > 0 {
+		end := bytes.IndexByte(data, '\n')
+		if end < 0 {
+			return l.keep(data)
+		}
+		text := data[:end]
+		if l.text != nil {
+			if err := l.keep(text); err != nil {
+				return err
+			}
+			text = l.text.Bytes()
+		}
+		err := l.news(text)
+		l.set.engine.Pool.Put(l.text)
+		l.text = nil
+		if err != nil || l.end != nil {
+			return err
+		}
+		data = data[end+1:]
+	}
+	return nil
+}
+
+func (l *line) keep(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if l.text == nil {
+		l.text = l.set.engine.Pool.Get()
+	}
+	if !l.text.Add(data) {
+		return errBody
+	}
+	return nil
+}
+
+// news takes in one object: the start, the progress or the end of a job.
+func (l *line) news(text []byte) error {
+	if text = bytes.TrimSpace(text); len(text) == 0 {
+		return nil
+	}
+	var n struct {
+		ID     string          `json:"id"`
+		State  string          `json:"state"`
+		Share  float64         `json:"share"`
+		Result json.RawMessage `json:"result"`
+		Load   json.RawMessage `json:"load"`
+	}
+	if err := json.Unmarshal(text, &n); err != nil {
+		return err
+	}
+	if n.ID != l.job.Job.ID {
+		return errMalformed // made for another req
+	}
+	var load hollyyoke.Load
+	if len(n.Load) > 0 {
+		load = settings.Load(&l.set.core.Settings, n.Load)
+	}
+	switch n.State {
+	case "started":
+		l.set.core.Started(l.fetch)
+	case "running":
+		l.set.core.Progress(l.fetch, n.Share)
+	case "done":
+		result := []byte(n.Result)
+		var plain string
+		if json.Unmarshal(n.Result, &plain) == nil {
+			result = []byte(plain)
+		}
+		l.end = &end{hollyyoke.Completed, load, result}
+	case "failed":
+		l.end = &end{hollyyoke.Errored, load, nil}
+	case "returned":
+		l.end = &end{hollyyoke.Saturated, load, nil}
+	case "lost":
+		l.end = &end{hollyyoke.Severed, load, nil}
+	default:
+		return errMalformed
+	}
+	return nil
+}
+
+// done is told that the answer has ended. One without its last object is a reset.
+func (l *line) done() error {
+	if l.probe {
+		l.probe = false
+		l.set.core.Loop.Clear(&l.due)
+		o, load := hollyyoke.Errored, hollyyoke.Load{}
+		if l.status == 200 {
+			o = hollyyoke.Completed
+			if l.text != nil {
+				load = settings.Load(&l.set.core.Settings, l.text.Bytes())
+			}
+		}
+		l.set.core.Probed(l.b.name, o, load)
+	}
+	if l.text != nil && l.fetch != 0 && l.end == nil { // the last line may lack its line end
+		if err := l.news(l.text.Bytes()); err != nil {
+			return err
+		}
+	}
+	if l.fetch != 0 && l.end == nil {
+		l.end = &end{o: hollyyoke.Severed}
+	}
+	l.over = true
+	return nil
+}
+
+// ---- Discovery.
+
+// watch is the one open call to discovery, or the wait for the module to ask for it again.
+type watch struct {
+	set   *Backends
+	addr  string
+	seq   int64
+	turn  int // counts the calls, so that what a former one brings is passed over
+	conn  *net.Conn
+	in    *net.Buffer
+	text  *net.Buffer
+	ok    bool // the head of the answer has come
+	chunk chunks
+	due   core.Deadline
+}
+
+const (
+	watchConnect = time.Second
+	watchCall    = 3 * time.Second // for the first line: discovery takes calls in turn
+	watchLine    = 3 * time.Second // between lines; one comes every 2 s at the latest
+)
+
+// hosts is a list of backends as discovery words it.
+type hosts struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []host `json:"hosts"`
+}
+
+type host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+}
+
+// Known takes in the list that the dispatcher had before its start.
+func (s *Backends) Known(raw []byte) error {
+	list := hosts{Whole: true}
+	if len(raw) > 0 {
+		if err := json.Unmarshal(raw, &list); err != nil {
+			return err
+		}
+	}
+	s.watch.seq = list.Seq
+	entries, err := s.entries(list.Hosts)
+	if err != nil {
+		return err
+	}
+	s.core.List(s, hollyyoke.ListPersisted, entries)
+	return nil
+}
+
+// open makes the call, in place of one that stands.
+func (w *watch) open() {
+	w.drop()
+	if w.addr == "" {
+		return
+	}
+	w.turn++
+	turn := w.turn
+	loop := w.set.core.Loop
+	loop.Set(&w.due, loop.Now()+watchConnect+watchCall)
+	w.set.engine.Dial(w.addr, watchConnect, w, func(c *net.Conn, err error) {
+		switch {
+		case turn != w.turn:
+			if c != nil {
+				c.Close()
+			}
+		case err != nil:
+			w.fail(err.Error())
+		default:
+			w.conn = c
+			loop.Set(&w.due, loop.Now()+watchCall)
+			c.Write([]byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
+				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n"))
+		}
+	})
+}
+
+// drop forgets the present call.
+func (w *watch) drop() {
+	w.set.core.Loop.Clear(&w.due)
+	w.set.engine.Pool.Put(w.in)
+	w.set.engine.Pool.Put(w.text)
+	if w.conn != nil {
+		w.conn.Close()
+	}
+	w.in, w.text, w.conn, w.ok, w.chunk = nil, nil, nil, false, chunks{}
+	w.turn++
+}
+
+// fail ends a call that brought nothing, or a watch that broke. The module says when to ask again.
+func (w *watch) fail(why string) {
+	w.drop()
+	w.set.core.Log("discovery: " + why)
+	w.set.core.List(w.set, hollyyoke.ListError, nil)
+}
+
+// Closed is told that discovery ended the call.
+func (w *watch) Closed(c *net.Conn, _ error) {
+	if c == w.conn {
+		w.fail("the watch ended")
+	}
+}
+
+// Data takes in what discovery sent.
+func (w *watch) Data(c *net.Conn, b *net.Buffer) {
+	if c != w.conn {
+		w.set.engine.Pool.Put(b)
+		return
+	}
+	if !collect(&w.set.engine.Pool, &w.in, b) {
+		w.fail("more than a buffer at once")
+		return
+	}
+	if err := w.read(); err != nil {
+		w.fail(err.Error())
+	}
+}
+
+func (w *watch) read() error {
+	if !w.ok {
+		var h head
+		ok, err := parseHead(w.in.Bytes(), &h)
+		if !ok {
+			return err
+		}
+		if string(h.b) != "200" || !h.has("Transfer-Encoding", "chunked") {
+			return errors.New("status " + string(h.b))
+		}
+		w.ok = true
+		w.in.Cut(h.size)
+	}
+	for conn := w.conn; w.conn == conn; {
+		data, used, err := w.chunk.next(w.in.Bytes())
+		if err != nil {
+			return err
+		}
+		if w.chunk.done {
+			return errors.New("the watch ended")
+		}
+		if used == 0 {
+			return nil
+		}
+		if err := w.lines(data); err != nil {
+			return err
+		}
+		if w.conn == conn {
+			w.in.Cut(used)
+		}
+	}
+	return nil
+}
+
+func (w *watch) lines(data []byte) error {
+	for conn := w.conn; len(data) > 0 && w.conn == conn; {
+		if w.text == nil {
+			w.text = w.set.engine.Pool.Get()
+		}
+		end := bytes.IndexByte(data, '\n')
+		part := data
+		if end >= 0 {
+			part = data[:end]
+		}
+		if !w.text.Add(part) {
+			return errors.New("a line is longer than a buffer")
+		}
+		if end < 0 {
+			return nil
+		}
+		data = data[end+1:]
+		line := w.text
+		w.text = nil
+		err := w.line(bytes.TrimSpace(line.Bytes()))
+		w.set.engine.Pool.Put(line)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// line takes in one line: the list, changes, or a sign of life.
+func (w *watch) line(text []byte) error {
+	loop := w.set.core.Loop
+	loop.Set(&w.due, loop.Now()+watchLine)
+	if len(text) == 0 {
+		return nil
+	}
+	var list hosts
+	if err := json.Unmarshal(text, &list); err != nil {
+		return err
+	}
+	entries, err := w.set.entries(list.Hosts)
+	if err != nil {
+		return err
+	}
+	kind := hollyyoke.ListChanges
+	if list.Whole {
+		kind = hollyyoke.ListComplete
+		w.set.onlyThese(entries)
+	}
+	w.seq = list.Seq
+	w.set.core.List(w.set, kind, entries)
+	return nil
+}
+
+// onlyThese marks all backends as gone that a complete list lacks.
+func (s *Backends) onlyThese(entries []hollyyoke.Entry) {
+	listed := map[string]bool{}
+	for _, e := range entries {
+		listed[e.Worker] = true
+	}
+	for name, b := range s.hosts {
+		if !listed[name] {
+			s.gone(b)
+		}
+	}
+}
+
+func (s *Backends) gone(b *backend) {
+	if b.state != hollyyoke.Deleted {
+		b.state, b.told = hollyyoke.Deleted, s.core.Loop.Now()
+	}
+	b.closeIdle()
+	delete(s.hosts, b.name)
+}
+
+// entries checks a whole list before it takes in any of it.
+func (s *Backends) entries(list []host) ([]hollyyoke.Entry, error) {
+	entries := make([]hollyyoke.Entry, 0, len(list))
+	for i, h := range list {
+		at := "hosts[" + strconv.Itoa(i) + "]"
+		e := hollyyoke.Entry{
+			Worker: h.Host, Cell: h.Block, Weight: h.Share,
+			Zone: index(s.core.Settings.ZoneNames, h.Site), Kind: index(s.core.Settings.KindNames, h.Class),
+		}
+		if h.BornMs > 0 && h.BornMs < 1e13 {
+			e.LastStart = time.Duration(h.BornMs * float64(time.Millisecond))
+		}
+		switch h.Health {
+		case "ready":
+			e.State = hollyyoke.Running
+		case "draining":
+			e.State = hollyyoke.Stopping
+		case "gone":
+			e.State = hollyyoke.Deleted
+		default:
+			return nil, errors.New(at + ".health: unknown value " + strconv.Quote(h.Health))
+		}
+		if h.Host == "" {
+			return nil, errors.New(at + ".host is empty")
+		}
+		if _, _, err := stdnet.SplitHostPort(h.Dial); err != nil && e.State != hollyyoke.Deleted {
+			return nil, errors.New(at + ".dial: " + err.Error())
+		}
+		entries = append(entries, e)
+	}
+	now := s.core.Loop.Now()
+	for i, e := range entries {
+		b := s.hosts[e.Worker]
+		if e.State == hollyyoke.Deleted {
+			if b != nil {
+				s.gone(b)
+			}
+			continue
+		}
+		if b == nil {
+			b = &backend{name: e.Worker, dial: list[i].Dial, state: e.State, told: now}
+			s.hosts[e.Worker] = b
+		}
+		if b.dial != list[i].Dial {
+			b.closeIdle()
+			b.dial = list[i].Dial
+		}
+		if b.state != e.State {
+			b.state, b.told = e.State, now
+		}
+	}
+	return entries, nil
+}
+
+// index finds a name; -1 is a number that no setting names.
+func index(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,322 @@
+// Package platform speaks the platform's protocol: client sessions on one
+// side, fetches from backends and the discovery watch on the other, all
+// HTTP/1.1 over plain TCP. It translates; it must never decide where a req
+// goes, whether one is repeated, or when one is refused.
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/net"
+)
+
+// This file owns the HTTP/1.1 parser. It works on bytes alone, keeps no state
+// between calls but a chunk reader's, and must never panic on any input.
+
+const (
+	maxHead   = 6 << 10  // longest head, request line and fields
+	maxBody   = 64 << 10 // longest body
+	maxFields = 64
+)
+
+var (
+	errMalformed = errors.New("malformed HTTP")
+	errHead      = errors.New("head too long")
+	errBody      = errors.New("body too long")
+)
+
+// field is one header field; its parts lie in the buffer that was parsed.
+type field struct{ name, value []byte }
+
+// head is a request's or an answer's head.
+type head struct {
+	a, b, c []byte // method, target, version; or version, status, reason
+	fields  [maxFields]field
+	n       int
+	size    int // bytes, the blank line included
+}
+
+// get returns the value of a field, nil if there is none.
+func (h *head) get(name string) []byte {
+	for i := range h.fields[:h.n] {
+		if f := &h.fields[i]; equalFold(f.name, name) {
+			return f.value
+		}
+	}
+	return nil
+}
+
+func equalFold(b []byte, s string) bool {
+	if len(b) != len(s) {
+		return false
+	}
+	for i := range b {
+		if lower(b[i]) != lower(s[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func lower(c byte) byte {
+	if 'A' <= c && c <= 'Z' {
+		return c + 'a' - 'A'
+	}
+	return c
+}
+
+// has tells whether a field's comma-separated list holds a word.
+func (h *head) has(name, word string) bool {
+	for i := range h.fields[:h.n] {
+		if f := &h.fields[i]; equalFold(f.name, name) {
+			for part := range bytes.SplitSeq(f.value, []byte(",")) {
+				if equalFold(bytes.TrimSpace(part), word) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// parseHead parses a head at the start of b; false without an error: it is not all there yet.
+func parseHead(b []byte, h *head) (bool, error) {
+	end := bytes.Index(b, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(b) > maxHead {
+			return false, errHead
+		}
+		return false, nil
+	}
+	if end > maxHead {
+		return false, errHead
+	}
+	*h = head{size: end + 4}
+	line, rest, _ := bytes.Cut(b[:end], []byte("\r\n"))
+	var ok1, ok2 bool
+	if h.a, h.b, ok1 = bytes.Cut(line, []byte(" ")); ok1 {
+		h.b, h.c, ok2 = bytes.Cut(h.b, []byte(" "))
+	}
+	if len(h.a) == 0 || len(h.b) == 0 || bytes.ContainsAny(line, "\r\n\x00") {
+		return false, errMalformed
+	}
+	if !ok2 && !bytes.HasPrefix(h.a, []byte("HTTP/")) { // an answer may lack its reason
+		return false, errMalformed
+	}
+	for len(rest) > 0 {
+		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || h.n == maxFields || !isToken(name) || bytes.ContainsAny(value, "\r\n\x00") {
+			return false, errMalformed
+		}
+		h.fields[h.n] = field{name, bytes.TrimSpace(value)}
+		h.n++
+	}
+	return true, nil
+}
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 0x7f || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), c) >= 0 {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// framing tells how long the body is: a length, chunked, or neither (-1).
+func (h *head) framing() (length int, chunked bool, err error) {
+	length = -1
+	for i := range h.fields[:h.n] {
+		f := &h.fields[i]
+		switch {
+		case equalFold(f.name, "Content-Length"):
+			n, ok := number(f.value)
+			if !ok || length >= 0 && n != length {
+				return 0, false, errMalformed
+			}
+			length = n
+		case equalFold(f.name, "Transfer-Encoding"):
+			if !equalFold(f.value, "chunked") || chunked {
+				return 0, false, errMalformed
+			}
+			chunked = true
+		}
+	}
+	if chunked && length >= 0 { // two lengths: one peer would see another message than the other
+		return 0, false, errMalformed
+	}
+	return length, chunked, nil
+}
+
+// number reads a decimal number of digits alone.
+func number(b []byte) (n int, ok bool) {
+	if len(b) == 0 || len(b) > 12 {
+		return 0, false
+	}
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + int(c-'0')
+	}
+	return n, true
+}
+
+// chunks reads a chunked body piece by piece.
+type chunks struct {
+	left    int  // bytes of the present chunk still to come
+	trailer bool // the last chunk has come
+	crlf    bool // the line end behind a chunk is due
+	done    bool
+}
+
+const maxChunkLine = 128
+
+// next takes what it can from the start of b: a piece of data, or frame bytes
+// alone. used 0 without an error: more is needed.
+func (c *chunks) next(b []byte) (data []byte, used int, err error) {
+	if c.left > 0 && !c.done {
+		n := min(c.left, len(b))
+		if c.left -= n; c.left == 0 {
+			c.crlf = true
+		}
+		return b[:n], n, nil
+	}
+	if c.done {
+		return nil, 0, nil
+	}
+	end := bytes.Index(b, []byte("\r\n"))
+	if end < 0 {
+		if len(b) > maxChunkLine || c.crlf && len(b) >= 2 {
+			return nil, 0, errMalformed
+		}
+		return nil, 0, nil
+	}
+	line := b[:end]
+	switch {
+	case c.crlf:
+		if end != 0 {
+			return nil, 0, errMalformed
+		}
+		c.crlf = false
+	case c.trailer:
+		c.done = end == 0
+	default:
+		size, _, _ := bytes.Cut(line, []byte(";"))
+		size = bytes.TrimSpace(size)
+		n, err := strconv.ParseUint(string(size), 16, 31)
+		if err != nil || len(size) == 0 {
+			return nil, 0, errMalformed
+		}
+		c.left, c.trailer = int(n), n == 0
+	}
+	return nil, end + 2, nil
+}
+
+// message is one whole request or answer in a buffer.
+type message struct {
+	head
+	body []byte
+	size int // bytes that it takes in the buffer
+}
+
+// parseRequest parses a request at the start of b; false without an error: it
+// is not all there yet. A chunked body is put together in place. early tells
+// that the head is there and asks for word before the body is sent.
+func parseRequest(b []byte, m *message) (ok, early bool, err error) {
+	if ok, err = parseHead(b, &m.head); !ok {
+		return false, false, err
+	}
+	if !bytes.HasPrefix(m.c, []byte("HTTP/1.")) {
+		return false, false, errMalformed
+	}
+	length, chunked, err := m.framing()
+	if err != nil {
+		return false, false, err
+	}
+	if length > maxBody {
+		return false, false, errBody
+	}
+	m.body, m.size = nil, m.head.size
+	if chunked {
+		return parseChunked(b, m)
+	}
+	length = max(length, 0)
+	if len(b) < m.size+length {
+		return false, len(b) == m.size && m.has("Expect", "100-continue"), nil
+	}
+	m.body = b[m.size : m.size+length]
+	m.size += length
+	return true, false, nil
+}
+
+func parseChunked(b []byte, m *message) (ok, early bool, err error) {
+	var c chunks
+	at, length := m.size, 0
+	for !c.done {
+		data, used, err := c.next(b[at:])
+		if err != nil {
+			return false, false, err
+		}
+		if length += len(data); length > maxBody {
+			return false, false, errBody
+		}
+		if used == 0 {
+			return false, len(b) == m.size && m.has("Expect", "100-continue"), nil
+		}
+		at += used
+	}
+	start := m.size
+	c, at, m.size = chunks{}, start, start
+	w := start
+	for !c.done { // it is whole now, so nothing fails any more
+		data, used, _ := c.next(b[at:])
+		w += copy(b[w:], data)
+		at += used
+	}
+	m.body, m.size = b[start:w], at
+	return true, false, nil
+}
+
+// statusText words the statuses that a client session answers with.
+var statusText = map[int]string{
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
+	431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
+}
+
+// appendAnswer appends a whole answer to out. retryAfter is told if it is positive.
+func appendAnswer(out []byte, status int, body []byte, retryAfter time.Duration, last bool, fields string) []byte {
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(status), 10)
+	out = append(out, ' ')
+	out = append(out, statusText[status]...)
+	out = append(out, "\r\nContent-Length: "...)
+	out = strconv.AppendInt(out, int64(len(body)), 10)
+	if retryAfter > 0 {
+		out = append(out, "\r\nRetry-After: "...)
+		out = strconv.AppendFloat(out, retryAfter.Seconds(), 'f', 3, 64)
+	}
+	if last {
+		out = append(out, "\r\nConnection: close"...)
+	}
+	out = append(out, "\r\n"...)
+	out = append(out, fields...)
+	out = append(out, "\r\n"...)
+	return append(out, body...)
+}
+
+// collect adds data to the buffer of a session, taking it over where it can.
+// False: there is no room for it.
+func collect(pool *net.Pool, in **net.Buffer, b *net.Buffer) bool {
+	if *in == nil {
+		*in = b
+		return true
+	}
+	ok := (*in).Add(b.Bytes())
+	pool.Put(b)
+	return ok
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fastjson"
 
 	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
 // Op tells what a Message asks of the host of the instances.
@@ -110,8 +111,12 @@
 	case "boot":
 		m.Op = Boot
 		m.Seed = v.GetUint64("rng_seed")
-		m.Settings, err = settings(v.Get("params"))
-		d.free[m.Instance] = freeSlots(v.Get("params", "domain"))
+		params := v.Get("params")
+		if params == nil || params.Type() != fastjson.TypeObject {
+			return false, errors.New("boot without params")
+		}
+		m.Settings, err = settings.Read(params.MarshalTo(nil))
+		d.free[m.Instance] = m.Settings.FreeSlots
 		return true, err
 	case "exit":
 		m.Op = Exit
@@ -280,16 +285,6 @@
 	return l
 }
 
-// freeSlots is the name of the report value that a site uses for free slots, if any.
-func freeSlots(domain *fastjson.Value) string {
-	for _, name := range []string{"x0", "x1"} {
-		if string(domain.GetStringBytes("report_"+name)) == "free slots" {
-			return name
-		}
-	}
-	return ""
-}
-
 // number finds a number that must be there.
 func number(v *fastjson.Value, name string) (*fastjson.Value, error) {
 	if f := v.Get(name); f != nil && f.Type() == fastjson.TypeNumber {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -47,7 +47,7 @@
 	want := hollyyoke.Settings{
 		Classes: []hollyyoke.Class{
 			{
-				Worth: 1.5, LateWorth: 0.25, Aim: 200 * time.Millisecond, Stretch: 2.5, Deadline: 5 * time.Second,
+				Name: "q", Worth: 1.5, LateWorth: 0.25, Aim: 200 * time.Millisecond, Stretch: 2.5, Deadline: 5 * time.Second,
 				Repeat: hollyyoke.Dedup, Group: hollyyoke.GroupCell, Window: 4 * time.Second,
 				Stream: true,
 			},
@@ -64,6 +64,7 @@
 		MaxAttempts: 5, SecondCopies: true, Cancel: true, Probing: true, ReportsByProbe: true,
 		MaxRetryAfter: 2 * time.Second, ConnectTimeout: 200 * time.Millisecond,
 		TellsStart: true, Progress: time.Second, CrossZonePrice: 0.03,
+		ZoneNames: []string{"a", "b"}, FreeSlots: "x0", DrainGrace: 500 * time.Millisecond,
 	}
 	if len(got) != 2 || got[0].Op != Boot || got[0].Instance != 3 || got[0].Seed != 77 {
 		t.Fatalf("messages %+v", got)
