--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -22,6 +22,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/faktory"
 	"hollyyoke.example/hollyyoke/internal/net"
 	"hollyyoke.example/hollyyoke/internal/platform"
 	"hollyyoke.example/hollyyoke/internal/settings"
@@ -53,14 +54,13 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-func readConfig(env func(string) string) (c config, s hollyyoke.Settings, err error) {
-	path := env("BALANCER_CONFIG")
-	if path == "" {
-		return c, s, errors.New("BALANCER_CONFIG: not set")
+func readConfig(path string, env func(string) string) (c config, s hollyyoke.Settings, err error) {
+	if path = cmp.Or(path, env("BALANCER_CONFIG")); path == "" {
+		return c, s, errors.New("config: neither -config nor BALANCER_CONFIG names a file")
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return c, s, fmt.Errorf("BALANCER_CONFIG: %w", err)
+		return c, s, fmt.Errorf("config: %w", err)
 	}
 	if err := json.Unmarshal(raw, &c); err != nil {
 		var wrong *json.UnmarshalTypeError
@@ -112,14 +112,25 @@
 
 func run(args []string, env func(string) string, log io.Writer) error {
 	flags := flag.NewFlagSet("hollyyoke", flag.ContinueOnError)
+	configPath := flags.String("config", "", "configuration `file`; BALANCER_CONFIG where not given")
+	faktoryPath := flags.String("faktory", env("HOLLYYOKE_FAKTORY"), "operator's `file` of the Faktory front; off where not given")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	c, s, err := readConfig(env)
+	c, s, err := readConfig(*configPath, env)
 	if err != nil {
 		return err
 	}
-	if c.Listen == "" {
+	var second faktory.Config
+	if *faktoryPath != "" {
+		if second, err = faktory.ReadConfig(*faktoryPath, &s); err == nil {
+			err = faktory.Prepare(&s)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", *faktoryPath, err)
+		}
+	}
+	if c.Listen == "" && *faktoryPath == "" {
 		return errors.New("config: listen: missing")
 	}
 	if mb := c.Limits.MemoryMB; mb >= 1 {
@@ -139,18 +150,29 @@
 	if err := backends.Known(c.Known); err != nil {
 		return fmt.Errorf("config: known: %w", err)
 	}
-	front := platform.NewFront(d, engine, func() bool { return d.Backends() > 0 })
-	addr, err := front.Listen(c.Listen, net.Accepted(c.descriptors()))
-	if err != nil {
-		return fmt.Errorf("config: listen: %w", err)
+	fronts, sessions := fronts{}, net.Accepted(c.descriptors())
+	if *faktoryPath != "" && c.Listen != "" {
+		sessions /= 2 // half for either front
+	}
+	if c.Listen != "" {
+		fronts.platform = platform.NewFront(d, engine, func() bool { return d.Backends() > 0 })
+		addr, err := fronts.platform.Listen(c.Listen, sessions)
+		if err != nil {
+			return fmt.Errorf("config: listen: %w", err)
+		}
+		d.Log("listening on " + addr)
+	}
+	if *faktoryPath != "" {
+		if fronts.faktory, err = faktory.Open(d, engine, second, sessions); err != nil {
+			return fmt.Errorf("%s: %w", *faktoryPath, err)
+		}
 	}
-	d.Log("listening on " + addr)
 
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
-		loop.Post(func() { stop(d, front, loop) })
+		loop.Post(func() { stop(d, fronts, loop) })
 		<-signals
 		os.Exit(1)
 	}()
@@ -161,16 +183,36 @@
 	return nil
 }
 
+// fronts are those that are on.
+type fronts struct {
+	platform *platform.Front
+	faktory  faktory.Front
+}
+
+// close ends what owes nothing, now and from now on, and tells whether all has ended.
+func (f fronts) close() bool {
+	ended := f.faktory.Idle()
+	if f.platform != nil {
+		f.platform.Close()
+		ended = ended && f.platform.Sessions() == 0
+	}
+	return ended
+}
+
 // stop is the planned end: all that comes in the arrival window is served like
 // before, then sessions end between requests, and the last answer ends the program.
-func stop(d *core.Core, front *platform.Front, loop *core.Loop) {
-	front.Stop()
+func stop(d *core.Core, f fronts, loop *core.Loop) {
+	if f.platform != nil {
+		f.platform.Stop()
+	}
+	f.faktory.Stop()
 	loop.After(arrivalWindow, func() {
-		front.Close()
-		patience := loop.Now() + time.Second // for requests that have begun to come in
+		// For requests that have begun to come in, and for closings that upstream has not taken.
+		patience, upstream := loop.Now()+time.Second, loop.Now()+8*time.Second
 		var last func()
 		last = func() {
-			if d.Owed() == 0 && (front.Sessions() == 0 || loop.Now() > patience) {
+			ended, now := f.close(), loop.Now()
+			if d.Owed() == 0 && (ended || now > patience && !f.faktory.Busy() || now > upstream) {
 				// What was answered just now is still on its way out of the sockets.
 				loop.After(lastBytes, loop.Stop)
 				return
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -178,16 +178,23 @@
 	return r.handle
 }
 
-// HangUp tells that the client of a req wants no answer any more.
-func (c *Core) HangUp(handle uint64) {
+// HangUp tells that the client of a req wants no answer any more. It returns
+// whether the req may have run by then.
+func (c *Core) HangUp(handle uint64) (mayHaveRun bool) {
 	r := c.reqs.Get(handle)
 	if r == nil || r.answered {
-		return
+		return false
 	}
+	defer func() { mayHaveRun = r.mayHaveRun() }() // calling a fetch off may show that it never ran
 	c.counts.HungUp++
 	c.settle(r)
 	c.handle(hollyyoke.Event{Kind: hollyyoke.HungUp, Request: handle})
 	c.tidy(r)
+	return false
+}
+
+func (r *req) mayHaveRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
 }
 
 // lastMoment guards against a lost req: what is still out is overdue, and if
@@ -210,9 +217,7 @@
 	if r.answered {
 		return
 	}
-	for _, t := range r.attempts {
-		a.MayHaveRun = a.MayHaveRun || !t.neverRan
-	}
+	a.MayHaveRun = r.mayHaveRun()
 	switch a.Verdict {
 	case Served:
 		c.counts.Served++
--- /dev/null
+++ b/internal/faktory/fwp.go
@@ -0,0 +1,456 @@
+// Package faktory speaks the Faktory work protocol: as a server to producers
+// and workers, and as a consumer of an upstream server. Jobs become reqs of the
+// same core that the platform's front feeds. It must never decide where a job
+// goes or whether it is repeated, nor hand out again a job that may have run
+// where its class forbids that.
+package faktory
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	stdnet "net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/net"
+)
+
+// This file owns the operator's file, the protocol's parser, what a job says,
+// and the memory of jids. It must never panic on any input, nor forget a jid
+// before its time while there is room.
+
+// Config is the operator's file.
+type Config struct {
+	Listen   string `toml:"listen"`   // where producers and workers connect; empty: no server role
+	Password string `toml:"password"` // asked of them; empty: none
+	Source   struct {
+		Address  string   `toml:"address"` // the upstream server; empty: no source role
+		Password string   `toml:"password"`
+		Queues   []string `toml:"queues"` // fetched in this order
+		Lanes    int      `toml:"lanes"`  // jobs in work at once, each on a connection of its own
+		Wid      string   `toml:"wid"`
+	} `toml:"source"`
+}
+
+const mostLanes = 64
+
+// ReadConfig reads the operator's file; every error names the field.
+func ReadConfig(path string, s *hollyyoke.Settings) (c Config, err error) {
+	c.Source.Lanes = 8
+	meta, err := toml.DecodeFile(path, &c)
+	if err != nil {
+		// A parse error of the library takes several lines; its first says it.
+		line, _, _ := strings.Cut(err.Error(), "\n")
+		return c, errors.New(line)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return c, fmt.Errorf("%s: unknown key", unknown[0])
+	}
+	if c.Listen == "" && c.Source.Address == "" {
+		return c, errors.New("listen: missing, and source.address too, so there is nothing to do")
+	}
+	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"source.address", c.Source.Address}} {
+		if _, _, err := stdnet.SplitHostPort(a.addr); a.addr != "" && err != nil {
+			return c, fmt.Errorf("%s: %q is no host:port", a.field, a.addr)
+		}
+	}
+	if c.Source.Lanes < 1 || c.Source.Lanes > mostLanes {
+		return c, fmt.Errorf("source.lanes: %d is not between 1 and %d", c.Source.Lanes, mostLanes)
+	}
+	if len(c.Source.Queues) == 0 {
+		for _, class := range s.Classes {
+			c.Source.Queues = append(c.Source.Queues, class.Name)
+		}
+	}
+	for i, q := range c.Source.Queues {
+		if q == "" || strings.ContainsAny(q, " \r\n") {
+			return c, fmt.Errorf("source.queues[%d]: %q is no queue name", i, q)
+		}
+	}
+	return c, nil
+}
+
+const mostClasses = 8
+
+// Prepare makes room in the settings for kinds of worker that fetch some
+// classes only: kind number base+mask runs the classes whose bits mask has, so
+// that it is the module that keeps a job from a worker that does not want it.
+func Prepare(s *hollyyoke.Settings) error {
+	if len(s.Classes) > mostClasses {
+		return fmt.Errorf("settings: classes: the Faktory front takes %d at most", mostClasses)
+	}
+	base := len(s.KindNames)
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		if c.Kinds == nil {
+			for k := range base {
+				c.Kinds = append(c.Kinds, k)
+			}
+		}
+		for mask := range 1 << len(s.Classes) {
+			if mask>>i&1 == 1 {
+				c.Kinds = append(c.Kinds, base+mask)
+			}
+		}
+	}
+	return nil
+}
+
+// Front is what the operator's file turns on: either role, or both, on one memory of jids.
+type Front struct {
+	Server *Server
+	Source *Source
+}
+
+// Open starts the roles that the operator's file names.
+func Open(c *core.Core, e *net.Engine, config Config, most int) (f Front, err error) {
+	jids := newMemory()
+	if config.Listen != "" {
+		f.Server = NewServer(c, e, config.Password, jids)
+		addr, err := f.Server.Listen(config.Listen, most)
+		if err != nil {
+			return f, fmt.Errorf("listen: %w", err)
+		}
+		c.Log("faktory: listening on " + addr)
+	}
+	if config.Source.Address != "" {
+		f.Source = NewSource(c, e, config, jids)
+		f.Source.Start()
+	}
+	return f, nil
+}
+
+// Stop begins a planned end: nothing more is fetched from upstream.
+func (f Front) Stop() {
+	if f.Source != nil {
+		f.Source.Stop()
+	}
+}
+
+// Busy tells whether a delivery from upstream is not closed yet.
+func (f Front) Busy() bool { return f.Source != nil && f.Source.Busy() > 0 }
+
+// Idle ends sessions and lanes on which nothing is owed, and tells whether none is left that owes anything.
+func (f Front) Idle() bool {
+	if f.Busy() {
+		return false
+	}
+	if f.Source != nil {
+		f.Source.Close()
+	}
+	if f.Server != nil {
+		f.Server.Close()
+		return f.Server.Sessions() == 0
+	}
+	return true
+}
+
+// ---- The parser.
+
+const maxCommand = 70 << 10 // longest command line, and longest bulk string
+
+var (
+	errLong     = errors.New("longer than 70 KiB")
+	errProtocol = errors.New("protocol violation")
+)
+
+// parseLine takes a line off b; used 0 without an error: it is not all there yet.
+func parseLine(b []byte) (line []byte, used int, err error) {
+	end := bytes.IndexByte(b, '\n')
+	if end < 0 {
+		if len(b) > maxCommand {
+			return nil, 0, errLong
+		}
+		return nil, 0, nil
+	}
+	if end > maxCommand {
+		return nil, 0, errLong
+	}
+	return bytes.TrimSuffix(b[:end], []byte("\r")), end + 1, nil
+}
+
+// parseCommand splits a command line into its verb and the rest.
+func parseCommand(line []byte) (verb string, rest []byte) {
+	v, rest, _ := bytes.Cut(bytes.TrimSpace(line), []byte(" "))
+	return strings.ToUpper(string(v)), bytes.TrimSpace(rest)
+}
+
+// reply is one reply of a server.
+type reply struct {
+	kind byte // '+', '-', '$' or ':'
+	text []byte
+	null bool // a null bulk string
+}
+
+// parseReply takes a reply off b; used 0 without an error: it is not all there yet.
+func parseReply(b []byte) (r reply, used int, err error) {
+	line, used, err := parseLine(b)
+	if err != nil || used == 0 {
+		return r, 0, err
+	}
+	if len(line) == 0 {
+		return r, 0, errProtocol
+	}
+	r.kind, r.text = line[0], line[1:]
+	switch r.kind {
+	case '+', '-', ':':
+		return r, used, nil
+	case '$':
+	default:
+		return r, 0, errProtocol
+	}
+	n, err := strconv.Atoi(string(r.text))
+	switch {
+	case err != nil || n < -1:
+		return r, 0, errProtocol
+	case n == -1:
+		r.text, r.null = nil, true
+		return r, used, nil
+	case n > maxCommand:
+		return r, 0, errLong
+	case len(b) < used+n+2:
+		return r, 0, nil
+	case b[used+n] != '\r' || b[used+n+1] != '\n':
+		return r, 0, errProtocol
+	}
+	r.text = b[used : used+n]
+	return r, used + n + 2, nil
+}
+
+// appendBulk appends a bulk string.
+func appendBulk(out, text []byte) []byte {
+	out = append(out, '$')
+	out = strconv.AppendInt(out, int64(len(text)), 10)
+	out = append(out, "\r\n"...)
+	out = append(out, text...)
+	return append(out, "\r\n"...)
+}
+
+// oneLine makes a text fit for a line of the protocol.
+func oneLine(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, text)
+}
+
+// greeting is what a server says first, behind "HI ".
+type greeting struct {
+	V          int    `json:"v"`
+	Salt       string `json:"s,omitempty"`
+	Iterations int    `json:"i,omitempty"`
+}
+
+// hello is what a client says first.
+type hello struct {
+	Hostname string   `json:"hostname,omitempty"`
+	Wid      string   `json:"wid,omitempty"`
+	Pid      int      `json:"pid,omitempty"`
+	Labels   []string `json:"labels,omitempty"`
+	V        int      `json:"v"`
+	Hash     string   `json:"pwdhash,omitempty"`
+}
+
+const mostIterations = 100_000 // more would let a server keep us busy
+
+// hashPassword is the protocol's answer to a salt.
+func hashPassword(password, salt string, iterations int) string {
+	sum := sha256.Sum256([]byte(password + salt))
+	for range min(iterations, mostIterations) - 1 {
+		sum = sha256.Sum256(sum[:])
+	}
+	return hex.EncodeToString(sum[:])
+}
+
+// ---- Jobs.
+
+// work is what we read of a job; the rest of it passes through untouched.
+type work struct {
+	Jid     string            `json:"jid"`
+	Queue   string            `json:"queue"`
+	Jobtype string            `json:"jobtype"`
+	Args    []json.RawMessage `json:"args"`
+	At      string            `json:"at"`
+	Custom  struct {
+		LeftMs   float64 `json:"time_left_ms"`
+		EffortUs float64 `json:"effort_us"`
+		Slots    float64 `json:"slots"`
+		Key      string  `json:"key"`
+		Repeat   bool    `json:"repeat"`
+	} `json:"custom"`
+}
+
+var (
+	errLater   = errors.New("at: jobs for later are not kept here, there is no disk")
+	errJid     = errors.New("jid: 8 to 256 characters without spaces are needed")
+	errArgs    = errors.New("args: an array is needed")
+	errUnknown = errors.New("queue and jobtype: neither is a class served here")
+	errTwo     = errors.New("queue and jobtype: they name two classes")
+)
+
+// readJob reads a job and finds its class.
+func readJob(raw []byte, classes map[string]int, now time.Duration) (j core.Job, err error) {
+	var w work
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return j, err
+	}
+	if len(w.Jid) < 8 || len(w.Jid) > 256 || strings.ContainsFunc(w.Jid, func(r rune) bool { return r <= ' ' || r >= 0x7f }) {
+		return j, errJid
+	}
+	j = core.Job{ID: w.Jid, Key: w.Custom.Key, Body: raw, Slots: w.Custom.Slots, Since: now, Retry: w.Custom.Repeat}
+	if w.Args == nil {
+		return j, errArgs
+	}
+	byQueue, ok1 := classes[w.Queue]
+	byType, ok2 := classes[w.Jobtype]
+	switch {
+	case !ok1 && !ok2:
+		return j, errUnknown
+	case ok1 && ok2 && byQueue != byType:
+		return j, errTwo
+	case ok1:
+		j.Class = byQueue
+	default:
+		j.Class = byType
+	}
+	if w.At != "" {
+		at, err := time.Parse(time.RFC3339Nano, w.At)
+		if err != nil {
+			return j, errors.New("at: no time")
+		}
+		if at.After(time.Unix(0, int64(now))) {
+			return j, errLater
+		}
+	}
+	const most = 1e12 // keeps the products below in range
+	if ms := w.Custom.LeftMs; ms > 0 {
+		j.Left = time.Duration(min(ms*1e6, most))
+	}
+	if us := w.Custom.EffortUs; us > 0 {
+		j.Work = time.Duration(min(us*1e3, most))
+	}
+	return j, nil
+}
+
+// makeJob words a job that came by another wire, for a worker.
+func makeJob(j *core.Job, class string) []byte {
+	raw, _ := json.Marshal(struct { // strings and slices of them always marshal
+		Jid     string   `json:"jid"`
+		Queue   string   `json:"queue"`
+		Jobtype string   `json:"jobtype"`
+		Args    []string `json:"args"`
+	}{j.ID, class, class, []string{j.Key, string(j.Body)}})
+	return raw
+}
+
+// ---- The memory of jids.
+
+// A jid is remembered while its job is in work and, if it was served or may
+// have run and must not again, for jidAge after that: longer than the half
+// hour for which an upstream server reserves a job unless told otherwise. Of
+// those over, the mostJids newest are kept. A restart forgets all.
+const (
+	jidAge   = 2 * time.Hour
+	mostJids = 50_000
+)
+
+// fate is what became of a jid.
+type fate uint8
+
+const (
+	unknown fate = iota // never seen, or free to run again
+	inWork
+	served
+	mayHaveRun
+)
+
+type jid struct {
+	fate  fate
+	since time.Duration
+	wait  []func(core.Answer) // told of the answer while it is in work
+}
+
+// memory remembers jids, for both roles.
+type memory struct {
+	jids map[string]*jid
+	over []ended // those over, the oldest first; some may have gone on since
+}
+
+type ended struct {
+	id    string
+	since time.Duration
+}
+
+func newMemory() *memory { return &memory{jids: map[string]*jid{}} }
+
+func (m *memory) fate(id string) fate {
+	if j := m.jids[id]; j != nil {
+		return j.fate
+	}
+	return unknown
+}
+
+// begin books that a job goes to work.
+func (m *memory) begin(id string, now time.Duration) {
+	m.expire(now)
+	m.jids[id] = &jid{fate: inWork, since: now}
+}
+
+// finish books what became of a job, and tells those who waited for that.
+func (m *memory) finish(id string, a core.Answer, repeat hollyyoke.Repeat, now time.Duration) {
+	j := m.jids[id]
+	if j == nil || j.fate != inWork {
+		return
+	}
+	waiting := j.wait
+	switch {
+	case a.Verdict == core.Served:
+		m.keep(id, served, now)
+	case a.MayHaveRun && repeat != hollyyoke.Retryable:
+		m.keep(id, mayHaveRun, now)
+	default:
+		delete(m.jids, id)
+	}
+	for _, f := range waiting {
+		f(a)
+	}
+}
+
+// confirm books a late acknowledgement: what may have run has run.
+func (m *memory) confirm(id string, now time.Duration) {
+	if j := m.jids[id]; j != nil && j.fate == mayHaveRun {
+		m.keep(id, served, now)
+	}
+}
+
+func (m *memory) keep(id string, f fate, now time.Duration) {
+	m.jids[id] = &jid{fate: f, since: now}
+	m.over = append(m.over, ended{id, now})
+	m.expire(now)
+}
+
+func (m *memory) expire(now time.Duration) {
+	for len(m.over) > 0 {
+		e := m.over[0]
+		j := m.jids[e.id]
+		stale := j == nil || j.fate == inWork || j.since != e.since
+		if !stale && len(m.over) <= mostJids && now-j.since < jidAge {
+			return
+		}
+		if !stale {
+			delete(m.jids, e.id)
+		}
+		m.over = m.over[1:]
+	}
+}
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -91,6 +91,7 @@
 
 	engine    *Engine
 	nb        *nbio.Conn
+	open      func()
 	gate      *gate
 	asked     int64 // bytes given to Write
 	written   atomic.Int64
@@ -184,6 +185,11 @@
 	e.nb = nbio.NewEngine(nbio.Config{
 		Name: "hollyyoke", NPoller: 1, EpollMod: nbio.EPOLLET, ReadBufferSize: BufferSize,
 	})
+	e.nb.OnOpen(func(nc *nbio.Conn) {
+		if c, _ := nc.Session().(*Conn); c != nil {
+			e.Loop.Post(c.open)
+		}
+	})
 	e.nb.OnData(func(nc *nbio.Conn, data []byte) {
 		c, _ := nc.Session().(*Conn)
 		if c == nil {
@@ -285,8 +291,10 @@
 func (d discard) Data(_ *Conn, b *Buffer) { d.e.Pool.Put(b) }
 func (d discard) Closed(*Conn, error)     {}
 
-// add gives a connection to nbio. Its slot is taken on the loop's goroutine,
-// before any of its data, since that is posted in order.
+// add gives a connection to nbio. Its slot is taken on the loop's goroutine
+// before any of its data, since both are posted in order. It must be nbio that
+// says when: a connection that it does not hold yet cannot be written to, and
+// an owner that spoke first crashed there.
 func (e *Engine) add(conn stdnet.Conn, g *gate, own func(*Conn) Owner) {
 	c := &Conn{engine: e, gate: g}
 	nc, err := nbio.NBConn(conn)
@@ -302,14 +310,15 @@
 	}
 	nc.SetSession(c)
 	c.nb = nc
-	e.Loop.Post(func() {
+	c.open = func() {
+		c.open = nil
 		c.Handle = e.conns.Put(c)
 		c.Opened = e.Loop.Now()
 		if c.Owner = own(c); c.Owner == nil {
 			c.Owner = discard{e}
 			c.Close()
 		}
-	})
+	}
 	_, _ = e.nb.AddConn(nc) // on an error nbio has closed it, and OnClose tells
 }
 
