Model test of reqs: random steps on the core against one-answer-each rules

Seen: a deadline set in the past again and again by its owner held back all later ones (internal/core/loop.go, Set and fire).

--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,260 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+)
+
+// Deadlines fire in order of time, then of setting; moved and withdrawn ones
+// are told apart; one set while firing waits for the next turn.
+func TestDeadlinesFireInOrder(t *testing.T) {
+	l := NewLoop()
+	var fired []int
+	now := l.Now()
+	d := make([]Deadline, 6)
+	for i := range d {
+		d[i].Fire = func() {
+			fired = append(fired, i)
+			if i == 0 {
+				l.Set(&d[0], now)
+			}
+		}
+	}
+	for i, at := range []time.Duration{30, 10, 20, 10, 5, time.Hour} {
+		l.Set(&d[i], now+at)
+	}
+	l.Set(&d[2], now+40) // later than it was
+	l.Clear(&d[4])
+	l.Clear(&d[4])
+	l.unix += time.Minute
+	l.fire()
+	if want := []int{1, 3, 0, 2}; !slices.Equal(fired, want) {
+		t.Fatalf("fired %v, want %v", fired, want)
+	}
+	l.fire()
+	if want := []int{1, 3, 0, 2, 0}; !slices.Equal(fired, want) {
+		t.Fatalf("fired %v, want %v", fired, want)
+	}
+}
+
+// What is posted from elsewhere runs in order, and a deadline wakes the loop.
+func TestLoopRunsWhatIsPosted(t *testing.T) {
+	l := NewLoop()
+	var got []int
+	go func() {
+		for i := range 100 {
+			l.Post(func() { got = append(got, i) })
+		}
+		l.Post(func() { l.After(time.Millisecond, l.Stop) })
+	}()
+	l.Run()
+	if len(got) != 100 || !slices.IsSorted(got) {
+		t.Fatalf("ran %v", got)
+	}
+}
+
+// A handle that was dropped finds nothing, though its slot is in use again.
+func TestTableChecksGenerations(t *testing.T) {
+	var table Table[int]
+	one, two := 1, 2
+	a := table.Put(&one)
+	table.Drop(a)
+	table.Drop(a)
+	b := table.Put(&two)
+	if a == b || a == 0 || table.Get(a) != nil || table.Get(b) != &two || table.Len() != 1 || table.Get(1<<40) != nil {
+		t.Fatalf("handles %d %d, %d slots in use", a, b, table.Len())
+	}
+}
+
+// model follows the reqs of one core. It is the front and the carrier, too.
+type model struct {
+	t       *testing.T
+	core    *Core
+	reqs    []*modelReq
+	out     map[uint64]*modelReq // by fetch
+	order   []uint64             // fetches that are out
+	states  map[string]hollyyoke.WorkerState
+	changes int
+}
+
+type modelReq struct {
+	handle   uint64
+	class    int
+	answers  int
+	verdict  Verdict
+	hungUp   bool
+	ran, out int // fetches that may have run, and that are out
+	released int
+}
+
+func (m *model) Answer(token uint64, a Answer) {
+	r := m.reqs[token]
+	r.answers++
+	r.verdict = a.Verdict
+	if r.answers > 1 || r.hungUp {
+		m.t.Fatalf("req %d: %d answers, hung up: %v", token, r.answers, r.hungUp)
+	}
+	if a.Verdict == Refused && r.class == 1 && r.ran+r.out > 0 {
+		m.t.Fatalf("req %d: refused though it may have run", token)
+	}
+	if a.MayHaveRun != (r.ran+r.out > 0) {
+		m.t.Fatalf("req %d: may have run: %v, but %d ran and %d are out", token, a.MayHaveRun, r.ran, r.out)
+	}
+}
+
+func (m *model) Start(f Fetch) {
+	r := m.reqs[f.Job.Body[0]]
+	if m.states[f.Backend] != hollyyoke.Running {
+		m.t.Fatalf("a fetch for %s, which is %v", f.Backend, m.states[f.Backend])
+	}
+	if r.class == 1 && r.ran+r.out > 0 {
+		m.t.Fatalf("a fragile req fetched again: %d ran, %d out", r.ran, r.out)
+	}
+	if r.answers > 0 || r.hungUp || r.released > 0 {
+		m.t.Fatalf("a req that is over was fetched")
+	}
+	r.out++
+	m.out[f.Handle] = r
+	m.order = append(m.order, f.Handle)
+}
+
+// take removes a fetch from those out.
+func (m *model) take(handle uint64) *modelReq {
+	r := m.out[handle]
+	delete(m.out, handle)
+	m.order = slices.DeleteFunc(m.order, func(h uint64) bool { return h == handle })
+	r.out--
+	return r
+}
+
+func (m *model) Stop(handle uint64) bool {
+	r := m.take(handle)
+	if handle%3 == 0 {
+		return true // as if its request had not left
+	}
+	r.ran++
+	return false
+}
+
+func (m *model) end(handle uint64, o hollyyoke.Outcome) {
+	r := m.take(handle)
+	if o != hollyyoke.Saturated && o != hollyyoke.RefusedConn {
+		r.ran++
+	}
+	m.core.Ended(handle, o, hollyyoke.Load{}, nil)
+	m.core.Ended(handle, hollyyoke.Completed, hollyyoke.Load{}, nil) // a second end must change nothing
+}
+
+func (m *model) Release(string)   {}
+func (m *model) Probe(string)     {}
+func (m *model) Subscribe()       {}
+func (m *model) advance(span int) { m.core.Loop.unix += time.Duration(span) * time.Millisecond }
+
+// FuzzReqs checks random steps against the model: one final answer each, nothing
+// that may have run is repeated or refused against its class, nothing is kept.
+func FuzzReqs(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 1, 2, 0, 9, 0})
+	f.Add([]byte{1, 0, 1, 0, 0, 0, 2, 4, 2, 5, 0, 1, 3, 0, 9, 60, 9, 250})
+	f.Add([]byte{0, 0, 1, 1, 2, 6, 2, 6, 2, 6, 9, 200, 5, 0, 5, 1, 9, 250})
+	f.Add([]byte{0, 1, 0, 1, 0, 1, 6, 0, 6, 1, 0, 0, 7, 0, 9, 9, 2, 0, 2, 1, 4, 0, 9, 255})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		if len(steps) > 400 {
+			return
+		}
+		c, err := New(NewLoop(), hollyyoke.Settings{
+			Classes: []hollyyoke.Class{
+				{Worth: 3, LateWorth: 0.25, Aim: 300 * time.Millisecond, Deadline: 2 * time.Second},
+				{Worth: 5, LateWorth: 0.5, Aim: 300 * time.Millisecond, Deadline: 3 * time.Second, Repeat: hollyyoke.Fragile},
+			},
+			Tick: time.Millisecond, MaxAttempts: 3, SecondCopies: true, Cancel: len(steps)%2 == 0, TellsStart: true,
+			Progress: 100 * time.Millisecond, ConnectTimeout: 50 * time.Millisecond, MaxRetryAfter: time.Second,
+		}, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &model{t: t, core: c, out: map[uint64]*modelReq{}, states: map[string]hollyyoke.WorkerState{}}
+		c.Listen(m)
+		change := func(name string, s hollyyoke.WorkerState) {
+			m.states[name] = s
+			c.List(m, hollyyoke.ListChanges, []hollyyoke.Entry{{Worker: name, State: s}})
+		}
+		change("a", hollyyoke.Running)
+		change("b", hollyyoke.Running)
+		for i := 0; i+1 < len(steps); i += 2 {
+			x := int(steps[i+1])
+			switch steps[i] % 10 {
+			case 0: // a req comes
+				if len(m.reqs) > 200 {
+					continue
+				}
+				r := &modelReq{class: x % 2}
+				m.reqs = append(m.reqs, r)
+				n := len(m.reqs) - 1
+				r.handle = c.Take(m, uint64(n), Job{
+					Class: x % 2, Body: []byte{byte(n)}, Left: time.Duration(x) * 20 * time.Millisecond,
+					Work: time.Duration(x%7) * 10 * time.Millisecond, Release: func() { r.released++ },
+				})
+			case 1, 2: // a fetch ends
+				if len(m.order) > 0 {
+					m.end(m.order[x/8%len(m.order)], hollyyoke.Outcome(x%6))
+				}
+			case 3: // a fetch tells its start, or its progress
+				if len(m.order) > 0 {
+					c.Started(m.order[x%len(m.order)])
+					c.Progress(m.order[x%len(m.order)], float64(x)/255)
+				}
+			case 4, 5: // a client hangs up
+				if len(m.reqs) > 0 {
+					r := m.reqs[x%len(m.reqs)]
+					r.hungUp = r.hungUp || r.answers == 0
+					c.HangUp(r.handle)
+				}
+			case 6: // a backend comes, drains or goes
+				change([]string{"a", "b", "c"}[x%3], hollyyoke.WorkerState(x/3%3))
+			case 7:
+				c.List(m, hollyyoke.ListError, nil)
+			default: // time passes
+				m.advance(x * 4)
+				c.Loop.fire()
+			}
+		}
+		for range 8 { // all deadlines pass
+			m.advance(1000)
+			c.Loop.fire()
+		}
+		for len(m.order) > 0 {
+			m.end(m.order[0], hollyyoke.Severed)
+		}
+		for i, r := range m.reqs {
+			if r.answers == 0 != r.hungUp || r.released != 1 {
+				t.Fatalf("req %d: %d answers, hung up: %v, released %d times", i, r.answers, r.hungUp, r.released)
+			}
+		}
+		if n := c.Counts(); c.Owed() != 0 || c.reqs.Len() != 0 || c.fetches.Len() != 0 ||
+			n.Taken != n.Served+n.Refused+n.Failed+n.HungUp {
+			t.Fatalf("owed %d, reqs %d, fetches %d, counts %+v", c.Owed(), c.reqs.Len(), c.fetches.Len(), n)
+		}
+	})
+}
+
+// Two sources of backends do not overwrite each other's lists.
+func TestSourcesKeepTheirOwnLists(t *testing.T) {
+	c, err := New(NewLoop(), hollyyoke.Settings{Classes: []hollyyoke.Class{{Deadline: time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := &model{core: c}, &model{core: c}
+	c.List(a, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "a1"}, {Worker: "a2"}})
+	c.List(b, hollyyoke.ListChanges, []hollyyoke.Entry{{Worker: "b1"}, {Worker: "b2", State: hollyyoke.Stopping}})
+	c.List(a, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "a2"}})
+	if len(c.listed) != 3 || c.listed["b1"].source != b || c.Backends() != 2 {
+		t.Fatalf("listed %v", c.listed)
+	}
+	c.List(b, hollyyoke.ListChanges, []hollyyoke.Entry{{Worker: "b1", State: hollyyoke.Deleted}})
+	if len(c.listed) != 2 || c.Backends() != 1 {
+		t.Fatalf("listed %v", c.listed)
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -28,6 +28,7 @@
 	spare []func()
 	due   deadlines
 	seq   uint64
+	fired time.Duration // up to when deadlines have been fired
 }
 
 // NewLoop returns a loop whose clock reads Unix time.
@@ -108,6 +109,7 @@
 // fire fires what was due at its start; what that sets for now waits for the next turn.
 func (l *Loop) fire() {
 	now, last := l.Now(), l.seq
+	l.fired = now
 	for len(l.due) > 0 && l.due[0].at <= now && l.due[0].seq <= last {
 		d := l.due[0]
 		heap.Pop(&l.due)
@@ -124,10 +126,11 @@
 	pos  int // in the heap, counted from 1; 0: not set
 }
 
-// Set sets d, or moves it, to the time at.
+// Set sets d, or moves it, to the time at. One in the past counts as due now:
+// guards against an owner that sets its own again and again before all others.
 func (l *Loop) Set(d *Deadline, at time.Duration) {
 	l.seq++
-	d.at, d.seq = at, l.seq
+	d.at, d.seq = max(at, l.fired), l.seq
 	if d.pos > 0 {
 		heap.Fix(&l.due, d.pos-1)
 		return
