--- /dev/null
+++ b/cmd/hollyyoke/main_test.go
@@ -0,0 +1,585 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// These tests start the program and speak to it over sockets, with stand-ins
+// for discovery and backends. All ports are chosen by the kernel.
+
+const patience = 30 * time.Second // no test waits that long unless something is broken
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hollyyoke")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "hollyyoke")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const settingsText = `{"areas":["here","there"],"kinds":["m"],"my_zone":0,"peers_total":1,"tick_us":2000,
+"discovery":"ask","worth_by":"work","classes":[
+{"name":"status-check","repeat":"retryable","worth":3,"late_worth":0.25,"slo_us":250000,"deadline_us":5000000},
+{"name":"renewal","repeat":"fragile","worth":5,"late_worth":0.5,"slo_us":200000,"deadline_us":8000000}],
+"limits":{"cancel":true,"connect_timeout_us":250000,"conn_idle_us":CONN_IDLE,"max_attempts":3,"max_retry_after_us":2000000,
+"second_copies":true},"rules":{"ask_within_us":10000000,"cold_from":0.33,"warm_after_us":8600000,"fall_multiple":4,
+"fall_us":1000000,"drain_grace_us":500000},"domain":{"tells_start":true,"progress_us":1000000,"queue_order":"fifo",
+"report_x0":"free slots"},"reporting":{"via":"answers"}}`
+
+// world is what stands around the program.
+type world struct {
+	t        *testing.T
+	mu       sync.Mutex
+	backends []*backend
+	watches  chan string // the query of each watch
+	changes  chan string // lines for the present watch; "silence" ends its signs of life, "end" the watch
+	listen   string
+	config   map[string]any
+	cmd      *exec.Cmd
+	log      bytes.Buffer
+	client   *http.Client
+}
+
+// backend is a stand-in: act answers each request.
+type backend struct {
+	name string
+	ln   net.Listener
+	mu   sync.Mutex
+	got  []string // the ids that arrived
+	act  func(id string, conn net.Conn) (keep bool)
+}
+
+func done(id string, conn net.Conn) bool {
+	text := fmt.Sprintf(`{"id":%q,"state":"started"}`+"\n"+`{"id":%q,"state":"done","result":"made for %s"}`+"\n", id, id, id)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+	return true
+}
+
+func listen(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func (w *world) backend(name string, act func(string, net.Conn) bool) *backend {
+	b := &backend{name: name, ln: listen(w.t), act: act}
+	w.backends = append(w.backends, b)
+	go func() {
+		for {
+			conn, err := b.ln.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		id := req.Header.Get("X-Correlation-Id")
+		b.mu.Lock()
+		b.got = append(b.got, fmt.Sprintf("%s %s %s %s", id, req.Method, req.RequestURI, body))
+		act := b.act
+		b.mu.Unlock()
+		if !act(id, conn) {
+			return
+		}
+	}
+}
+
+func (b *backend) arrivals() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.got...)
+}
+
+func (b *backend) become(act func(string, net.Conn) bool) {
+	b.mu.Lock()
+	b.act = act
+	b.mu.Unlock()
+}
+
+func (b *backend) entry(health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"here","class":"m","health":%q,"share":1}`, b.name, b.ln.Addr(), health)
+}
+
+// start starts the program in the world; known tells it all backends.
+func (w *world) start(args ...string) {
+	t := w.t
+	t.Helper()
+	discovery := listen(t)
+	w.watches, w.changes = make(chan string, 100), make(chan string, 100)
+	go func() {
+		for {
+			conn, err := discovery.Accept()
+			if err != nil {
+				return
+			}
+			go w.discover(conn)
+		}
+	}()
+	ln := listen(t)
+	w.listen = ln.Addr().String()
+	ln.Close()
+	var hosts []json.RawMessage
+	for _, b := range w.backends {
+		hosts = append(hosts, json.RawMessage(b.entry("ready")))
+	}
+	idle, _ := w.config["conn_idle_us"].(string)
+	if idle == "" {
+		idle = "10000000"
+	}
+	config := map[string]any{
+		"name": "n0", "listen": w.listen, "discovery": discovery.Addr().String(), "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":  map[string]any{"seq": 41, "whole": true, "hosts": hosts}, "settings": json.RawMessage(strings.ReplaceAll(settingsText, "CONN_IDLE", idle)),
+	}
+	for k, v := range w.config {
+		config[k] = v
+	}
+	raw, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.cmd = exec.Command(binary, args...)
+	w.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_LISTEN=", "BALANCER_DISCOVERY=", "BALANCER_NAME=")
+	w.cmd.Stderr = &w.log
+	if err := w.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if w.cmd.ProcessState == nil {
+			w.cmd.Process.Kill()
+			w.cmd.Wait()
+		}
+		if t.Failed() {
+			t.Logf("its log:\n%s", w.log.String())
+		}
+	})
+	w.client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		if resp, err := w.client.Get("http://" + w.listen + "/healthz"); err == nil {
+			resp.Body.Close()
+			return
+		} else if time.Now().After(end) {
+			t.Fatalf("it does not come up: %v", err)
+		}
+	}
+}
+
+func (w *world) discover(conn net.Conn) {
+	defer conn.Close()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	chunk := func(line string) { fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(line)+1, line) }
+	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	chunk("")
+	w.watches <- req.URL.RawQuery
+	gone := make(chan struct{})
+	go func() { io.Copy(io.Discard, conn); close(gone) }()
+	for {
+		select {
+		case <-gone:
+			return
+		case line := <-w.changes:
+			switch line {
+			case "silence":
+				<-gone // until the other side gives up
+				return
+			case "end":
+				return
+			}
+			chunk(line)
+		case <-time.After(500 * time.Millisecond):
+			chunk("")
+		}
+	}
+}
+
+// post sends a job and returns status, body and Retry-After.
+func (w *world) post(class, id, body string, leftMs int) (int, string, string) {
+	w.t.Helper()
+	req, _ := http.NewRequest("POST", "http://"+w.listen+"/"+class+"/key-1?x=y", strings.NewReader(body))
+	req.Header.Set("X-Correlation-Id", id)
+	req.Header.Set("X-Weight-Hint", "20000")
+	if leftMs > 0 {
+		req.Header.Set("X-Time-Left-Ms", fmt.Sprint(leftMs))
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		w.t.Errorf("%s: %v", id, err)
+		return 0, "", ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), resp.Header.Get("Retry-After")
+}
+
+// ended waits for the program's end and returns its exit code.
+func (w *world) ended() int {
+	w.t.Helper()
+	over := make(chan struct{})
+	go func() { w.cmd.Wait(); close(over) }()
+	select {
+	case <-over:
+	case <-time.After(patience):
+		w.t.Fatal("it does not end")
+	}
+	return w.cmd.ProcessState.ExitCode()
+}
+
+func (w *world) watch() string {
+	w.t.Helper()
+	select {
+	case q := <-w.watches:
+		return q
+	case <-time.After(patience):
+		w.t.Fatal("no watch")
+		return ""
+	}
+}
+
+func TestServesAJobUnchanged(t *testing.T) {
+	w := &world{t: t}
+	b := w.backend("s-1", done)
+	w.start()
+	if q := w.watch(); q != "watch=1&after=41" {
+		t.Errorf("watch %q", q)
+	}
+	for i := range 5 {
+		id := fmt.Sprintf("id-%d", i)
+		if status, body, _ := w.post("renewal", id, "pay", 0); status != 200 || body != "made for "+id {
+			t.Errorf("%s: %d %q", id, status, body)
+		}
+	}
+	got := b.arrivals()
+	if len(got) != 5 || got[4] != "id-4 POST /renewal/key-1?x=y pay" {
+		t.Errorf("arrived: %q", got)
+	}
+}
+
+// A renewal that may have run is never sent again: not after a reset, not
+// after silence, not on a kept connection that turns out dead. A status-check is.
+func TestRenewalIsNeverSentTwice(t *testing.T) {
+	w := &world{t: t}
+	reset := func(string, net.Conn) bool { return false }
+	b := w.backend("s-1", done)
+	w.start()
+	w.post("renewal", "warm-up", "x", 0)
+	b.become(reset)
+	if status, _, _ := w.post("renewal", "reset", "x", 0); status != 502 {
+		t.Errorf("after a reset: %d", status)
+	}
+	b.become(func(_ string, conn net.Conn) bool { io.Copy(io.Discard, conn); return false })
+	if status, _, _ := w.post("renewal", "silent", "x", 600); status != 502 {
+		t.Errorf("after silence: %d", status)
+	}
+	first := true
+	b.become(func(id string, conn net.Conn) bool {
+		if first {
+			first = false
+			return false
+		}
+		return done(id, conn)
+	})
+	if status, _, _ := w.post("status-check", "check", "x", 0); status != 200 {
+		t.Errorf("a status-check after a reset: %d", status)
+	}
+	count := map[string]int{}
+	for _, a := range b.arrivals() {
+		id, _, _ := strings.Cut(a, " ")
+		count[id]++
+	}
+	if count["reset"] != 1 || count["silent"] != 1 || count["check"] != 2 {
+		t.Errorf("arrivals %v", count)
+	}
+}
+
+// What nobody can take is refused before the client gives up, and tells when to come back.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	w := &world{t: t}
+	w.backend("s-1", func(_ string, conn net.Conn) bool {
+		fmt.Fprint(conn, "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	w.start()
+	for _, class := range []string{"status-check", "renewal"} {
+		status, _, retry := w.post(class, "full-"+class, "x", 1500)
+		var s float64
+		if _, err := fmt.Sscan(retry, &s); status != 503 || err != nil || s < 0 || s > 2 {
+			t.Errorf("%s: %d, Retry-After %q", class, status, retry)
+		}
+	}
+}
+
+// A client that hangs up has its fetch called off.
+func TestHangUpReachesTheBackend(t *testing.T) {
+	w := &world{t: t}
+	gone := make(chan struct{})
+	arrived := make(chan struct{})
+	w.backend("s-1", func(_ string, conn net.Conn) bool {
+		close(arrived)
+		io.Copy(io.Discard, conn)
+		close(gone)
+		return false
+	})
+	w.start()
+	conn, err := net.Dial("tcp", w.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(conn, "POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: gone\r\nContent-Length: 1\r\n\r\nx")
+	<-arrived
+	conn.Close()
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Error("the backend still has it")
+	}
+}
+
+// What discovery says holds: a backend that drains gets nothing new, one that
+// comes back does. A watch without signs of life is given up and made anew
+// with the list kept; so is one that ends or sends what makes no sense.
+func TestDiscovery(t *testing.T) {
+	w := &world{t: t}
+	a, b := w.backend("s-a", done), w.backend("s-b", done)
+	w.start()
+	w.watch()
+	w.changes <- `{"seq":42,"whole":false,"hosts":[` + a.entry("draining") + `]}`
+	// Told are the news once an answer that needs them has been given.
+	for end := time.Now().Add(patience); len(b.arrivals()) == 0 && time.Now().Before(end); {
+		w.post("status-check", "probe", "x", 0)
+	}
+	time.Sleep(100 * time.Millisecond)
+	before := len(a.arrivals())
+	for i := range 20 {
+		if status, _, _ := w.post("renewal", fmt.Sprint("drain-", i), "x", 0); status != 200 {
+			t.Errorf("%d: %d", i, status)
+		}
+	}
+	if n := len(a.arrivals()); n != before {
+		t.Errorf("the draining backend got %d more", n-before)
+	}
+	for i, ill := range []string{"silence", "end", `{"seq":43,"hosts":[{"host":"","health":"ready"}]}`, "nonsense"} {
+		w.changes <- ill
+		if q := w.watch(); q != "watch=1&after=42" {
+			t.Errorf("after %q: watch %q", ill, q)
+		}
+		if status, _, _ := w.post("renewal", fmt.Sprint("kept-", i), "x", 0); status != 200 {
+			t.Errorf("after %q: the list is lost: %d", ill, status)
+		}
+	}
+	if n := len(a.arrivals()); n != before {
+		t.Errorf("the draining backend got %d more", n-before)
+	}
+	w.changes <- `{"seq":44,"whole":true,"hosts":[` + a.entry("ready") + `]}`
+	for end := time.Now().Add(patience); len(a.arrivals()) == before; {
+		if status, _, _ := w.post("status-check", "back", "x", 0); status != 200 || time.Now().After(end) {
+			t.Fatalf("the one backend listed: %d", status)
+		}
+	}
+}
+
+// Idle connections to a backend are closed before it may close them.
+func TestIdleConnectionsCloseFirst(t *testing.T) {
+	w := &world{t: t, config: map[string]any{"conn_idle_us": "3000000"}}
+	closed := make(chan error, 1)
+	w.backend("s-1", func(id string, conn net.Conn) bool {
+		done(id, conn)
+		conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
+		return false
+	})
+	w.start()
+	w.post("renewal", "one", "x", 0)
+	if err := <-closed; err != io.EOF {
+		t.Errorf("at the end of the idle time: %v", err)
+	}
+}
+
+// Near the limit of descriptors idle sessions make room for new ones.
+func TestDescriptorLimit(t *testing.T) {
+	w := &world{t: t, config: map[string]any{"limits": map[string]any{"sockets": 64, "memory_mb": 192}}}
+	w.backend("s-1", done)
+	w.start()
+	for i := range 100 {
+		conn, err := net.Dial("tcp", w.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(conn, "POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: fd-%d\r\nContent-Length: 1\r\n\r\nx", i)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("session %d: %v, %v", i, resp, err)
+		}
+		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
+		if err != nil || len(fds) > 64 {
+			t.Fatalf("session %d: %d descriptors, %v", i, len(fds), err)
+		}
+	}
+}
+
+// At a planned restart what has been taken is answered, what comes in the
+// window is served, and the program ends with 0 only after that.
+func TestPlannedRestart(t *testing.T) {
+	w := &world{t: t}
+	release, arrived := make(chan struct{}), make(chan struct{}, 1)
+	w.backend("s-1", func(id string, conn net.Conn) bool {
+		if id == "slow" {
+			arrived <- struct{}{}
+			<-release
+		}
+		return done(id, conn)
+	})
+	w.start()
+	slow := make(chan int, 1)
+	go func() {
+		status, _, _ := w.post("renewal", "slow", "x", 0)
+		slow <- status
+	}()
+	<-arrived
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	fresh := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	w.client, fresh = fresh, w.client
+	if status, _, _ := w.post("status-check", "new", "x", 0); status != 200 {
+		t.Errorf("a new connection after SIGTERM: %d", status)
+	}
+	w.client = fresh
+	if status, _, _ := w.post("status-check", "kept", "x", 0); status != 200 {
+		t.Errorf("a kept connection after SIGTERM: %d", status)
+	}
+	if resp, err := w.client.Get("http://" + w.listen + "/healthz"); err != nil || resp.StatusCode != 503 {
+		t.Errorf("healthz after SIGTERM: %v, %v", resp, err)
+	}
+	time.Sleep(arrivalWindow + 200*time.Millisecond) // past the window, a job is still owed
+	close(release)
+	if status := <-slow; status != 200 {
+		t.Errorf("what was in work: %d", status)
+	}
+	if code := w.ended(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	if _, err := net.Dial("tcp", w.listen); err == nil {
+		t.Error("it still listens")
+	}
+}
+
+// The Faktory front runs beside the platform's, on the same backends.
+func TestFaktoryFront(t *testing.T) {
+	w := &world{t: t}
+	b := w.backend("s-1", done)
+	ln := listen(t)
+	addr := ln.Addr().String()
+	ln.Close()
+	path := filepath.Join(t.TempDir(), "faktory.toml")
+	os.WriteFile(path, []byte(fmt.Sprintf("listen = %q\n", addr)), 0o600)
+	w.start("-faktory", path)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(conn)
+	for _, x := range []struct{ command, want string }{
+		{"", "+HI {\"v\":2}"},
+		{`HELLO {"v":2}`, "+OK"},
+		{`PUSH {"jid":"pushed-01","queue":"renewal","jobtype":"x","args":[],"custom":{"key":"a b","effort_us":20000}}`, "+OK"},
+		{`PUSH {"jid":"pushed-01","queue":"renewal","jobtype":"x","args":[]}`, "+OK"},
+	} {
+		if x.command != "" {
+			fmt.Fprintf(conn, "%s\r\n", x.command)
+		}
+		if line, err := in.ReadString('\n'); err != nil || strings.TrimSpace(line) != x.want {
+			t.Fatalf("%s: %q, %v", x.command, line, err)
+		}
+	}
+	if got := b.arrivals(); len(got) != 1 || !strings.HasPrefix(got[0], "pushed-01 POST /renewal/a%20b {") {
+		t.Errorf("arrived: %q", got)
+	}
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	if code := w.ended(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// A bad start says in one line which field is wrong.
+func TestBadStart(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		os.WriteFile(path, []byte(text), 0o600)
+		return path
+	}
+	good := strings.ReplaceAll(settingsText, "CONN_IDLE", "1")
+	for name, test := range map[string]struct{ config, faktory, want string }{
+		"no settings":  {`{"listen":"127.0.0.1:0"}`, "", "settings: missing"},
+		"not JSON":     {`{`, "", "config:"},
+		"wrong type":   {`{"listen":5}`, "", "listen"},
+		"deep type":    {`{"listen":"127.0.0.1:0","settings":{"rules":{"cold_from":"x"}}}`, "", "rules.cold_from"},
+		"no class":     {`{"listen":"127.0.0.1:0","settings":{}}`, "", "Classes is empty"},
+		"no name":      {`{"listen":"127.0.0.1:0","settings":{"classes":[{"repeat":"fragile","deadline_us":5}]}}`, "", "classes[0].name"},
+		"bad repeat":   {`{"listen":"127.0.0.1:0","settings":{"classes":[{"name":"q","repeat":"x"}]}}`, "", "classes[0].repeat"},
+		"no listen":    {`{"settings":` + good + `}`, "", "listen: missing"},
+		"bad listen":   {`{"listen":"nowhere","settings":` + good + `}`, "", "listen:"},
+		"bad known":    {`{"listen":"127.0.0.1:0","known":{"hosts":[{"host":"h","health":"odd"}]},"settings":` + good + `}`, "", "hosts[0].health"},
+		"faktory key":  {`{"settings":` + good + `}`, "lisen = \"127.0.0.1:0\"", "lisen: unknown key"},
+		"faktory text": {`{"settings":` + good + `}`, "listen = ", "faktory.toml"},
+	} {
+		args := []string{"-config", write("config.json", test.config)}
+		if test.faktory != "" {
+			args = append(args, "-faktory", write("faktory.toml", test.faktory))
+		}
+		cmd := exec.Command(binary, args...)
+		cmd.Env = append(os.Environ(), "BALANCER_LISTEN=", "BALANCER_CONFIG=", "BALANCER_DISCOVERY=")
+		out, err := cmd.CombinedOutput()
+		if err == nil || !strings.Contains(string(out), test.want) || strings.Count(string(out), "\n") != 1 {
+			t.Errorf("%s: %v, %q; want one line with %q", name, err, out, test.want)
+		}
+	}
+}
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -652,6 +652,7 @@
 	in    *net.Buffer
 	text  *net.Buffer
 	ok    bool // the head of the answer has come
+	live  bool // and its first line
 	chunk chunks
 	due   core.Deadline
 }
@@ -732,7 +733,7 @@
 	if w.conn != nil {
 		w.conn.Close()
 	}
-	w.in, w.text, w.conn, w.ok, w.chunk = nil, nil, nil, false, chunks{}
+	w.in, w.text, w.conn, w.ok, w.live, w.chunk = nil, nil, nil, false, false, chunks{}
 	w.turn++
 }
 
@@ -831,7 +832,12 @@
 func (w *watch) line(text []byte) error {
 	loop := w.set.core.Loop
 	loop.Set(&w.due, loop.Now()+watchLine)
+	first := !w.live
+	w.live = true
 	if len(text) == 0 {
+		if first { // nothing has changed; but the call did not fail, and the module waits for word of it
+			w.set.core.List(w.set, hollyyoke.ListChanges, nil)
+		}
 		return nil
 	}
 	var list hosts
