--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -40,6 +40,9 @@
 // SIGTERM: 0.4 s by the platform's page, and some for a slow machine.
 const arrivalWindow = 600 * time.Millisecond
 
+// freshList is how long the first word of discovery is waited for before clients are asked in.
+const freshList = time.Second
+
 // config is what the dispatcher is told: the file, with the environment before it.
 type config struct {
 	Name      string `json:"name"`
@@ -155,7 +158,10 @@
 		sessions /= 2 // half for either front
 	}
 	if c.Listen != "" {
-		fronts.platform = platform.NewFront(d, engine, func() bool { return d.Backends() > 0 })
+		began := loop.Now()
+		fronts.platform = platform.NewFront(d, engine, func() bool {
+			return d.Backends() > 0 && (backends.Fresh() || loop.Now()-began > freshList)
+		})
 		addr, err := fronts.platform.Listen(c.Listen, sessions)
 		if err != nil {
 			return fmt.Errorf("config: listen: %w", err)
--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -199,7 +200,9 @@
 	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
 		if resp, err := w.client.Get("http://" + w.listen + "/healthz"); err == nil {
 			resp.Body.Close()
-			return
+			if resp.StatusCode == 200 {
+				return
+			}
 		} else if time.Now().After(end) {
 			t.Fatalf("it does not come up: %v", err)
 		}
@@ -315,10 +318,9 @@
 	if status, _, _ := w.post("renewal", "silent", "x", 600); status != 502 {
 		t.Errorf("after silence: %d", status)
 	}
-	first := true
+	var before atomic.Int32
 	b.become(func(id string, conn net.Conn) bool {
-		if first {
-			first = false
+		if before.Add(1) == 1 {
 			return false
 		}
 		return done(id, conn)
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -138,7 +138,8 @@
 func (s *Server) shed() {
 	s.sessions.All(func(_ uint64, n *session) {
 		if !n.busy && n.worker == nil {
-			n.end()
+			n.forget()
+			n.conn.Close()
 		}
 	})
 }
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -388,6 +388,10 @@
 	}
 }
 
+// Fresh tells whether discovery has told anything yet, or is not there to tell.
+// The list known at the start may be old.
+func (s *Backends) Fresh() bool { return s.watch.told || s.watch.addr == "" }
+
 // Subscribe opens the discovery watch anew.
 func (s *Backends) Subscribe() { s.watch.open() }
 
@@ -653,6 +657,7 @@
 	text  *net.Buffer
 	ok    bool // the head of the answer has come
 	live  bool // and its first line
+	told  bool // some call has brought a line
 	chunk chunks
 	due   core.Deadline
 }
@@ -833,7 +838,7 @@
 	loop := w.set.core.Loop
 	loop.Set(&w.due, loop.Now()+watchLine)
 	first := !w.live
-	w.live = true
+	w.live, w.told = true, true
 	if len(text) == 0 {
 		if first { // nothing has changed; but the call did not fail, and the module waits for word of it
 			w.set.core.List(w.set, hollyyoke.ListChanges, nil)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -73,7 +73,9 @@
 	return s
 }
 
-// shed makes room for new sessions: it ends those between requests, the longest unused first.
+// shed makes room for new sessions: it closes those between requests, the
+// longest unused first. They close at once: guards against sessions that linger
+// holding their descriptors, so that call after call sheds more, new ones too.
 func (f *Front) shed() {
 	const some = 8
 	for range some {
@@ -86,7 +88,8 @@
 		if oldest == nil {
 			return
 		}
-		oldest.end()
+		oldest.forget()
+		oldest.conn.Close()
 	}
 }
 
