--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -53,7 +53,6 @@
 // world is what stands around the program.
 type world struct {
 	t        *testing.T
-	mu       sync.Mutex
 	backends []*backend
 	watches  chan string // the query of each watch
 	changes  chan string // lines for the present watch; "silence" ends its signs of life, "end" the watch
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -71,13 +71,12 @@
 
 // model follows the reqs of one core. It is the front and the carrier, too.
 type model struct {
-	t       *testing.T
-	core    *Core
-	reqs    []*modelReq
-	out     map[uint64]*modelReq // by fetch
-	order   []uint64             // fetches that are out
-	states  map[string]hollyyoke.WorkerState
-	changes int
+	t      *testing.T
+	core   *Core
+	reqs   []*modelReq
+	out    map[uint64]*modelReq // by fetch
+	order  []uint64             // fetches that are out
+	states map[string]hollyyoke.WorkerState
 }
 
 type modelReq struct {
--- a/internal/faktory/faktory_test.go
+++ b/internal/faktory/faktory_test.go
@@ -681,6 +681,113 @@
 	closings(2)
 }
 
+// echo is a carrier whose one worker does at once what a job's key says.
+type echo struct{ core *core.Core }
+
+func (e echo) Start(f core.Fetch) {
+	o := map[string]hollyyoke.Outcome{
+		"done": hollyyoke.Completed, "failed": hollyyoke.Errored, "full": hollyyoke.Saturated,
+	}[f.Job.Key]
+	e.core.Ended(f.Handle, o, hollyyoke.Load{}, nil)
+}
+func (echo) Stop(uint64) bool { return false }
+func (echo) Release(string)   {}
+func (echo) Probe(string)     {}
+func (echo) Subscribe()       {}
+
+// A command, how its answer begins, and whether the session ends with it. JID
+// is a new jid for each run of a step.
+var commands = []struct {
+	text, want string
+	ends       bool
+}{
+	{`HELLO {"v":2}`, "+OK", false},
+	{`PUSH {"jid":"JID","queue":"renewal","jobtype":"x","args":[],"custom":{"key":"done"}}`, "+OK", false},
+	{`push {"jid":"JID","queue":"x","jobtype":"renewal","args":[],"custom":{"key":"failed"}}`, "-ERR FAILED", false},
+	{`PUSH {"jid":"JID","queue":"renewal","jobtype":"x","args":[],"custom":{"key":"full"}}`, "-ERR REFUSED", false},
+	{`PUSH {"jid":"JID","queue":"x","jobtype":"x","args":[]}`, "-ERR UNKNOWN", false},
+	{`PUSH {"jid":"JID"`, "-ERR MALFORMED", false},
+	{`ACK {"jid":"JID"}`, "+OK", false},
+	{`FAIL {"jid":"JID"}`, "+OK", false},
+	{`BEAT {"wid":"nobodys","current_state":"quiet"}`, "+OK", false},
+	{`FETCH renewal`, "-ERR FETCH", false},
+	{`INFO`, "{", false},
+	{"\x00\xff", "-ERR Unknown", false},
+	{`END`, "+OK", true},
+}
+
+// FuzzSession checks a producer's session against a model: each command gets
+// its one answer, in order, wherever the bytes are cut apart; before HELLO
+// there is none but HELLO and END, and HELLO comes once.
+func FuzzSession(f *testing.F) {
+	f.Add([]byte{0, 0, 1, 0, 2, 0, 3, 0, 4, 0, 5, 0, 6, 0, 7, 0, 8, 0, 9, 0, 10, 0, 11, 0, 12, 0})
+	f.Add([]byte{0, 9, 1, 200, 0, 3, 12, 12, 1, 1})
+	f.Add([]byte{1, 0, 0, 0})
+	f.Add([]byte{12, 90})
+	addr, c := front(f, serverOnly, func(s *hollyyoke.Settings) { s.MaxAttempts = 1 })
+	c.Loop.Post(func() {
+		c.List(echo{c}, hollyyoke.ListChanges, []hollyyoke.Entry{{Worker: "w", Kind: 3}})
+	})
+	jids := 0
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		conn, err := stdnet.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		p := &peer{t, conn, bufio.NewReader(conn)}
+		want, greeted, ended := []string{"+HI"}, false, false
+		for i := 0; i+1 < len(steps) && i < 60 && !ended; i += 2 {
+			x := commands[int(steps[i])%len(commands)]
+			jids++
+			text := strings.ReplaceAll(x.text, "JID", fmt.Sprintf("fuzz-%09d", jids)) + "\r\n"
+			cut := int(steps[i+1]) * len(text) / 256
+			conn.Write([]byte(text[:cut]))
+			if steps[i+1]%16 == 15 {
+				time.Sleep(time.Millisecond)
+			}
+			conn.Write([]byte(text[cut:]))
+			answer := x.want
+			switch hello := strings.HasPrefix(x.text, "HELLO"); {
+			case hello && greeted:
+				answer = "-ERR HELLO"
+			case !hello && !greeted && !x.ends:
+				answer, ended = "-ERR HELLO", true
+			}
+			greeted = true
+			want, ended = append(want, answer), ended || x.ends
+		}
+		for i, w := range want {
+			if got, err := p.reply(); err != nil || !strings.HasPrefix(got, w) {
+				t.Fatalf("answer %d: %q, %v; want %q of %q", i, got, err, w, want)
+			}
+		}
+		if ended {
+			if rest, _ := io.ReadAll(p.r); len(rest) > 0 {
+				t.Fatalf("after the last answer: %q", rest)
+			}
+		}
+	})
+}
+
+// FuzzParse: no input makes the parsers panic, and none claims more than there is.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"+HI {\"v\":2}\r\n", "$5\r\nhello\r\n", "$-1\r\n", "$99999999\r\n", ":1\n", "-ERR x\r\n", "$3\r\nabcde", ""} {
+		f.Add([]byte(s))
+	}
+	f.Add([]byte(`{"jid":"12345678","queue":"a","args":[],"at":"2026-12-01T00:00:00Z","custom":{"time_left_ms":1e300,"effort_us":-1}}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, used, err := parseReply(b); used > len(b) || used > 0 && len(r.text) > used || err != nil && used != 0 {
+			t.Fatalf("%+v, used %d of %d, %v", r, used, len(b), err)
+		}
+		parseCommand(b)
+		if j, err := readJob(b, map[string]int{"a": 0}, time.Hour); err == nil && (len(j.ID) < 8 || j.Left < 0 || j.Work < 0) {
+			t.Fatalf("%+v", j)
+		}
+	})
+}
+
 func TestReadConfigNamesTheField(t *testing.T) {
 	s := hollyyoke.Settings{Classes: []hollyyoke.Class{{Name: "renewal"}}}
 	for text, want := range map[string]string{
--- a/internal/faktory/source.go
+++ b/internal/faktory/source.go
@@ -27,7 +27,6 @@
 	jids    *memory
 	quiet   bool // fetches no more
 	counts  SourceCounts
-	out     []byte
 }
 
 // SourceCounts tells what became of the deliveries so far. Unconfirmed are
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -108,9 +108,13 @@
 	nb        *nbio.Engine
 	conns     core.Table[Conn]
 	dials     gate // connections that we open
-	listeners []stdnet.Listener
 	mu        sync.Mutex
-	stopping  bool
+	listeners []listener
+}
+
+type listener struct {
+	stdnet.Listener
+	gate *gate
 }
 
 // gate bounds connections of one kind.
@@ -236,7 +240,7 @@
 	g := newGate(most)
 	g.cond.L = &g.mu
 	e.mu.Lock()
-	e.listeners = append(e.listeners, ln)
+	e.listeners = append(e.listeners, listener{ln, &g})
 	e.mu.Unlock()
 	go func() {
 		for g.wait(func() { e.Loop.Post(full) }) {
@@ -415,6 +419,7 @@
 	defer e.mu.Unlock()
 	for _, ln := range e.listeners {
 		_ = ln.Close()
+		ln.gate.close()
 	}
 	e.listeners = nil
 }
