Sessions that have just come are not shed; pressed answers end their sessions

Seen: 900 clients at once with 64 KiB bodies on 1,024 descriptors: 297 reset, 7 closed without an answer. Cause: internal/platform/client.go, shed, went by the time of last use, by which a session whose first request was still unread came before those just answered; and it was called once for each wait, so that with all sessions busy nothing made room later. Ruled out: the kernel's backlog (the resets came from the daemon) and memory (52 MB).

--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -465,6 +465,34 @@
 	}
 }
 
+// More clients at once than there are descriptors wait their turn: each gets a
+// whole answer, though sessions must end to make room.
+func TestMoreClientsThanDescriptors(t *testing.T) {
+	w := &world{t: t, config: map[string]any{"limits": map[string]any{"sockets": 64, "memory_mb": 192}}}
+	w.backend("s-1", func(id string, conn net.Conn) bool {
+		time.Sleep(50 * time.Millisecond)
+		return done(id, conn)
+	})
+	w.start()
+	var wg sync.WaitGroup
+	for i := range 60 {
+		conn, err := net.Dial("tcp", w.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(conn, "POST /status-check/k HTTP/1.1\r\nX-Correlation-Id: many-%d\r\nContent-Length: 1\r\n\r\nx", i)
+		wg.Go(func() {
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 {
+				t.Errorf("client %d: %v, %v", i, resp, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // At a planned restart what has been taken is answered, what comes in the
 // window is served, and the program ends with 0 only after that.
 func TestPlannedRestart(t *testing.T) {
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -137,7 +137,7 @@
 // shed ends sessions that have nothing out, since there are too many.
 func (s *Server) shed() {
 	s.sessions.All(func(_ uint64, n *session) {
-		if !n.busy && n.worker == nil {
+		if !n.busy && n.greets && n.worker == nil {
 			n.forget()
 			n.conn.Close()
 		}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -24,6 +24,7 @@
 	ready    func() bool
 	stopping bool
 	closing  bool // the arrival window has passed: sessions end between requests
+	pressed  bool // new sessions wait, and none could be closed for them
 }
 
 // session is one client's connection: it reads a request, waits for its answer, and reads on.
@@ -38,6 +39,7 @@
 	gone   bool          // the client has closed
 	last   bool          // the session ends with the answer at hand
 	told   bool          // 100 Continue has been sent
+	used   bool          // a request has been answered on it
 	idleAt time.Duration
 	idle   core.Deadline
 }
@@ -69,23 +71,29 @@
 	s := &session{front: f, conn: c, idleAt: c.Opened}
 	s.idle.Fire = s.expire
 	s.token = f.sessions.Put(s)
+	f.pressed = false
 	f.core.Loop.Set(&s.idle, f.core.Loop.Now()+idleTime)
 	return s
 }
 
 // shed makes room for new sessions: it closes those between requests, the
 // longest unused first. They close at once: guards against sessions that linger
-// holding their descriptors, so that call after call sheds more, new ones too.
+// holding their descriptors, so that call after call sheds more. One that has
+// just come is spared, for its request is on the way: shed by age alone, it went
+// before those that had their answer. If there is none to close, the next
+// answers end their sessions.
 func (f *Front) shed() {
 	const some = 8
-	for range some {
+	now := f.core.Loop.Now()
+	for i := range some {
 		var oldest *session
 		f.sessions.All(func(_ uint64, s *session) {
-			if s.between() && (oldest == nil || s.idleAt < oldest.idleAt) {
+			if s.between() && (s.used || now-s.idleAt > requestTime) && (oldest == nil || s.idleAt < oldest.idleAt) {
 				oldest = s
 			}
 		})
 		if oldest == nil {
+			f.pressed = i == 0
 			return
 		}
 		oldest.forget()
@@ -323,6 +331,8 @@
 // write writes an answer and makes the session ready for the next request, or ends it.
 func (s *session) write(status int, body []byte, retryAfter time.Duration, fields string) {
 	f := s.front
+	s.used = true
+	s.last = s.last || f.pressed
 	f.out = appendAnswer(f.out[:0], status, body, retryAfter, s.last, fields)
 	s.conn.Write(f.out)
 	if s.last {
