--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -1,7 +1,7 @@
 // Command hollyyoke is the dispatcher: it takes jobs from clients over sockets
 // and has backends run them, as the module decides. This file owns the
 // process: what it is told at its start, its limits, and its planned end. It
-// must never exit while an answer is owed, but on a second signal or a bad start.
+// must never exit while an answer is owed, but on a second interrupt or a bad start.
 package main
 
 import (
@@ -174,13 +174,16 @@
 		}
 	}
 
-	signals := make(chan os.Signal, 2)
+	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		loop.Post(func() { stop(d, fronts, loop) })
-		<-signals
-		os.Exit(1)
+		for sig := range signals {
+			if sig == syscall.SIGINT { // someone at a terminal insists; a second SIGTERM changes nothing
+				os.Exit(1)
+			}
+		}
 	}()
 	loop.Run()
 	n := d.Counts()
