A probe on a new connection has a deadline

Seen by reading: Probe set its deadline for a kept connection alone (internal/platform/backend.go, Probe), so that a silent backend held a new one for good. It is set in send now.

--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -82,7 +82,7 @@
 	probeTime  = time.Second // for the answer to a probe
 	clearTime  = time.Second // for the rest of an answer whose outcome is known
 	drainSlack = 100 * time.Millisecond
-	unknownRun = 250 * time.Millisecond // connect time where the settings name none
+	anyConnect = 250 * time.Millisecond // connect time where the settings name none
 )
 
 // NewBackends returns a carrier that follows discovery at addr.
@@ -98,7 +98,7 @@
 	if t := s.core.Settings.ConnectTimeout; t > 0 {
 		return t
 	}
-	return unknownRun
+	return anyConnect
 }
 
 // Start sends a fetch on the connection used last, or on a new one.
@@ -187,6 +187,7 @@
 	}
 	out := s.out[:0]
 	if l.probe {
+		s.core.Loop.Set(&l.due, now+probeTime) // here, so that one on a new connection has it too
 		out = append(out, "GET /load HTTP/1.1\r\nHost: "...)
 		out = append(out, l.b.dial...)
 		out = append(out, "\r\n\r\n"...)
@@ -383,7 +384,6 @@
 	}
 	l.probe = true
 	if l.conn != nil {
-		s.core.Loop.Set(&l.due, s.core.Loop.Now()+probeTime)
 		l.send()
 	}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -336,6 +336,64 @@
 	})
 }
 
+// A probe that is not answered ends, also on a connection of its own: it once
+// had no deadline there. One that is answered leaves its connection to a fetch.
+func TestProbes(t *testing.T) {
+	r, s := newRig(t), newStand(t)
+	silent, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	var b *Backends
+	r.do(func() {
+		b = NewBackends(r.core, r.engine, "")
+		known := `{"hosts":[{"host":"s","dial":%q,"health":"ready"},{"host":"silent","dial":%q,"health":"draining"}]}`
+		if err := b.Known(fmt.Appendf(nil, known, s.ln.Addr(), silent.Addr())); err != nil {
+			t.Error(err)
+		}
+		b.Probe("silent")
+		b.Probe("nobody")
+	})
+	conn, err := silent.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(patience))
+	if text, err := io.ReadAll(conn); err != nil || !bytes.HasPrefix(text, []byte("GET /load HTTP/1.1\r\n")) {
+		t.Errorf("probed by %q, %v", text, err)
+	}
+	s.mu.Lock()
+	s.scripts = []string{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"x0\":1.5}", chunked(done)}
+	s.mu.Unlock()
+	r.do(func() { b.Probe("s") })
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		idle := 0
+		r.do(func() { idle = len(b.hosts["s"].idle) })
+		if idle == 1 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the probe's connection does not come to rest")
+		}
+	}
+	got := make(judge, 1)
+	r.do(func() { r.core.Take(got, 0, core.Job{ID: "id000001", Class: 1, Target: "/renewal/k", Work: 1e6}) })
+	select {
+	case a := <-got:
+		if a.Verdict != core.Served {
+			t.Errorf("after the probe: %v", a.Verdict)
+		}
+	case <-time.After(patience):
+		t.Fatal("no answer")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) != 1 {
+		t.Errorf("%d connections", len(s.conns))
+	}
+}
+
 // FuzzParse: no input makes the parsers panic, and a body never grows.
 func FuzzParse(f *testing.F) {
 	for _, x := range exchanges {
