SIGHUP reads the configuration again and moves the discovery watch

Checked: cmd/hollyyoke/main.go registered SIGTERM and SIGINT alone (signal.Notify in run), so SIGHUP had its default action; and readConfig let BALANCER_DISCOVERY win, which would have kept the old address.

The file is read off the loop and handed over whole. Config, settings, module settings and known list are checked before anything changes. The watch goes on after the version it had. A repeat that the module had timed for the former address no longer ends a call that is out.

TestReload fails without the change.

--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -1,7 +1,8 @@
 // Command hollyyoke is the dispatcher: it takes jobs from clients over sockets
 // and has backends run them, as the module decides. This file owns the
-// process: what it is told at its start, its limits, and its planned end. It
-// must never exit while an answer is owed, but on a second interrupt or a bad start.
+// process: what it is told at its start and on SIGHUP, its limits, and its
+// planned end. It must never exit while an answer is owed, but on a second
+// interrupt or a bad start, nor take over any part of a file that is not whole.
 package main
 
 import (
@@ -12,11 +13,15 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	stdnet "net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -43,21 +48,25 @@
 // freshList is how long the first word of discovery is waited for before clients are asked in.
 const freshList = time.Second
 
-// config is what the dispatcher is told: the file, with the environment before it.
+// config is what the dispatcher is told: the file, with the environment before
+// it. After a reload the file's discovery comes before the environment's, which
+// still names the one that the program was started with.
 type config struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      any    `json:"seed"`
-	Limits    struct {
-		MemoryMB float64 `json:"memory_mb"`
-		Sockets  float64 `json:"sockets"`
-	} `json:"limits"`
-	Known    json.RawMessage `json:"known"`
-	Settings json.RawMessage `json:"settings"`
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      any             `json:"seed"`
+	Limits    limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
 }
 
-func readConfig(path string, env func(string) string) (c config, s hollyyoke.Settings, err error) {
+type limits struct {
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  float64 `json:"sockets"`
+}
+
+func readConfig(path string, env func(string) string, again bool) (c config, s hollyyoke.Settings, err error) {
 	if path = cmp.Or(path, env("BALANCER_CONFIG")); path == "" {
 		return c, s, errors.New("config: neither -config nor BALANCER_CONFIG names a file")
 	}
@@ -74,7 +83,14 @@
 	}
 	c.Name = cmp.Or(env("BALANCER_NAME"), c.Name, "hollyyoke")
 	c.Listen = cmp.Or(env("BALANCER_LISTEN"), c.Listen)
-	c.Discovery = cmp.Or(env("BALANCER_DISCOVERY"), c.Discovery)
+	if !again || c.Discovery == "" {
+		c.Discovery = cmp.Or(env("BALANCER_DISCOVERY"), c.Discovery)
+	}
+	if c.Discovery != "" {
+		if _, _, err := stdnet.SplitHostPort(c.Discovery); err != nil {
+			return c, s, fmt.Errorf("config: discovery: %w", err)
+		}
+	}
 	if len(c.Settings) == 0 {
 		return c, s, errors.New("config: settings: missing")
 	}
@@ -120,10 +136,15 @@
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	c, s, err := readConfig(*configPath, env)
+	// From the first moment on: guards against a SIGHUP during the start, which ended the program.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	c, s, err := readConfig(*configPath, env, false)
 	if err != nil {
 		return err
 	}
+	told := s // as the file words them: the Faktory front adds to them
 	var second faktory.Config
 	if *faktoryPath != "" {
 		if second, err = faktory.ReadConfig(*faktoryPath, &s); err == nil {
@@ -174,6 +195,12 @@
 		}
 	}
 
+	go func() { // those that come while one is read are one
+		for range hangups {
+			next, now, err := readConfig(*configPath, env, true)
+			loop.Post(func() { c = reload(d, backends, c, next, told, now, err) })
+		}
+	}()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -192,6 +219,45 @@
 	return nil
 }
 
+// reload takes over from a file read anew what can change while the program
+// runs: where discovery is. It returns what is in force now. A file of which any
+// part is wrong changes nothing; what needs a restart is named in the log.
+func reload(d *core.Core, b *platform.Backends, c, next config, told, now hollyyoke.Settings, err error) config {
+	if err == nil {
+		err = b.CheckList(next.Known)
+	}
+	if err == nil {
+		if _, err = hollyyoke.New(now, 0); err != nil {
+			err = fmt.Errorf("config: %w", err)
+		}
+	}
+	if err != nil {
+		d.Log(fmt.Sprintf("reload: %v; what was in force stays", err))
+		return c
+	}
+	var restart []string
+	for name, changed := range map[string]bool{
+		"name": next.Name != c.Name, "listen": next.Listen != c.Listen, "limits": next.Limits != c.Limits,
+		"settings": !reflect.DeepEqual(now, told),
+	} {
+		if changed {
+			restart = append(restart, name)
+		}
+	}
+	slices.Sort(restart)
+	text := "reload: discovery stays at " + c.Discovery
+	if next.Discovery != c.Discovery {
+		text = "reload: discovery moves to " + next.Discovery
+		b.Move(next.Discovery)
+	}
+	if len(restart) > 0 {
+		text += "; changed, but only a restart takes over: " + strings.Join(restart, ", ")
+	}
+	d.Log(text)
+	c.Discovery = next.Discovery
+	return c
+}
+
 // fronts are those that are on.
 type fronts struct {
 	platform *platform.Front
--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -58,11 +59,30 @@
 	changes  chan string // lines for the present watch; "silence" ends its signs of life, "end" the watch
 	listen   string
 	config   map[string]any
+	path     string // of the file
 	cmd      *exec.Cmd
-	log      bytes.Buffer
+	log      record
 	client   *http.Client
 }
 
+// record is a log that may be read while it is written.
+type record struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (r *record) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(p)
+}
+
+func (r *record) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.String()
+}
+
 // backend is a stand-in: act answers each request.
 type backend struct {
 	name string
@@ -142,17 +162,7 @@
 func (w *world) start(args ...string) {
 	t := w.t
 	t.Helper()
-	discovery := listen(t)
-	w.watches, w.changes = make(chan string, 100), make(chan string, 100)
-	go func() {
-		for {
-			conn, err := discovery.Accept()
-			if err != nil {
-				return
-			}
-			go w.discover(conn)
-		}
-	}()
+	discovery := w.discovery()
 	ln := listen(t)
 	w.listen = ln.Addr().String()
 	ln.Close()
@@ -165,23 +175,17 @@
 		idle = "10000000"
 	}
 	config := map[string]any{
-		"name": "n0", "listen": w.listen, "discovery": discovery.Addr().String(), "seed": "8c1f30d27a5be964",
+		"name": "n0", "listen": w.listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":  map[string]any{"seq": 41, "whole": true, "hosts": hosts}, "settings": json.RawMessage(strings.ReplaceAll(settingsText, "CONN_IDLE", idle)),
 	}
 	for k, v := range w.config {
 		config[k] = v
 	}
-	raw, err := json.Marshal(config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	w.config, w.path = config, filepath.Join(t.TempDir(), "config.json")
+	w.write()
 	w.cmd = exec.Command(binary, args...)
-	w.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_LISTEN=", "BALANCER_DISCOVERY=", "BALANCER_NAME=")
+	w.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+w.path, "BALANCER_LISTEN=", "BALANCER_DISCOVERY="+discovery, "BALANCER_NAME=")
 	w.cmd.Stderr = &w.log
 	if err := w.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -208,6 +212,33 @@
 	}
 }
 
+// write writes the configuration file.
+func (w *world) write() {
+	raw, err := json.Marshal(w.config)
+	if err == nil {
+		err = os.WriteFile(w.path, raw, 0o600)
+	}
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// discovery starts a stand-in for discovery and returns its address.
+func (w *world) discovery() string {
+	ln := listen(w.t)
+	w.watches, w.changes = make(chan string, 100), make(chan string, 100)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go w.discover(conn)
+		}
+	}()
+	return ln.Addr().String()
+}
+
 func (w *world) discover(conn net.Conn) {
 	defer conn.Close()
 	req, err := http.ReadRequest(bufio.NewReader(conn))
@@ -271,6 +302,23 @@
 	return w.cmd.ProcessState.ExitCode()
 }
 
+func (w *world) signal(sig os.Signal) {
+	w.t.Helper()
+	if err := w.cmd.Process.Signal(sig); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// says waits until the program has logged a text.
+func (w *world) says(text string) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); !strings.Contains(w.log.String(), text); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("it does not log %q", text)
+		}
+	}
+}
+
 func (w *world) watch() string {
 	w.t.Helper()
 	select {
@@ -423,6 +471,68 @@
 	}
 }
 
+// A SIGHUP used to end the program. It reads the file again: the watch moves to
+// the discovery that it names, whatever the environment says, while the list and
+// the job that is out stay; a bad file changes nothing; near SIGTERM it does no harm.
+func TestReload(t *testing.T) {
+	w, other := &world{t: t}, &world{t: t}
+	hold := make(chan bool)
+	b := w.backend("s-1", func(id string, conn net.Conn) bool { <-hold; return done(id, conn) })
+	w.start()
+	w.watch()
+	answer := make(chan int)
+	go func() {
+		status, _, _ := w.post("renewal", "held", "x", 0)
+		answer <- status
+	}()
+	for end := time.Now().Add(patience); len(b.arrivals()) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the job does not arrive")
+		}
+	}
+	good, addr := w.config, other.discovery()
+	for name, bad := range map[string]any{"discovery": "nowhere", "settings": map[string]any{}, "known": 5} {
+		w.config = maps.Clone(good)
+		w.config["discovery"], w.config[name] = addr, bad
+		w.write()
+		w.signal(syscall.SIGHUP)
+		w.says("reload: config: " + name)
+	}
+	w.config = maps.Clone(good)
+	w.config["discovery"], w.config["limits"] = addr, map[string]any{"memory_mb": 64}
+	w.write()
+	for range 3 {
+		w.signal(syscall.SIGHUP)
+	}
+	if q := other.watch(); q != "watch=1&after=41" {
+		t.Errorf("watch %q at the new address", q)
+	}
+	w.says("only a restart takes over: limits")
+	select {
+	case q := <-w.watches:
+		t.Errorf("watch %q at the old address", q)
+	default:
+	}
+	c := w.backend("s-2", done)
+	other.changes <- `{"seq":42,"whole":false,"hosts":[` + c.entry("ready") + `]}`
+	for end := time.Now().Add(patience); len(c.arrivals()) == 0 && time.Now().Before(end); {
+		w.post("status-check", "new", "x", 200)
+	}
+	if len(c.arrivals()) == 0 {
+		t.Error("the new discovery is not heard")
+	}
+	w.signal(syscall.SIGHUP)
+	w.signal(syscall.SIGTERM)
+	w.signal(syscall.SIGHUP)
+	close(hold)
+	if status := <-answer; status != 200 {
+		t.Errorf("the job that was out got %d", status)
+	}
+	if code := w.ended(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
 // Idle connections to a backend are closed before it may close them.
 func TestIdleConnectionsCloseFirst(t *testing.T) {
 	w := &world{t: t, config: map[string]any{"conn_idle_us": "3000000"}}
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	stdnet "net"
 	"strconv"
 	"time"
@@ -392,8 +393,37 @@
 // The list known at the start may be old.
 func (s *Backends) Fresh() bool { return s.watch.told || s.watch.addr == "" }
 
-// Subscribe opens the discovery watch anew.
-func (s *Backends) Subscribe() { s.watch.open() }
+// Subscribe opens the discovery watch, unless a call is out. Guards against a
+// repeat that the module had set for the former address and that would end the
+// watch at the present one.
+func (s *Backends) Subscribe() {
+	if !s.watch.out {
+		s.watch.open()
+	}
+}
+
+// Move goes on with discovery at another address, at once. What the former one
+// has listed stands, and so does every fetch; the watch goes on where it was.
+func (s *Backends) Move(addr string) {
+	s.watch.addr = addr
+	s.watch.open()
+}
+
+// CheckList tells what is wrong with a list of backends, and takes in none of it.
+func (s *Backends) CheckList(raw []byte) error {
+	var list hosts
+	if len(raw) == 0 {
+		return nil
+	}
+	err := json.Unmarshal(raw, &list)
+	if err == nil {
+		_, err = s.parse(list.Hosts)
+	}
+	if err != nil {
+		err = fmt.Errorf("config: known: %w", err)
+	}
+	return err
+}
 
 // ---- Answers.
 
@@ -651,7 +681,8 @@
 	set   *Backends
 	addr  string
 	seq   int64
-	turn  int // counts the calls, so that what a former one brings is passed over
+	turn  int  // counts the calls, so that what a former one brings is passed over
+	out   bool // a call is out
 	conn  *net.Conn
 	in    *net.Buffer
 	text  *net.Buffer
@@ -710,6 +741,7 @@
 		return
 	}
 	w.turn++
+	w.out = true
 	turn := w.turn
 	loop := w.set.core.Loop
 	loop.Set(&w.due, loop.Now()+watchConnect+watchCall)
@@ -738,7 +770,7 @@
 	if w.conn != nil {
 		w.conn.Close()
 	}
-	w.in, w.text, w.conn, w.ok, w.live, w.chunk = nil, nil, nil, false, false, chunks{}
+	w.in, w.text, w.conn, w.out, w.ok, w.live, w.chunk = nil, nil, nil, false, false, false, chunks{}
 	w.turn++
 }
 
@@ -884,8 +916,8 @@
 	delete(s.hosts, b.name)
 }
 
-// entries checks a whole list before it takes in any of it.
-func (s *Backends) entries(list []host) ([]hollyyoke.Entry, error) {
+// parse checks a whole list and takes in none of it.
+func (s *Backends) parse(list []host) ([]hollyyoke.Entry, error) {
 	entries := make([]hollyyoke.Entry, 0, len(list))
 	for i, h := range list {
 		at := "hosts[" + strconv.Itoa(i) + "]"
@@ -914,6 +946,15 @@
 		}
 		entries = append(entries, e)
 	}
+	return entries, nil
+}
+
+// entries takes in a list, unless some of it is wrong.
+func (s *Backends) entries(list []host) ([]hollyyoke.Entry, error) {
+	entries, err := s.parse(list)
+	if err != nil {
+		return nil, err
+	}
 	now := s.core.Loop.Now()
 	for i, e := range entries {
 		b := s.hosts[e.Worker]
