Names in use, odd fields and unusable jobs cost no backend its trust

Checked with a traced run: 303 answers of backends were 400, to 106 jobs that were tried on three backends each. All were either the name of another client's req, open or just over, or had an empty X-Time-Left-Ms. Each 400 counted as an error of the backend, ejected it and cut the ceilings.

At fault: client.go request() asked nobody whether the name is free; readJob() took an empty deadline for none (a trimmed empty field is nil); backend.go head() told a 4xx as Errored, which the module blames on the worker.

- The core knows the names of open reqs and of the latest 8192; 409 for those.
- New outcome Unusable: the module fails the job at once, blames neither worker nor fleet, unless a worker says so of more than four jobs in a row.
- An id must be a plain name; repeated id, deadline or length fields, bare CR or LF, space or control bytes in the target, a version with more behind it and lengths with signs or blanks are an error and end the session.

--- a/api.go
+++ b/api.go
@@ -196,7 +196,7 @@
 	HasBacklog     bool
 }
 
-// Outcome tells how an attempt ended.
+// Outcome tells how an attempt ended. Unusable: the worker says that the request itself is at fault.
 type Outcome uint8
 
 // The outcomes. Saturated (unless FullNoProof), RefusedConn and Superseded prove that the attempt never ran.
@@ -209,6 +209,7 @@
 	Severed
 	Recalled
 	Superseded
+	Unusable
 )
 
 // EventKind tells which fields of an Event are set.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -30,6 +30,7 @@
 	probes      = 2               // workers probed for each arrival
 	coldSafety  = 0.4             // share of the cold budget that is used
 	hintDoubt   = 0.25            // how far a job with a small hint may lie towards the mean of its class
+	oddJobs     = 4               // jobs in a row that a worker calls unusable and is believed
 	coldGrain   = 0.31            // largest job for a cold worker, as a share of the used budget of all
 )
 
@@ -409,6 +410,11 @@
 		return
 	}
 	w := a.w
+	if ev.Outcome == Unusable { // the job's fault, unless the worker says so of all that it gets
+		if w.unusable++; w.unusable > oddJobs {
+			ev.Outcome = Errored
+		}
+	}
 	fail := w.fail.get(d.now, d.horizon)
 	turnedAway := ev.Outcome == Saturated || ev.Outcome == RefusedConn || ev.Outcome == Superseded
 	a.neverRan = turnedAway && !(ev.Outcome == Saturated && d.s.FullNoProof) // a fact about effects only
@@ -416,19 +422,25 @@
 	if r.turn != nil && (ev.Outcome == Overdue || ev.Outcome == Severed || ev.Outcome == Recalled) {
 		d.rest(r.turn, d.s.KeyRest+d.s.Tick)
 	}
-	if turnedAway {
+	if turnedAway || ev.Outcome == Unusable {
 		d.bucket += r.cost
 		// Guards the cold rule: work that warm workers turn away says nothing of what they can do.
 		w.sent.add(d.now, d.horizon, -r.cost)
 	}
 	switch ev.Outcome {
 	case Completed: // only this teaches speed: a fast error must not look like a fast worker
-		w.heard = d.now
+		w.heard, w.unusable = d.now, 0
 		d.learnPace(w, (d.now-max(a.sent, a.started)).Seconds()/r.work)
 		d.roundTrip += ((d.now - a.sent).Seconds() - d.roundTrip) / fewJobs
 		d.judge(w, 0.7*fail, "answers again")
 	case Saturated:
 		w.full = d.now + seconds(d.roundTrip/4)
+	case Unusable: // guards against blaming all workers in turn, and the fleet, for what a client sent
+		if !ev.Settled && !r.ended && r.out == 0 {
+			d.act(Action{Kind: FinishError, Request: r.id})
+			d.end(r)
+			return
+		}
 	case Errored, RefusedConn, Severed, Overdue:
 		if ev.Outcome == Severed && a.started == 0 && d.now-a.sent < d.s.ConnectTimeout && a.idle > d.beat {
 			d.lostOn(a)
@@ -438,7 +450,8 @@
 	}
 	if ev.Outcome == Completed && d.now <= r.aim {
 		d.served(r)
-	} else if !r.counted && (ev.Outcome == Completed || ev.Outcome != Recalled && len(r.attempts) > 1) {
+	} else if !r.counted && ev.Outcome != Unusable &&
+		(ev.Outcome == Completed || ev.Outcome != Recalled && len(r.attempts) > 1) {
 		// A first failure is about that worker; a job that fails at a second one is about the fleet.
 		d.congested(r, a.sent)
 	}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1467,3 +1467,39 @@
 		t.Fatalf("%v jobs in the mix", jobs)
 	}
 }
+
+// A job that a worker calls unusable fails at once: it is not tried elsewhere, and neither that worker nor the
+// fleet is blamed. Repeats of other clients' names once ejected one worker after the other and cut the
+// ceilings. A worker that says so of all that it gets is at fault itself.
+func TestUnusableJobBlamesNoWorker(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	perSlot, worker := r.perSlot, ""
+	for i := range 2 * oddJobs {
+		id := r.arrive(i % 2)
+		out := r.respond(id, 0, Unusable, time.Millisecond)
+		if len(out) == 0 || out[0].Kind != FinishError || out[0].Request != id || r.requests[id] != nil {
+			t.Fatalf("job %d: %+v", i, out)
+		}
+		good := r.arrive(0)
+		worker = r.worker(good)
+		r.respond(good, 0, Completed, time.Second)
+		for _, w := range r.fleet {
+			w.unusable = 0
+		}
+	}
+	if r.suspects != 0 || r.perSlot < perSlot || r.inflight != 0 {
+		t.Errorf("%d suspects, ceiling %v of %v, %v in flight", r.suspects, r.perSlot, perSlot, r.inflight)
+	}
+	r.workers[worker].unusable = oddJobs
+	for {
+		id := r.arrive(0)
+		if r.worker(id) != worker {
+			r.respond(id, 0, Completed, time.Second)
+			continue
+		}
+		if r.respond(id, 0, Unusable, time.Millisecond); r.requests[id] == nil || !r.workers[worker].suspect {
+			t.Error("a worker that can use nothing is believed")
+		}
+		break
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"hash/maphash"
 	"slices"
 	"time"
 
@@ -92,6 +93,38 @@
 	handling bool
 	owed     int
 	counts   Counts
+	ids      ids
+}
+
+// ids are the names of reqs, hashed: those that are open, and the latest that
+// were. Each is a client's own for good, so a second req of that name is none.
+type ids struct {
+	seed maphash.Seed
+	open map[uint64]int
+	past map[uint64]struct{}
+	ring []uint64 // the past ones, in the order in which they ended
+	next int
+}
+
+const pastIDs = 8192
+
+func (s *ids) take(id string) { s.open[maphash.String(s.seed, id)]++ }
+
+func (s *ids) drop(id string) {
+	h := maphash.String(s.seed, id)
+	if s.open[h]--; s.open[h] <= 0 {
+		delete(s.open, h)
+	}
+	if _, ok := s.past[h]; ok {
+		return
+	}
+	s.past[h] = struct{}{}
+	if len(s.ring) < pastIDs {
+		s.ring = append(s.ring, h)
+		return
+	}
+	delete(s.past, s.ring[s.next])
+	s.ring[s.next], s.next = h, (s.next+1)%pastIDs
 }
 
 // Counts tells what became of the reqs taken so far.
@@ -133,7 +166,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{Loop: loop, Settings: s, Log: func(string) {}, module: m, listed: map[string]listing{}}, nil
+	return &Core{
+		Loop: loop, Settings: s, Log: func(string) {}, module: m, listed: map[string]listing{},
+		ids: ids{seed: maphash.MakeSeed(), open: map[uint64]int{}, past: map[uint64]struct{}{}},
+	}, nil
+}
+
+// Named tells whether a req of that name is open, or was lately. A front that
+// lets another in would have two jobs pass for one: the backends turn it away,
+// and the answer of either could be taken for the other's.
+func (c *Core) Named(id string) bool {
+	h := maphash.String(c.ids.seed, id)
+	_, past := c.ids.past[h]
+	return past || c.ids.open[h] > 0
 }
 
 // Owed is the number of reqs taken that have no final answer yet.
@@ -166,6 +211,7 @@
 	}
 	r.deadline = max(job.Since+left-answerMargin, now)
 	r.handle = c.reqs.Put(r)
+	c.ids.take(job.ID)
 	r.due.Fire = func() { c.lastMoment(r) }
 	r.timer.Fire = func() { c.handle(hollyyoke.Event{Kind: hollyyoke.TimerDue, Timer: r.handle}) }
 	c.Loop.Set(&r.due, r.deadline)
@@ -242,6 +288,7 @@
 	if r.answered && r.out == 0 && c.reqs.Get(r.handle) == r {
 		c.Loop.Clear(&r.due)
 		c.reqs.Drop(r.handle)
+		c.ids.drop(r.job.ID)
 		if r.job.Release != nil {
 			r.job.Release()
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -198,7 +198,7 @@
 				})
 			case 1, 2: // a fetch ends
 				if len(m.order) > 0 {
-					m.end(m.order[x/8%len(m.order)], hollyyoke.Outcome(x%6))
+					m.end(m.order[x/8%len(m.order)], []hollyyoke.Outcome{0, 1, 2, 3, 4, 5, hollyyoke.Unusable}[x%7])
 				}
 			case 3: // a fetch tells its start, or its progress
 				if len(m.order) > 0 {
@@ -239,6 +239,34 @@
 	})
 }
 
+// The latest names stay known when their reqs are over; the number kept is bounded.
+func TestNamesAreBounded(t *testing.T) {
+	c, err := New(NewLoop(), hollyyoke.Settings{Classes: []hollyyoke.Class{{Deadline: time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &model{t: t, core: c, reqs: make([]*modelReq, 2*pastIDs)}
+	name := func(i int) string { return string(rune('a'+i%20)) + time.Duration(i).String() }
+	for i := range m.reqs {
+		m.reqs[i] = &modelReq{}
+		handle := c.Take(m, uint64(i), Job{ID: name(i)})
+		if !c.Named(name(i)) {
+			t.Fatalf("%d is open, but unknown", i)
+		}
+		if m.reqs[i].answers == 0 {
+			m.reqs[i].hungUp = true
+			c.HangUp(handle)
+		}
+	}
+	last := len(m.reqs) - 1
+	if !c.Named(name(last)) || !c.Named(name(last-pastIDs+1)) || c.Named(name(last-pastIDs)) || c.Named("other") {
+		t.Error("the latest names are not those known")
+	}
+	if len(c.ids.open) != 0 || len(c.ids.past) != pastIDs {
+		t.Errorf("%d open, %d past", len(c.ids.open), len(c.ids.past))
+	}
+}
+
 // Two sources of backends do not overwrite each other's lists.
 func TestSourcesKeepTheirOwnLists(t *testing.T) {
 	c, err := New(NewLoop(), hollyyoke.Settings{Classes: []hollyyoke.Class{{Deadline: time.Second}}}, 1)
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -547,6 +547,9 @@
 			load = settings.Load(&l.set.core.Settings, v)
 		}
 		o := hollyyoke.Errored // 500, and what the protocol does not name: it may have run
+		if status >= 400 && status < 500 {
+			o = hollyyoke.Unusable
+		}
 		if (status == 503 || status == 504) && bytes.Equal(h.get("X-Unprocessed"), []byte("1")) {
 			o = hollyyoke.Saturated
 		}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -227,6 +227,8 @@
 	default:
 		if err := readJob(m, &job); err != nil {
 			status, text = 400, err.Error()+"\n"
+		} else if s.front.core.Named(job.ID) { // guards the req of that name, which may be another client's
+			status, text = 409, "X-Correlation-Id names another request\n"
 		}
 	}
 	if status != 0 {
@@ -257,13 +259,16 @@
 	if len(id) == 0 {
 		return errors.New("no X-Correlation-Id")
 	}
+	if !isID(id) {
+		return errors.New("X-Correlation-Id is not of 1 to 128 letters, digits or -._:~+/=@")
+	}
 	job.ID, job.Target = string(id), string(m.b)
 	path, _, _ := bytes.Cut(m.b, []byte("?"))
 	if i := bytes.LastIndexByte(path, '/'); i > 0 {
 		job.Key = string(path[i+1:])
 	}
-	if v := m.get("X-Time-Left-Ms"); v != nil {
-		ms, ok := number(v)
+	if m.count("X-Time-Left-Ms") > 0 { // an empty one is no number either
+		ms, ok := number(m.get("X-Time-Left-Ms"))
 		if !ok {
 			return errors.New("X-Time-Left-Ms is not a whole number")
 		}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -49,6 +49,16 @@
 	return nil
 }
 
+// count is how often a field is there.
+func (h *head) count(name string) (n int) {
+	for i := range h.fields[:h.n] {
+		if equalFold(h.fields[i].name, name) {
+			n++
+		}
+	}
+	return n
+}
+
 func equalFold(b []byte, s string) bool {
 	if len(b) != len(s) {
 		return false
@@ -89,6 +99,9 @@
 		if len(b) > maxHead {
 			return false, errHead
 		}
+		if bareLineEnd(b) { // guards against waiting for the end of a head that can have none
+			return false, errMalformed
+		}
 		return false, nil
 	}
 	if end > maxHead {
@@ -118,6 +131,41 @@
 	return true, nil
 }
 
+// bareLineEnd tells whether a CR or LF stands alone, the last byte aside.
+func bareLineEnd(b []byte) bool {
+	for i := 0; ; i += 2 {
+		n := bytes.IndexByte(b[i:], '\n')
+		r := bytes.IndexByte(b[i:], '\r')
+		if n < 0 && (r < 0 || i+r == len(b)-1) {
+			return false
+		}
+		if r < 0 || n != r+1 {
+			return true
+		}
+		i += r
+	}
+}
+
+// isID tells whether a name of a req can go into a field as it is.
+func isID(b []byte) bool {
+	for _, c := range b {
+		if c = lower(c); !('a' <= c && c <= 'z' || '0' <= c && c <= '9') && bytes.IndexByte([]byte("-._:~+/=@"), c) < 0 {
+			return false
+		}
+	}
+	return len(b) > 0 && len(b) <= 128
+}
+
+// isTarget tells whether a request's target is a path that can be passed on as it is.
+func isTarget(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return len(b) > 0 && b[0] == '/'
+}
+
 func isToken(b []byte) bool {
 	for _, c := range b {
 		if c <= ' ' || c >= 0x7f || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), c) >= 0 {
@@ -135,7 +183,7 @@
 		switch {
 		case equalFold(f.name, "Content-Length"):
 			n, ok := number(f.value)
-			if !ok || length >= 0 && n != length {
+			if !ok || length >= 0 {
 				return 0, false, errMalformed
 			}
 			length = n
@@ -197,6 +245,9 @@
 		return nil, 0, nil
 	}
 	line := b[:end]
+	if bytes.ContainsAny(line, "\r\n") { // where one ends, the peer must agree
+		return nil, 0, errMalformed
+	}
 	switch {
 	case c.crlf:
 		if end != 0 {
@@ -207,7 +258,7 @@
 		c.done = end == 0
 	default:
 		size, _, _ := bytes.Cut(line, []byte(";"))
-		size = bytes.TrimSpace(size)
+		size = bytes.TrimRight(size, " \t")
 		n, err := strconv.ParseUint(string(size), 16, 31)
 		if err != nil || len(size) == 0 {
 			return nil, 0, errMalformed
@@ -231,9 +282,14 @@
 	if ok, err = parseHead(b, &m.head); !ok {
 		return false, false, err
 	}
-	if !bytes.HasPrefix(m.c, []byte("HTTP/1.")) {
+	if v := string(m.c); v != "HTTP/1.1" && v != "HTTP/1.0" || !isToken(m.a) || !isTarget(m.b) {
 		return false, false, errMalformed
 	}
+	for _, name := range []string{"X-Correlation-Id", "X-Time-Left-Ms"} {
+		if m.count(name) > 1 { // which one counts, others may see otherwise
+			return false, false, errMalformed
+		}
+	}
 	length, chunked, err := m.framing()
 	if err != nil {
 		return false, false, err
@@ -313,7 +369,7 @@
 
 // statusText words the statuses that a client session answers with.
 var statusText = map[int]string{
-	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
 	431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -61,6 +61,9 @@
 
 func (e echo) Start(f core.Fetch) {
 	word, _, _ := bytes.Cut(f.Job.Body, []byte(" "))
+	if string(word) == "hold" {
+		return
+	}
 	o := map[string]hollyyoke.Outcome{
 		"done": hollyyoke.Completed, "failed": hollyyoke.Errored, "returned": hollyyoke.Saturated,
 	}[string(word)]
@@ -77,22 +80,41 @@
 	status  int
 	ends    bool
 }{
-	{"POST /status-check/k HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 1\r\nContent-Length: 6\r\n\r\ndone 1", 200, false},
-	{"POST /renewal/k?q=1 HTTP/1.1\r\nx-correlation-id: 2\r\nContent-Length: 6\r\n\r\nfailed", 502, false},
-	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: 3\r\nContent-Length: 8\r\n\r\nreturned", 503, false},
+	{"POST /status-check/k HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 6\r\n\r\ndone 1", 200, false},
+	{"POST /renewal/k?q=1 HTTP/1.1\r\nx-correlation-id: IDENTITY\r\nContent-Length: 6\r\n\r\nfailed", 502, false},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 8\r\n\r\nreturned", 503, false},
 	{"GET /healthz HTTP/1.1\r\n\r\n", 200, false},
-	{"POST /nonsense/k HTTP/1.1\r\nX-Correlation-Id: 4\r\nContent-Length: 1\r\n\r\nx", 404, false},
-	{"GET /renewal/k HTTP/1.1\r\nX-Correlation-Id: 5\r\n\r\n", 405, false},
+	{"POST /nonsense/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 1\r\n\r\nx", 404, false},
+	{"GET /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\n\r\n", 405, false},
 	{"POST /healthz HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405, false},
 	{"POST /renewal/k HTTP/1.1\r\nContent-Length: 4\r\n\r\ndone", 400, false},
-	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: 5\r\nX-Time-Left-Ms: soon\r\nContent-Length: 4\r\n\r\ndone", 400, false},
-	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: 6\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\ndon\r\n3\r\ne 2\r\n0\r\n\r\n", 200, false},
-	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: 7\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone", 200, true},
-	{"POST /status-check/k HTTP/1.0\r\nX-Correlation-Id: 7\r\nContent-Length: 6\r\n\r\nfailed", 503, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nX-Time-Left-Ms: soon\r\nContent-Length: 4\r\n\r\ndone", 400, false},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\ndon\r\n3\r\ne 2\r\n0\r\n\r\n", 200, false},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone", 200, true},
+	{"POST /status-check/k HTTP/1.0\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 6\r\n\r\nfailed", 503, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: former\r\nContent-Length: 4\r\n\r\ndone", 409, false},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: open\r\nContent-Length: 4\r\n\r\ndone", 409, false},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: a b\r\nContent-Length: 4\r\n\r\ndone", 400, false},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nX-Time-Left-Ms:\r\nContent-Length: 4\r\n\r\ndone", 400, false},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nX-Time-Left-Ms: -5\r\nContent-Length: 4\r\n\r\ndone", 400, false},
 	{"nonsense\r\n\r\n", 400, true},
-	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: 8\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\nX-Correlation-Id: IDENTITY\nContent-Length: 4\n\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Note: a\rb\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1 x\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 4\r\n\r\ndone", 400, true},
+	{"POST /renewal/\x01 HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id : IDENTITY\r\nContent-Length: 4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nx-correlation-id: other\r\nContent-Length: 4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Time-Left-Ms: 9\r\nX-Time-Left-Ms: 9\r\nContent-Length: 4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: -4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: +4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 9999999999999999999999\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nTransfer-Encoding: chunked\r\n\r\n+4\r\ndone\r\n0\r\n\r\n", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nTransfer-Encoding: chunked\r\n\r\n4;\n\r\ndone\r\n0\r\n\r\n", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndoneXX0\r\n\r\n", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone", 400, true},
 	{"POST /renewal/k HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, true},
-	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: 8\r\nContent-Length: 65537\r\n\r\n", 413, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 65537\r\n\r\n", 413, true},
 	{"POST /renewal/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 65537), 413, true},
 	{"POST /renewal/k HTTP/1.1\r\nX-Long: " + strings.Repeat("x", maxHead) + "\r\n\r\n", 431, true},
 }
@@ -115,7 +137,10 @@
 		if addr, err = NewFront(r.core, r.engine, func() bool { return true }).Listen("127.0.0.1:0", 200); err != nil {
 			f.Error(err)
 		}
+		r.core.Take(make(judge, 1), 0, core.Job{ID: "former", Body: []byte("done")})
+		r.core.Take(make(judge, 1), 0, core.Job{ID: "open", Body: []byte("hold")})
 	})
+	number := 0
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		conn, err := stdnet.Dial("tcp", addr)
 		if err != nil {
@@ -126,7 +151,9 @@
 		in, sent, want, ended := bufio.NewReader(conn), 0, []int{}, false
 		for i := 0; i+1 < len(steps) && i < 40 && !ended; i += 2 {
 			x := exchanges[int(steps[i])%len(exchanges)]
-			text, cut := x.request, int(steps[i+1])*len(x.request)/256
+			number++
+			text := strings.ReplaceAll(x.request, "IDENTITY", fmt.Sprintf("id%06d", number))
+			cut := int(steps[i+1]) * len(text) / 256
 			conn.Write([]byte(text[:cut]))
 			if steps[i+1]%16 == 15 {
 				time.Sleep(time.Millisecond)
@@ -156,6 +183,56 @@
 	})
 }
 
+// The name of a req that is open, or was lately, is nobody else's: a request
+// that used it went to backend after backend, which turned it away, and cost
+// them their trust and the first req its own attempts.
+func TestNameInUse(t *testing.T) {
+	r := newRig(t)
+	held := holder{echo{r.core}, make(chan core.Fetch, 10)}
+	var addr string
+	r.do(func() {
+		r.core.Listen(held)
+		r.core.List(held, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "w"}})
+		addr, _ = NewFront(r.core, r.engine, func() bool { return true }).Listen("127.0.0.1:0", 20)
+	})
+	post := func() chan int {
+		got := make(chan int, 1)
+		go func() {
+			req, _ := http.NewRequest("POST", "http://"+addr+"/renewal/k", strings.NewReader("x"))
+			req.Header.Set("X-Correlation-Id", "one")
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				resp.Body.Close()
+				got <- resp.StatusCode
+			}
+			close(got)
+		}()
+		return got
+	}
+	first := post()
+	fetch := <-held.started
+	if status := <-post(); status != 409 {
+		t.Errorf("the name of an open req: %d", status)
+	}
+	r.do(func() { r.core.Ended(fetch.Handle, hollyyoke.Completed, hollyyoke.Load{}, []byte("made")) })
+	if status := <-first; status != 200 {
+		t.Errorf("the open req: %d", status)
+	}
+	if status := <-post(); status != 409 {
+		t.Errorf("the name of a req that is over: %d", status)
+	}
+	if n := len(held.started); n != 0 {
+		t.Errorf("%d more fetches", n)
+	}
+}
+
+// holder is a carrier whose fetches end when the test says so.
+type holder struct {
+	echo
+	started chan core.Fetch
+}
+
+func (h holder) Start(f core.Fetch) { h.started <- f }
+
 // stand is a stand-in backend: the n-th request gets the n-th script.
 type stand struct {
 	mu       sync.Mutex
@@ -260,6 +337,7 @@
 	{"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nX-Backend-Load: {\"x0\":0}\r\nContent-Length: 0\r\n\r\n", core.Refused},
 	{"HTTP/1.1 504 Full\r\nX-Unprocessed: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", core.Refused},
 	{"HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno", core.Failed},
+	{"HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n", core.Failed},
 	{"HTTP/1.1 400 Bad\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", core.Failed},
 	{"", core.Failed},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + hangUp + "\r\n1e\r\n{\"id\":\"IDENTITY\",\"state\":\"started\"}\r\n", core.Failed},
--- a/state.go
+++ b/state.go
@@ -33,6 +33,7 @@
 	full      time.Duration   // turned work away: full until then
 	heard     time.Duration   // last sign of life
 	fail      fading          // recent failures, 0 to 1
+	unusable  int             // jobs in a row that it called unusable
 	suspect   bool
 	backoff   time.Duration
 	retryAt   time.Duration // when a suspect may be tried again
@@ -316,7 +317,7 @@
 
 // returned books the end of an attempt, and gives back its lease and, after an answer, its connection.
 func (d *Dispatcher) returned(r *request, a *attempt, o Outcome) {
-	if o == Completed || o == Errored || o == Saturated {
+	if o == Completed || o == Errored || o == Saturated || o == Unusable {
 		a.w.idle = append(a.w.idle, d.now)
 	}
 	if a.started == 0 {
