--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -438,8 +438,8 @@
 	w.watch()
 	w.changes <- `{"seq":42,"whole":false,"hosts":[` + a.entry("draining") + `]}`
 	// Told are the news once an answer that needs them has been given.
-	for end := time.Now().Add(patience); len(b.arrivals()) == 0 && time.Now().Before(end); {
-		w.post("status-check", "probe", "x", 0)
+	for i, end := 0, time.Now().Add(patience); len(b.arrivals()) == 0 && time.Now().Before(end); i++ {
+		w.post("status-check", fmt.Sprint("probe-", i), "x", 0)
 	}
 	time.Sleep(100 * time.Millisecond)
 	before := len(a.arrivals())
@@ -464,8 +464,8 @@
 		t.Errorf("the draining backend got %d more", n-before)
 	}
 	w.changes <- `{"seq":44,"whole":true,"hosts":[` + a.entry("ready") + `]}`
-	for end := time.Now().Add(patience); len(a.arrivals()) == before; {
-		if status, _, _ := w.post("status-check", "back", "x", 0); status != 200 || time.Now().After(end) {
+	for i, end := 0, time.Now().Add(patience); len(a.arrivals()) == before; i++ {
+		if status, _, _ := w.post("status-check", fmt.Sprint("back-", i), "x", 0); status != 200 || time.Now().After(end) {
 			t.Fatalf("the one backend listed: %d", status)
 		}
 	}
@@ -515,8 +515,8 @@
 	}
 	c := w.backend("s-2", done)
 	other.changes <- `{"seq":42,"whole":false,"hosts":[` + c.entry("ready") + `]}`
-	for end := time.Now().Add(patience); len(c.arrivals()) == 0 && time.Now().Before(end); {
-		w.post("status-check", "new", "x", 200)
+	for i, end := 0, time.Now().Add(patience); len(c.arrivals()) == 0 && time.Now().Before(end); i++ {
+		w.post("status-check", fmt.Sprint("new-", i), "x", 200)
 	}
 	if len(c.arrivals()) == 0 {
 		t.Error("the new discovery is not heard")
