Reading waits for its owner; buffers, half-read requests and sessions are bounded

Checked: nbio's edge-triggered loop (poller_epoll.go readWriteLoop) reads a connection while its peer keeps sending, and net.go's OnData copied each piece into a 72 KiB buffer that waited for the loop, without bound. client.go gave a request 10 s more for each byte after a gap, shed by age alone and was asked to shed once per waiting session.

- A connection has a window of unhandled buffers; client sessions, a window of one, are paused while their req is out, so pipelined requests wait in the socket and are answered in order, 16 a turn.
- Buffers lie outside the heap and take up what they were filled to; over 0.3 of the memory limit half-read requests are given up, the oldest first.
- A request is whole 2 s after its first byte, 2.8 s after the accept, or gets 408.
Chunked bodies are not scanned anew for each byte.
- Shedding goes by what a session has shown, and is repeated while one waits.

A first try read a peer's last words in nbio's close callback; the test showed that the descriptor is closed by then, hence windows.

--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -129,6 +129,18 @@
 	return n
 }
 
+// bufferShare is the part of the memory allowed that buffers may take up; they
+// lie outside the heap, which has as much again.
+const bufferShare = 0.3
+
+// buffers is how many bytes the buffers may take up.
+func (c *config) buffers() int {
+	if c.Limits.MemoryMB < 1 {
+		return 64 << 20
+	}
+	return int(c.Limits.MemoryMB * bufferShare * (1 << 20))
+}
+
 func run(args []string, env func(string) string, log io.Writer) error {
 	flags := flag.NewFlagSet("hollyyoke", flag.ContinueOnError)
 	configPath := flags.String("config", "", "configuration `file`; BALANCER_CONFIG where not given")
@@ -158,7 +170,7 @@
 		return errors.New("config: listen: missing")
 	}
 	if mb := c.Limits.MemoryMB; mb >= 1 {
-		debug.SetMemoryLimit(int64(mb * 0.6 * (1 << 20)))
+		debug.SetMemoryLimit(int64(mb * (0.6 - bufferShare) * (1 << 20)))
 	}
 	loop := core.NewLoop()
 	d, err := core.New(loop, s, c.seed())
@@ -180,7 +192,7 @@
 	}
 	if c.Listen != "" {
 		began := loop.Now()
-		fronts.platform = platform.NewFront(d, engine, func() bool {
+		fronts.platform = platform.NewFront(d, engine, c.buffers(), func() bool {
 			return d.Backends() > 0 && (backends.Fresh() || loop.Now()-began > freshList)
 		})
 		addr, err := fronts.platform.Listen(c.Listen, sessions)
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -110,7 +110,7 @@
 
 // Listen starts accepting producers and workers, most at a time.
 func (s *Server) Listen(addr string, most int) (string, error) {
-	a, err := s.engine.Listen(addr, most, s.accept, s.shed)
+	a, err := s.engine.Listen(addr, most, false, s.accept, s.shed)
 	if err != nil {
 		return "", err
 	}
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -1,11 +1,13 @@
 // Package net owns the sockets: listeners, connections in numbered slots, and
 // buffers of one size that are used again. It carries bytes and tells how far
 // they got; it must never read a protocol, decide what a broken connection
-// means for a req, or touch state off the loop's goroutine.
+// means for a req, touch state off the loop's goroutine, or read faster than
+// its owners take in.
 package net
 
 import (
 	"errors"
+	"io"
 	stdnet "net"
 	"sync"
 	"sync/atomic"
@@ -24,8 +26,10 @@
 
 // Buffer is a buffer from the pool. Bytes() is what it holds.
 type Buffer struct {
-	array [BufferSize]byte
+	pool  *Pool
+	array []byte
 	n     int
+	high  int // bytes of it that take up memory
 }
 
 // Bytes is what the buffer holds.
@@ -36,21 +40,50 @@
 	if len(p) > BufferSize-b.n {
 		return false
 	}
-	b.n += copy(b.array[b.n:], p)
+	b.Fill(p)
 	return true
 }
 
+// Fill appends as much of p as there is room for, and returns how much that is.
+func (b *Buffer) Fill(p []byte) int {
+	n := copy(b.array[b.n:], p)
+	b.grow(n)
+	return n
+}
+
+func (b *Buffer) grow(n int) {
+	b.n += n
+	if high := (b.n + page - 1) / page * page; high > b.high {
+		b.pool.held.Add(int64(high - b.high))
+		b.high = high
+	}
+}
+
 // Cut drops the first n bytes.
-func (b *Buffer) Cut(n int) { b.n = copy(b.array[:], b.array[n:b.n]) }
+func (b *Buffer) Cut(n int) { b.n = copy(b.array, b.array[n:b.n]) }
 
-const keptBuffers = 64 // free buffers that the pool holds on to
+const (
+	page      = 4 << 10
+	stretch   = 16      // buffers that the pool asks the system for at a time
+	warmBytes = 1 << 20 // that free buffers may go on taking up
+	coolBytes = page
+)
 
-// Pool hands out buffers and takes them back, from any goroutine.
+// Pool hands out buffers and takes them back, from any goroutine. They lie
+// outside the heap: a buffer takes up the pages that have been written to, not
+// its size, and gives them back when it is free. Most messages are small, and
+// hundreds of half-read ones must not cost 72 KiB each.
 type Pool struct {
 	mu   sync.Mutex
 	free []*Buffer
+	warm int    // bytes beyond coolBytes that free buffers take up
+	rest []byte // of the last stretch
+	held atomic.Int64
 }
 
+// Held is how many bytes the buffers in use take up.
+func (p *Pool) Held() int { return int(p.held.Load()) }
+
 // Get returns an empty buffer.
 func (p *Pool) Get() *Buffer {
 	p.mu.Lock()
@@ -58,9 +91,22 @@
 	if n := len(p.free); n > 0 {
 		b := p.free[n-1]
 		p.free = p.free[:n-1]
+		p.warm -= max(b.high-coolBytes, 0)
+		p.held.Add(int64(b.high))
 		return b
 	}
-	return new(Buffer)
+	if len(p.rest) == 0 {
+		var err error
+		p.rest, err = syscall.Mmap(-1, 0, stretch*BufferSize, syscall.PROT_READ|syscall.PROT_WRITE,
+			syscall.MAP_ANON|syscall.MAP_PRIVATE)
+		if err != nil {
+			return &Buffer{pool: p, array: make([]byte, BufferSize)}
+		}
+		_ = syscall.Madvise(p.rest, syscall.MADV_NOHUGEPAGE) // a huge page is taken up whole
+	}
+	b := &Buffer{pool: p, array: p.rest[:BufferSize:BufferSize]}
+	p.rest = p.rest[BufferSize:]
+	return b
 }
 
 // Put takes a buffer back; nil is no buffer.
@@ -69,11 +115,17 @@
 		return
 	}
 	b.n = 0
+	p.held.Add(int64(-b.high))
 	p.mu.Lock()
-	if len(p.free) < keptBuffers {
-		p.free = append(p.free, b)
+	defer p.mu.Unlock()
+	if more := b.high - coolBytes; more > 0 {
+		if p.warm+more <= warmBytes {
+			p.warm += more
+		} else if syscall.Madvise(b.array[coolBytes:], syscall.MADV_DONTNEED) == nil {
+			b.high = coolBytes
+		}
 	}
-	p.mu.Unlock()
+	p.free = append(p.free, b)
 }
 
 // Owner is told what happens to a connection, on the loop's goroutine. It owns
@@ -98,6 +150,11 @@
 	ending    core.Deadline
 	endBy     time.Duration
 	halfEnded bool
+
+	reading sync.Mutex // guards what follows
+	flight  int        // buffers on their way to the owner
+	paused  bool       // the owner wants no more for now
+	stalled bool       // there may be more to read
 }
 
 // Engine runs all connections of the program on nbio.
@@ -111,8 +168,14 @@
 	fence     sync.Mutex // orders what add writes before what nbio's callbacks read
 	mu        sync.Mutex
 	listeners []listener
+
+	flights sync.Mutex // guards the number of buffers on their way to owners
+	landed  sync.Cond
+	flying  int
 }
 
+const mostFlying = 32 // beyond it the poller waits for the loop
+
 // conn finds the connection that nbio calls back about; nil is none of ours.
 // nbio orders its callbacks after AddConn by the kernel's hand, which the race
 // detector cannot see: hence the fence.
@@ -135,9 +198,15 @@
 	open int
 	most int
 	shut bool
+
+	window int // buffers that may be on their way from one connection to its owner
 }
 
-func newGate(most int) gate { return gate{most: max(most, 1)} }
+// wideWindow lets a peer's last words through, which come in pieces, before its
+// end: nbio closes on that end at once, and what was not read by then is lost.
+const wideWindow = 8
+
+func newGate(most, window int) gate { return gate{most: max(most, 1), window: window} }
 
 func (g *gate) try() bool {
 	g.mu.Lock()
@@ -192,8 +261,8 @@
 // NewEngine starts an engine that keeps to a number of descriptors in all.
 func NewEngine(loop *core.Loop, descriptors int) (*Engine, error) {
 	usable := max(descriptors-spareDescriptors, 8)
-	e := &Engine{Loop: loop, dials: newGate(usable - int(acceptedShare*float64(usable)))}
-	e.dials.cond.L = &e.dials.mu
+	e := &Engine{Loop: loop, dials: newGate(usable-int(acceptedShare*float64(usable)), wideWindow)}
+	e.dials.cond.L, e.landed.L = &e.dials.mu, &e.flights
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = descriptors + 4096 // nbio keeps an array of that length, by descriptor
 	// Edge-triggered: level-triggered, nbio spins on a writable connection until its first partial write.
@@ -205,20 +274,15 @@
 			e.Loop.Post(c.open)
 		}
 	})
-	e.nb.OnData(func(nc *nbio.Conn, data []byte) {
-		c := e.conn(nc)
-		if c == nil {
-			return
-		}
-		b := e.Pool.Get()
-		b.Add(data)
-		e.Loop.Post(func() {
-			if c.Handle == 0 {
-				e.Pool.Put(b)
-				return
+	e.nb.OnRead(func(nc *nbio.Conn) {
+		if c := e.conn(nc); c != nil {
+			e.flights.Lock()
+			for e.flying >= mostFlying {
+				e.landed.Wait()
 			}
-			c.Owner.Data(c, b)
-		})
+			e.flights.Unlock()
+			e.read(c)
+		}
 	})
 	e.nb.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
 		if c := e.conn(nc); c != nil {
@@ -236,19 +300,107 @@
 	return e, e.nb.Start()
 }
 
+// read reads once, if the owner has taken in what came before and wants more.
+// Guards the memory, and the other connections' turns: nbio's own reading went
+// on for as long as a peer kept sending, and each piece waited for the loop in
+// a buffer of its own.
+func (e *Engine) read(c *Conn) {
+	c.reading.Lock()
+	err := c.readOnce()
+	c.reading.Unlock()
+	if err != nil { // not under the lock, since nbio tells of the close at once
+		_ = c.nb.CloseWithError(err)
+	}
+}
+
+func (c *Conn) readOnce() error {
+	if c.stalled = c.flight >= c.gate.window || c.paused; c.stalled {
+		return nil
+	}
+	b := c.engine.Pool.Get()
+	n, err := c.nb.Read(b.array)
+	for err == syscall.EINTR {
+		n, err = c.nb.Read(b.array)
+	}
+	if n <= 0 {
+		c.engine.Pool.Put(b)
+		if err == nil {
+			return io.EOF
+		}
+		if err == syscall.EAGAIN {
+			return nil
+		}
+		return err
+	}
+	b.grow(n)
+	c.flight++
+	c.stalled = n == len(b.array)
+	c.engine.fly(1)
+	c.engine.Loop.Post(func() { c.take(b) })
+	return nil
+}
+
+func (e *Engine) fly(n int) {
+	e.flights.Lock()
+	e.flying += n
+	e.flights.Unlock()
+	e.landed.Signal()
+}
+
+// take hands a buffer to the owner and reads on.
+func (c *Conn) take(b *Buffer) {
+	if c.Handle == 0 {
+		c.engine.Pool.Put(b)
+	} else {
+		c.Owner.Data(c, b)
+	}
+	c.engine.fly(-1)
+	c.again(func() { c.flight-- })
+}
+
+// again reads what may be left to read, after a change of what is guarded.
+func (c *Conn) again(change func()) {
+	c.reading.Lock()
+	change()
+	stalled := c.stalled
+	c.reading.Unlock()
+	if stalled {
+		c.engine.read(c)
+	}
+}
+
+// Pause reads no more until Resume. That the peer has closed is told all the same.
+func (c *Conn) Pause() {
+	c.reading.Lock()
+	c.paused = true
+	c.reading.Unlock()
+}
+
+// Resume reads on.
+func (c *Conn) Resume() {
+	c.again(func() { c.paused = false })
+}
+
 // Accepted is the share of the descriptors that accepted connections may take.
 func Accepted(descriptors int) int {
 	return int(acceptedShare * float64(max(descriptors-spareDescriptors, 8)))
 }
 
 // Listen accepts connections on an address, most at a time; own names the
-// owner of each, and full is called when one waits since there are too many.
-func (e *Engine) Listen(addr string, most int, own func(c *Conn) Owner, full func()) (stdnet.Addr, error) {
+// owner of each, and full is called when one waits since there are too many. A
+// narrow one hands over one buffer of a connection at a time, so that an owner
+// who pauses gets no more; what a peer sent just before it closed may be lost.
+func (e *Engine) Listen(
+	addr string, most int, narrow bool, own func(c *Conn) Owner, full func(),
+) (stdnet.Addr, error) {
 	ln, err := stdnet.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	g := newGate(most)
+	g := newGate(most, wideWindow)
+	if narrow {
+		g.window = 1
+	}
 	g.cond.L = &g.mu
 	e.mu.Lock()
 	e.listeners = append(e.listeners, listener{ln, &g})
@@ -372,6 +524,9 @@
 // Passed tells whether the byte before a mark has gone to the socket.
 func (c *Conn) Passed(mark int64) bool { return c.written.Load() >= mark }
 
+// Waiting is how many bytes given to Write the peer has not made room for yet.
+func (c *Conn) Waiting() int64 { return c.asked - c.written.Load() }
+
 // Written is how many bytes have gone to the socket.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
@@ -391,12 +546,14 @@
 
 // End closes the connection once all that was written has left and the peer
 // has closed too, or after a second. Guards against a reset, by bytes of the
-// peer that nobody reads, overtaking the last answer.
+// peer that nobody reads, overtaking the last answer. They are read and dropped
+// one buffer a step, so that a peer that sends without end costs little.
 func (c *Conn) End() {
 	if c.Handle == 0 || c.endBy > 0 {
 		return
 	}
 	c.Owner = discard{c.engine}
+	c.Pause()
 	c.endBy = c.engine.Loop.Now() + lingerFor
 	c.ending.Fire = c.end
 	c.end()
@@ -408,11 +565,17 @@
 		c.Close()
 		return
 	}
-	if c.halfEnded {
-		c.engine.Loop.Set(&c.ending, c.endBy)
+	b := c.engine.Pool.Get()
+	n, err := c.nb.Read(b.array)
+	if n > 0 {
+		b.grow(n)
+	}
+	c.engine.Pool.Put(b)
+	if n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR {
+		c.Close()
 		return
 	}
-	if c.Passed(c.asked) {
+	if !c.halfEnded && c.Passed(c.asked) {
 		c.halfEnded = true
 		c.nb.Lock() // the descriptor is ours as long as nbio has not closed it
 		if closed, _ := c.nb.IsClosed(); !closed {
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -145,7 +145,7 @@
 	e := engine(t, 100)
 	w, full := newWatcher(e), make(chan bool, 100)
 	opened := make(chan *Conn, 10)
-	addr, err := e.Listen("127.0.0.1:0", 2, func(c *Conn) Owner { opened <- c; return w }, func() { full <- true })
+	addr, err := e.Listen("127.0.0.1:0", 2, true, func(c *Conn) Owner { opened <- c; return w }, func() { full <- true })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -189,3 +189,101 @@
 		t.Error("the buffer is not used again, or not empty")
 	}
 }
+
+// No more is read of a connection than its owner takes in: a peer that sent as
+// fast as it could once filled the memory with what waited for the loop. What a
+// peer sent before it closed still comes, and an end while paused is told.
+func TestReadingWaitsForTheOwner(t *testing.T) {
+	e := engine(t, 100)
+	w := newWatcher(e)
+	opened := make(chan *Conn, 10)
+	own := func(c *Conn) Owner { opened <- c; return w }
+	narrow, err1 := e.Listen("127.0.0.1:0", 10, true, own, func() {})
+	wide, err2 := e.Listen("127.0.0.1:0", 10, false, own, func() {})
+	if err1 != nil || err2 != nil {
+		t.Fatal(err1, err2)
+	}
+	open := func(addr stdnet.Addr) (stdnet.Conn, *Conn) {
+		peer, err := stdnet.Dial("tcp", addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { peer.Close() })
+		return peer, receive(t, opened)
+	}
+	peer, c := open(narrow)
+	do(e, c.Pause)
+	total := 5 << 20
+	go peer.Write(bytes.Repeat([]byte("x"), total))
+	for range 10 {
+		time.Sleep(time.Millisecond)
+		do(e, func() {})
+	}
+	if n := len(w.data); n != 0 {
+		t.Fatalf("%d buffers came while paused", n)
+	}
+	do(e, c.Resume)
+	for n := 0; n < total; {
+		n += len(receive(t, w.data))
+		if held := e.Pool.Held(); held > 4*BufferSize {
+			t.Fatalf("%d bytes are held", held)
+		}
+	}
+	peer, c = open(narrow)
+	do(e, c.Pause)
+	peer.Close()
+	w.gone(t)
+	peer, _ = open(wide)
+	release := make(chan bool)
+	e.Loop.Post(func() { <-release })
+	for _, part := range []string{"one ", "two ", "three"} { // while the loop is busy elsewhere
+		peer.Write([]byte(part))
+		time.Sleep(5 * time.Millisecond)
+	}
+	peer.Close()
+	time.Sleep(5 * time.Millisecond)
+	close(release)
+	w.gone(t)
+	got := ""
+	for len(w.data) > 0 {
+		got += <-w.data
+	}
+	if got != "one two three" {
+		t.Errorf("%q came before the end", got)
+	}
+}
+
+// Free buffers give their memory back; those in use count with what they hold.
+func TestBuffersTakeUpWhatTheyHold(t *testing.T) {
+	var p Pool
+	var small, large []*Buffer
+	for range 40 {
+		b := p.Get()
+		b.Add([]byte("small"))
+		small = append(small, b)
+	}
+	if n := p.Held(); n != 40*page {
+		t.Errorf("40 small ones hold %d bytes", n)
+	}
+	for range 40 {
+		b := p.Get()
+		b.Fill(make([]byte, 2*BufferSize))
+		large = append(large, b)
+	}
+	if n := p.Held(); n != 40*page+40*BufferSize {
+		t.Errorf("with 40 large ones they hold %d bytes", n)
+	}
+	for _, b := range append(small, large...) {
+		p.Put(b)
+	}
+	taken := 0
+	for _, b := range p.free {
+		taken += b.high
+	}
+	if n := p.Held(); n != 0 || taken > 80*coolBytes+warmBytes {
+		t.Errorf("free, they hold %d bytes and take up %d", n, taken)
+	}
+	if b := p.Get(); !b.Add(make([]byte, BufferSize)) || b.Bytes()[BufferSize-1] != 0 {
+		t.Error("a cooled buffer cannot be used again")
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,7 +12,8 @@
 
 // This file owns client sessions: it reads requests, hands them to the core as
 // reqs and writes the final answers. It must never end a session while an
-// answer is owed on it, nor write two answers to one request.
+// answer is owed on it, nor write two answers to one request, nor let one
+// client's bytes, connections or haste cost the others their turn.
 
 // Front is the platform's front. It belongs to the loop's goroutine.
 type Front struct {
@@ -22,9 +23,15 @@
 	sessions core.Table[session]
 	out      []byte
 	ready    func() bool
+	memory   int    // bytes that buffers may take up before half-read requests are given up
+	reader   uint64 // the session that is read
+	silent   int    // sessions that have not sent a byte
+	most     int    // sessions at a time
 	stopping bool
 	closing  bool // the arrival window has passed: sessions end between requests
 	pressed  bool // new sessions wait, and none could be closed for them
+	press    core.Deadline
+	quiet    core.Deadline
 }
 
 // session is one client's connection: it reads a request, waits for its answer, and reads on.
@@ -32,26 +39,50 @@
 	front  *Front
 	token  uint64
 	conn   *net.Conn
-	in     *net.Buffer
+	in     *net.Buffer   // where the request at hand begins
+	next   *net.Buffer   // what found no room behind it
 	since  time.Duration // when the first byte of the request at hand came
 	req    uint64        // the req that is out, 0 before the core has named it
-	busy   bool          // an answer is owed
-	gone   bool          // the client has closed
-	last   bool          // the session ends with the answer at hand
-	told   bool          // 100 Continue has been sent
-	used   bool          // a request has been answered on it
+	stage  stage
+	busy   bool // an answer is owed
+	gone   bool // the client has closed
+	last   bool // the session ends with the answer at hand
+	told   bool // 100 Continue has been sent
+	paused bool // no more is read for now
+	posted bool // a turn is on its way
+	scan   scan // how far the body at hand has been looked at
 	idleAt time.Duration
 	idle   core.Deadline
 }
 
+// stage is what a session has shown of itself. Usual clients open sessions,
+// also before they need them, and use them for job after job.
+type stage uint8
+
 const (
-	requestTime = 10 * time.Second // for a request to arrive whole, once it has begun
-	idleTime    = 5 * time.Minute  // a session between requests is kept so long
+	silent stage = iota // not a byte has come
+	asking              // it has sent something, but no job of it has been served
+	proven              // a job of it has been served
 )
 
-// NewFront returns a front that accepts on addr once Listen is called.
-func NewFront(c *core.Core, e *net.Engine, ready func() bool) *Front {
-	f := &Front{core: c, engine: e, classes: map[string]int{}, ready: ready}
+const (
+	firstTime   = 2800 * time.Millisecond // from the accept on: whoever has begun has sent a whole request, or is bad
+	requestTime = 2 * time.Second         // for a request to arrive whole, once it has begun, however its bytes trickle
+	lateTime    = time.Second             // the same, where a session was silent at first
+	idleTime    = 5 * time.Minute         // a proven or a silent session is kept so long between requests
+	askingTime  = 5 * time.Second         // any other
+	silentTime  = 2500 * time.Millisecond // where too many are silent, the oldest are kept so long
+	graceTime   = time.Second             // a session that has just come is not shed, for its request is on the way
+	pressTime   = 50 * time.Millisecond   // between looks for sessions to shed
+	turnWork    = 16                      // requests that a session may have read in one turn
+	mostWaiting = 256 << 10               // bytes of answers that a client leaves unread
+)
+
+// NewFront returns a front that accepts on addr once Listen is called. Its
+// buffers, with those of others, should not take up more than memory bytes.
+func NewFront(c *core.Core, e *net.Engine, memory int, ready func() bool) *Front {
+	f := &Front{core: c, engine: e, classes: map[string]int{}, memory: memory, ready: ready}
+	f.press.Fire, f.quiet.Fire = f.shed, f.hush
 	for i, class := range c.Settings.Classes {
 		f.classes[class.Name] = i
 	}
@@ -60,7 +91,8 @@
 
 // Listen starts accepting client sessions, most at a time, and returns the address.
 func (f *Front) Listen(addr string, most int) (string, error) {
-	a, err := f.engine.Listen(addr, most, f.accept, f.shed)
+	f.most = most
+	a, err := f.engine.Listen(addr, most, true, f.accept, f.shed)
 	if err != nil {
 		return "", err
 	}
@@ -72,35 +104,90 @@
 	s.idle.Fire = s.expire
 	s.token = f.sessions.Put(s)
 	f.pressed = false
-	f.core.Loop.Set(&s.idle, f.core.Loop.Now()+idleTime)
+	f.silent++
+	s.wait()
+	f.hush()
 	return s
 }
 
-// shed makes room for new sessions: it closes those between requests, the
-// longest unused first. They close at once: guards against sessions that linger
-// holding their descriptors, so that call after call sheds more. One that has
-// just come is spared, for its request is on the way: shed by age alone, it went
-// before those that had their answer. If there is none to close, the next
-// answers end their sessions.
+// hush closes silent sessions where they are too many to be usual clients' that
+// opened early: those first that have been silent longest, and none that has
+// just come, since a close that crosses a session's first request costs it.
+func (f *Front) hush() {
+	for f.silent > f.most/2 {
+		s := f.pick(func(s *session) int {
+			if s.stage != silent || f.core.Loop.Now()-s.conn.Opened < silentTime {
+				return 0
+			}
+			return 1
+		})
+		if s == nil {
+			f.core.Loop.Set(&f.quiet, f.core.Loop.Now()+pressTime)
+			return
+		}
+		s.drop()
+	}
+}
+
+// pick returns the session of the highest rank above 0, the longest unused of several.
+func (f *Front) pick(rank func(*session) int) (best *session) {
+	most := 0
+	f.sessions.All(func(_ uint64, s *session) {
+		if s.busy || s.gone {
+			return
+		}
+		if r := rank(s); r > most || r > 0 && r == most && s.idleAt < best.idleAt {
+			best, most = s, r
+		}
+	})
+	return best
+}
+
+// shed makes room for new sessions, and goes on until one of those that wait
+// has come in. It closes sessions at once, lest they linger holding their
+// descriptors: first those that have shown nothing but talk, then those that
+// have long been silent, then those that have proven themselves and rest, and
+// at last half-read requests. One that has just come is spared, for its request
+// is on the way. If there is none to close, the next answers end their sessions.
 func (f *Front) shed() {
 	const some = 8
 	now := f.core.Loop.Now()
 	for i := range some {
-		var oldest *session
-		f.sessions.All(func(_ uint64, s *session) {
-			if s.between() && (s.used || now-s.idleAt > requestTime) && (oldest == nil || s.idleAt < oldest.idleAt) {
-				oldest = s
+		s := f.pick(func(s *session) int {
+			switch young := now-s.conn.Opened < graceTime; {
+			case s.in != nil && now-s.since > graceTime:
+				return 1
+			case s.in != nil:
+				return 0
+			case s.stage == proven:
+				return 2
+			case s.stage == asking:
+				return 4
+			case !young:
+				return 3
 			}
+			return 0
 		})
-		if oldest == nil {
+		if s == nil {
 			f.pressed = i == 0
-			return
+			break
+		}
+		if s.stage == proven && i > 0 { // there is room already
+			break
 		}
-		oldest.forget()
-		oldest.conn.Close()
+		s.drop()
+	}
+	if f.pressed {
+		f.core.Loop.Set(&f.press, now+pressTime)
 	}
 }
 
+// drop closes a session on which nothing is owed, at once.
+func (s *session) drop() {
+	s.forget()
+	s.conn.Close()
+}
+
 func (s *session) between() bool { return !s.busy && !s.gone && s.in == nil }
 
 // Stop begins a planned restart: it goes on accepting, but no longer says that it is ready.
@@ -119,9 +206,43 @@
 // Sessions is the number of sessions open.
 func (f *Front) Sessions() int { return f.sessions.Len() }
 
+// wait sets how long the session may rest.
+func (s *session) wait() {
+	span := idleTime
+	if s.stage == asking {
+		span = askingTime
+	}
+	s.idleAt = s.front.core.Loop.Now()
+	s.front.core.Loop.Set(&s.idle, s.idleAt+span)
+}
+
+// begin is told that the first byte of a request is there. From now on it must
+// arrive whole in time; the bytes that follow change nothing.
+func (s *session) begin() {
+	now := s.front.core.Loop.Now()
+	s.since = now
+	due := now + requestTime
+	if s.stage == silent {
+		s.speak(asking)
+		due = min(due, max(s.conn.Opened+firstTime, now+lateTime))
+	}
+	s.front.core.Loop.Set(&s.idle, due)
+}
+
+func (s *session) speak(to stage) {
+	if s.stage == silent {
+		s.front.silent--
+	}
+	s.stage = max(s.stage, to)
+}
+
 // expire ends a session that has waited too long for a request, or for the rest of one.
 func (s *session) expire() {
-	if !s.busy {
+	switch {
+	case s.busy:
+	case s.in != nil:
+		s.reject(errSlow)
+	default:
 		s.end()
 	}
 }
@@ -134,10 +255,14 @@
 
 // forget gives back all that a session holds.
 func (s *session) forget() {
+	if !s.gone {
+		s.speak(asking)
+	}
 	s.front.sessions.Drop(s.token)
 	s.front.core.Loop.Clear(&s.idle)
 	s.front.engine.Pool.Put(s.in)
-	s.in, s.gone = nil, true
+	s.front.engine.Pool.Put(s.next)
+	s.in, s.next, s.gone = nil, nil, true
 }
 
 // Closed is told that the client has gone away.
@@ -156,25 +281,73 @@
 		return
 	}
 	if s.in == nil && !s.busy {
-		s.since = s.front.core.Loop.Now()
-		s.front.core.Loop.Set(&s.idle, s.since+requestTime)
+		s.begin()
 	}
-	if !collect(&s.front.engine.Pool, &s.in, b) {
-		// More than one request's worth at once: none that is owed an answer is given up for it.
+	switch {
+	case s.in == nil:
+		s.in = b
+	case s.next == nil:
+		s.next = b
+		s.refill()
+	default: // not before what came first has found room: the connection is paused meanwhile
+		s.front.engine.Pool.Put(b)
 		s.last = true
-		if !s.busy {
-			s.reject(errBody)
+	}
+	s.read()
+	s.front.relieve()
+}
+
+// relieve gives up half-read requests while buffers take up too much memory,
+// the oldest first. Guards the memory limit, which ends the program.
+func (f *Front) relieve() {
+	for f.full() {
+		s := f.pick(func(s *session) int {
+			if s.in == nil || s.posted || s.token == f.reader {
+				return 0
+			}
+			return 1
+		})
+		if s == nil {
+			return
 		}
+		s.reject(errMemory)
+	}
+}
+
+// full tells whether buffers take up as much memory as they may.
+func (f *Front) full() bool { return f.engine.Pool.Held() > f.memory }
+
+// refill moves up what came behind the request at hand.
+func (s *session) refill() {
+	if s.next == nil {
 		return
 	}
-	s.read()
+	if s.in == nil {
+		s.in, s.next = s.next, nil
+		return
+	}
+	if s.next.Cut(s.in.Fill(s.next.Bytes())); len(s.next.Bytes()) == 0 {
+		s.front.engine.Pool.Put(s.next)
+		s.next = nil
+	}
 }
 
-// read takes requests out of the buffer until one must be waited for.
+// read takes requests out of the buffer until one must be waited for. Guards
+// the other sessions' turns: a client may send hundreds at once, and those
+// behind the one that is out wait in the socket.
 func (s *session) read() {
-	for s.in != nil && !s.busy && !s.gone {
+	s.front.reader = s.token
+	defer func() { s.front.reader = 0 }()
+	for work := 0; s.in != nil && !s.busy && !s.gone; work++ {
+		if work == turnWork {
+			s.turn()
+			break
+		}
 		var m message
-		ok, early, err := parseRequest(s.in.Bytes(), &m)
+		ok, early, err := parseRequest(s.in.Bytes(), &m, &s.scan)
+		if err == nil && !ok && len(s.in.Bytes()) == net.BufferSize {
+			err = errBody // a chunked one of more frame than body: it has no room to become whole
+		}
 		if err != nil {
 			s.reject(err)
 			return
@@ -184,13 +357,35 @@
 				s.told = true
 				s.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 			}
-			return
+			break
 		}
-		s.told = false
+		s.told, s.scan = false, scan{}
 		s.last = s.last || s.front.closing || m.has("Connection", "close") ||
 			bytes.Equal(m.c, []byte("HTTP/1.0")) && !m.has("Connection", "keep-alive")
 		s.request(&m)
 	}
+	if s.gone {
+		return
+	}
+	if hold := s.busy || s.next != nil || s.posted; hold != s.paused {
+		if s.paused = hold; hold {
+			s.conn.Pause()
+		} else {
+			s.conn.Resume()
+		}
+	}
+}
+
+// turn reads on after the others have had their turn.
+func (s *session) turn() {
+	if s.posted {
+		return
+	}
+	s.posted = true
+	s.front.core.Loop.Post(func() {
+		s.posted = false
+		s.read()
+	})
 }
 
 // reject answers what cannot be understood, and ends the session, whose next bytes mean nothing.
@@ -201,6 +396,10 @@
 		status = 413
 	case errors.Is(err, errHead):
 		status = 431
+	case errors.Is(err, errSlow):
+		status = 408
+	case errors.Is(err, errMemory):
+		status = 503
 	}
 	s.last = true
 	s.write(status, []byte(err.Error()+"\n"), 0, "")
@@ -229,6 +428,10 @@
 			status, text = 400, err.Error()+"\n"
 		} else if s.front.core.Named(job.ID) { // guards the req of that name, which may be another client's
 			status, text = 409, "X-Correlation-Id names another request\n"
+		} else if s.front.relieve(); s.front.full() {
+			s.cut(m.size)
+			s.write(503, []byte(errMemory.Error()+"\n"), lateTime, "")
+			return
 		}
 	}
 	if status != 0 {
@@ -295,6 +498,7 @@
 		s.in = pool.Get()
 		s.in.Add(rest)
 	}
+	s.refill()
 	job.Body = m.body
 	job.Release = func() { pool.Put(held) }
 	s.busy, s.req = true, 0
@@ -310,6 +514,7 @@
 		s.front.engine.Pool.Put(s.in)
 		s.in = nil
 	}
+	s.refill()
 }
 
 // Answer writes the final answer of a session's req.
@@ -322,29 +527,32 @@
 	s.last = s.last || f.closing
 	switch a.Verdict {
 	case core.Served:
+		s.speak(proven)
 		s.write(200, a.Result, 0, "")
 	case core.Refused:
 		s.write(503, nil, a.RetryAfter, "")
 	default:
 		s.write(502, nil, 0, "")
 	}
-	if s.in != nil && !s.gone {
-		f.core.Loop.Post(s.read) // a request that came early; not from inside the core
+	if s.paused && !s.gone {
+		s.turn() // a request that came early; not from inside the core
 	}
 }
 
 // write writes an answer and makes the session ready for the next request, or ends it.
 func (s *session) write(status int, body []byte, retryAfter time.Duration, fields string) {
 	f := s.front
-	s.used = true
 	s.last = s.last || f.pressed
 	f.out = appendAnswer(f.out[:0], status, body, retryAfter, s.last, fields)
 	s.conn.Write(f.out)
-	if s.last {
+	switch {
+	case s.last:
 		s.end()
-		return
+	case s.conn.Waiting() > mostWaiting: // guards against a client that asks and never reads
+		s.drop()
+	case s.in != nil:
+		s.begin()
+	default:
+		s.wait()
 	}
-	now := f.core.Loop.Now()
-	s.since, s.idleAt = now, now
-	f.core.Loop.Set(&s.idle, now+idleTime)
 }
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -26,6 +26,8 @@
 	errMalformed = errors.New("malformed HTTP")
 	errHead      = errors.New("head too long")
 	errBody      = errors.New("body too long")
+	errSlow      = errors.New("the request did not come in time")
+	errMemory    = errors.New("too many requests are half sent")
 )
 
 // field is one header field; its parts lie in the buffer that was parsed.
@@ -275,10 +277,18 @@
 	size int // bytes that it takes in the buffer
 }
 
+// scan is how far a chunked body has been looked at. Guards against looking at
+// all of it again for every byte that trickles in.
+type scan struct {
+	chunk      chunks
+	at, length int
+}
+
 // parseRequest parses a request at the start of b; false without an error: it
-// is not all there yet. A chunked body is put together in place. early tells
-// that the head is there and asks for word before the body is sent.
-func parseRequest(b []byte, m *message) (ok, early bool, err error) {
+// is not all there yet, and sc goes with it to the next call. A chunked body is
+// put together in place. early tells that the head is there and asks for word
+// before the body is sent.
+func parseRequest(b []byte, m *message, sc *scan) (ok, early bool, err error) {
 	if ok, err = parseHead(b, &m.head); !ok {
 		return false, false, err
 	}
@@ -299,7 +309,7 @@
 	}
 	m.body, m.size = nil, m.head.size
 	if chunked {
-		return parseChunked(b, m)
+		return parseChunked(b, m, sc)
 	}
 	length = max(length, 0)
 	if len(b) < m.size+length {
@@ -327,7 +337,7 @@
 		return 0, nil, 0, false, errMalformed
 	case chunked:
 		m := message{head: h, size: h.size}
-		if ok, _, err := parseChunked(b, &m); !ok {
+		if ok, _, err := parseChunked(b, &m, new(scan)); !ok {
 			return 0, nil, 0, false, err
 		}
 		return status, m.body, m.size, h.has("Connection", "close"), nil
@@ -339,24 +349,24 @@
 	return status, b[h.size : h.size+length], h.size + length, h.has("Connection", "close"), nil
 }
 
-func parseChunked(b []byte, m *message) (ok, early bool, err error) {
-	var c chunks
-	at, length := m.size, 0
-	for !c.done {
-		data, used, err := c.next(b[at:])
+func parseChunked(b []byte, m *message, sc *scan) (ok, early bool, err error) {
+	sc.at = max(sc.at, m.size)
+	for !sc.chunk.done {
+		data, used, err := sc.chunk.next(b[sc.at:])
 		if err != nil {
 			return false, false, err
 		}
-		if length += len(data); length > maxBody {
+		if sc.length += len(data); sc.length > maxBody {
 			return false, false, errBody
 		}
 		if used == 0 {
 			return false, len(b) == m.size && m.has("Expect", "100-continue"), nil
 		}
-		at += used
+		sc.at += used
 	}
+	var c chunks
 	start := m.size
-	c, at, m.size = chunks{}, start, start
+	at := start
 	w := start
 	for !c.done { // it is whole now, so nothing fails any more
 		data, used, _ := c.next(b[at:])
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -134,7 +134,7 @@
 		r.core.Listen(echo{r.core})
 		r.core.List(echo{r.core}, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "w"}})
 		var err error
-		if addr, err = NewFront(r.core, r.engine, func() bool { return true }).Listen("127.0.0.1:0", 200); err != nil {
+		if addr, err = NewFront(r.core, r.engine, 64<<20, func() bool { return true }).Listen("127.0.0.1:0", 200); err != nil {
 			f.Error(err)
 		}
 		r.core.Take(make(judge, 1), 0, core.Job{ID: "former", Body: []byte("done")})
@@ -193,7 +193,7 @@
 	r.do(func() {
 		r.core.Listen(held)
 		r.core.List(held, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "w"}})
-		addr, _ = NewFront(r.core, r.engine, func() bool { return true }).Listen("127.0.0.1:0", 20)
+		addr, _ = NewFront(r.core, r.engine, 64<<20, func() bool { return true }).Listen("127.0.0.1:0", 20)
 	})
 	post := func() chan int {
 		got := make(chan int, 1)
@@ -225,6 +225,140 @@
 	}
 }
 
+// bad opens a session and sends a text; the rest of the test reads what comes.
+func bad(t *testing.T, addr, text string) (stdnet.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := stdnet.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, text)
+	return conn, bufio.NewReader(conn)
+}
+
+// status reads an answer; 0: the session has ended without.
+func status(in *bufio.Reader) int {
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return 0
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// front starts a front before an echo.
+func front(t *testing.T, memory, most int) string {
+	r := newRig(t)
+	var addr string
+	r.do(func() {
+		r.core.Listen(echo{r.core})
+		r.core.List(echo{r.core}, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "w"}})
+		addr, _ = NewFront(r.core, r.engine, memory, func() bool { return true }).Listen("127.0.0.1:0", most)
+	})
+	return addr
+}
+
+func job(id string) string {
+	return "POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: " + id + "\r\nContent-Length: 4\r\n\r\ndone"
+}
+
+// A request that does not arrive whole is answered, however its bytes trickle:
+// each once gave it ten seconds more.
+func TestTrickle(t *testing.T) {
+	addr := front(t, 64<<20, 20)
+	for _, text := range []string{"POST /renewal/k HTTP/1.1\r\nX-Note: ", "POST /renewal/k HTTP/1.1\r\nContent-Length: 60000\r\n\r\n"} {
+		conn, in := bad(t, addr, text)
+		answer := make(chan int, 1)
+		go func() { answer <- status(in) }()
+		for code := -1; code < 0; {
+			select {
+			case code = <-answer:
+				if code != 408 {
+					t.Errorf("%q: %d", text, code)
+				}
+			case <-time.After(20 * time.Millisecond):
+				io.WriteString(conn, "x")
+			}
+		}
+	}
+}
+
+// Hundreds of requests at once are answered in order; the others' turns come between.
+func TestPipeline(t *testing.T) {
+	addr := front(t, 64<<20, 20)
+	const many = 500
+	conn, in := bad(t, addr, "")
+	go func() {
+		for i := range many {
+			io.WriteString(conn, strings.Replace(job(fmt.Sprint("many-", i)), "4\r\n\r\ndone", "2000\r\n\r\ndone"+strings.Repeat(" ", 1996), 1))
+		}
+	}()
+	for i := range many {
+		if code := status(in); code != 200 {
+			t.Fatalf("answer %d: %d", i, code)
+		}
+		if i == 100 {
+			if _, other := bad(t, addr, job("other")); status(other) != 200 {
+				t.Error("another client gets no answer")
+			}
+		}
+	}
+}
+
+// Half-sent requests cannot fill the memory: the oldest are given up with an
+// answer, and usual clients are served meanwhile.
+func TestHalfSentRequests(t *testing.T) {
+	const room = 8
+	addr := front(t, room*net.BufferSize, 100)
+	half := "POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: half\r\nContent-Length: 65000\r\n\r\n" + strings.Repeat("x", 64000)
+	var first *bufio.Reader
+	for i := range 3 * room {
+		_, in := bad(t, addr, half)
+		if i == 0 {
+			first = in
+		}
+		if _, usual := bad(t, addr, job(fmt.Sprint("usual-", i))); status(usual) != 200 {
+			t.Fatalf("beside %d half-sent requests a usual one gets no answer", i)
+		}
+	}
+	if code := status(first); code != 503 {
+		t.Errorf("the oldest got %d", code)
+	}
+}
+
+// Sessions that only talk go first when room is needed, and one that has proven
+// itself stays: age alone once closed it before them.
+func TestShedSparesTheProven(t *testing.T) {
+	addr := front(t, 64<<20, 4)
+	proven, in := bad(t, addr, job("first"))
+	if status(in) != 200 {
+		t.Fatal("no answer")
+	}
+	const health = "GET /healthz HTTP/1.1\r\n\r\n"
+	for range 3 {
+		if _, talk := bad(t, addr, health); status(talk) != 200 {
+			t.Fatal("no answer")
+		}
+	}
+	for i := range 8 { // each needs the room of one that talks
+		if _, talk := bad(t, addr, health); status(talk) != 200 {
+			t.Fatalf("%d: no answer", i)
+		}
+	}
+	if io.WriteString(proven, job("second")); status(in) != 200 {
+		t.Error("the proven session was closed")
+	}
+	// One that says nothing is closed when room is needed, but not at once.
+	for range 6 {
+		bad(t, addr, "")
+	}
+	if _, talk := bad(t, addr, health); status(talk) != 200 {
+		t.Error("silent sessions keep all others out")
+	}
+}
+
 // holder is a carrier whose fetches end when the test says so.
 type holder struct {
 	echo
@@ -486,7 +620,7 @@
 			return
 		}
 		var m message
-		ok, _, err := parseRequest(slices.Clone(b), &m)
+		ok, _, err := parseRequest(slices.Clone(b), &m, new(scan))
 		if ok && (err != nil || m.size > len(b) || len(m.body) > m.size || len(m.body) > maxBody) {
 			t.Fatalf("size %d, body %d of %d bytes, %v", m.size, len(m.body), len(b), err)
 		}
