A restarted dispatcher takes jobs at once; they wait for discovery's first word

Ruled out: sessions closed too early after SIGTERM.

Now the list known at the start is held back from the module until discovery has told what changed (or failed, or a second has passed) and comes to it as one list; reqs taken meanwhile wait in the module, which knows no worker yet. So nothing is sent by an old list, as before.

--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -45,9 +45,6 @@
 // SIGTERM: 0.4 s by the platform's page, and some for a slow machine.
 const arrivalWindow = 600 * time.Millisecond
 
-// freshList is how long the first word of discovery is waited for before clients are asked in.
-const freshList = time.Second
-
 // config is what the dispatcher is told: the file, with the environment before
 // it. After a reload the file's discovery comes before the environment's, which
 // still names the one that the program was started with.
@@ -191,9 +188,8 @@
 		sessions /= 2 // half for either front
 	}
 	if c.Listen != "" {
-		began := loop.Now()
 		fronts.platform = platform.NewFront(d, engine, c.buffers(), func() bool {
-			return d.Backends() > 0 && (backends.Fresh() || loop.Now()-began > freshList)
+			return d.Backends() > 0 || backends.Listed()
 		})
 		addr, err := fronts.platform.Listen(c.Listen, sessions)
 		if err != nil {
--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -59,7 +59,8 @@
 	changes  chan string // lines for the present watch; "silence" ends its signs of life, "end" the watch
 	listen   string
 	config   map[string]any
-	path     string // of the file
+	path     string      // of the file
+	first    chan string // where discovery's first word comes from; nil: it has nothing to tell
 	cmd      *exec.Cmd
 	log      record
 	client   *http.Client
@@ -247,7 +248,11 @@
 	}
 	chunk := func(line string) { fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(line)+1, line) }
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-	chunk("")
+	if w.first != nil {
+		chunk(<-w.first)
+	} else {
+		chunk("")
+	}
 	w.watches <- req.URL.RawQuery
 	gone := make(chan struct{})
 	go func() { io.Copy(io.Discard, conn); close(gone) }()
@@ -533,6 +538,33 @@
 	}
 }
 
+// The list known at a start may be old. The program takes jobs at once, since a
+// client kept out has nobody else to go to, but sends none by that list until
+// discovery has told what has changed.
+func TestStartWithAnOldList(t *testing.T) {
+	w := &world{t: t, first: make(chan string, 1)}
+	old := w.backend("s-old", done)
+	w.start()
+	fresh := w.backend("s-new", done)
+	answer := make(chan int)
+	for i := range 4 {
+		go func() {
+			status, _, _ := w.post("renewal", fmt.Sprint("early-", i), "x", 0)
+			answer <- status
+		}()
+	}
+	time.Sleep(50 * time.Millisecond) // they should be waiting by now; the test holds without it too
+	w.first <- `{"seq":42,"whole":false,"hosts":[` + fresh.entry("ready") + `,` + old.entry("draining") + `]}`
+	for range 4 {
+		if status := <-answer; status != 200 {
+			t.Errorf("status %d", status)
+		}
+	}
+	if n, m := len(old.arrivals()), len(fresh.arrivals()); n != 0 || m != 4 {
+		t.Errorf("the old list's backend got %d, the new one %d", n, m)
+	}
+}
+
 // Idle connections to a backend are closed before it may close them.
 func TestIdleConnectionsCloseFirst(t *testing.T) {
 	w := &world{t: t, config: map[string]any{"conn_idle_us": "3000000"}}
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	stdnet "net"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"hollyyoke.example/hollyyoke"
@@ -28,6 +31,8 @@
 	lines  map[uint64]*line // by the fetch that runs on it
 	out    []byte
 	watch  watch
+	first  map[string]hollyyoke.Entry // the list known at the start, until discovery has spoken
+	due    core.Deadline              // until when that is waited for
 }
 
 // backend is one backend as discovery told it last.
@@ -91,6 +96,7 @@
 	s := &Backends{core: c, engine: e, hosts: map[string]*backend{}, lines: map[uint64]*line{}}
 	s.watch = watch{set: s, addr: discovery}
 	s.watch.due.Fire = func() { s.watch.fail("silent") }
+	s.due.Fire = func() { s.begin(nil) }
 	c.Listen(s)
 	return s
 }
@@ -389,9 +395,15 @@
 	}
 }
 
-// Fresh tells whether discovery has told anything yet, or is not there to tell.
-// The list known at the start may be old.
-func (s *Backends) Fresh() bool { return s.watch.told || s.watch.addr == "" }
+// Listed tells whether there is a backend that takes new work, by what is known so far.
+func (s *Backends) Listed() bool {
+	for _, b := range s.hosts {
+		if b.state == hollyyoke.Running {
+			return true
+		}
+	}
+	return false
+}
 
 // Subscribe opens the discovery watch, unless a call is out. Guards against a
 // repeat that the module had set for the former address and that would end the
@@ -691,12 +703,12 @@
 	text  *net.Buffer
 	ok    bool // the head of the answer has come
 	live  bool // and its first line
-	told  bool // some call has brought a line
 	chunk chunks
 	due   core.Deadline
 }
 
 const (
+	freshList    = time.Second // the first word of discovery is waited for so long
 	watchConnect = time.Second
 	watchCall    = 3 * time.Second // for the first line: discovery takes calls in turn
 	watchLine    = 3 * time.Second // between lines; one comes every 2 s at the latest
@@ -720,7 +732,10 @@
 	BornMs float64 `json:"born_ms"`
 }
 
-// Known takes in the list that the dispatcher had before its start.
+// Known takes in the list that the dispatcher had before its start. It may be
+// old: nothing is sent by it until discovery has told what has changed, or has
+// had its time. Reqs are taken meanwhile and wait for that list, since a client
+// that is let in late has nobody else to go to.
 func (s *Backends) Known(raw []byte) error {
 	list := hosts{Whole: true}
 	if len(raw) > 0 {
@@ -733,10 +748,39 @@
 	if err != nil {
 		return err
 	}
-	s.core.List(s, hollyyoke.ListPersisted, entries)
+	s.first = map[string]hollyyoke.Entry{}
+	for _, e := range entries {
+		if e.State != hollyyoke.Deleted {
+			s.first[e.Worker] = e
+		}
+	}
+	if s.watch.addr == "" {
+		s.begin(nil)
+		return nil
+	}
+	s.core.Loop.Set(&s.due, s.core.Loop.Now()+freshList)
+	s.watch.open()
 	return nil
 }
 
+// begin gives the module the list known at the start, with what has changed since.
+func (s *Backends) begin(changes []hollyyoke.Entry) {
+	if s.first == nil {
+		return
+	}
+	for _, e := range changes {
+		if s.first[e.Worker] = e; e.State == hollyyoke.Deleted {
+			delete(s.first, e.Worker)
+		}
+	}
+	entries := slices.SortedFunc(maps.Values(s.first), func(a, b hollyyoke.Entry) int {
+		return strings.Compare(a.Worker, b.Worker) // a map's order would make runs differ
+	})
+	s.first = nil
+	s.core.Loop.Clear(&s.due)
+	s.core.List(s, hollyyoke.ListPersisted, entries)
+}
+
 // open makes the call, in place of one that stands.
 func (w *watch) open() {
 	w.drop()
@@ -781,6 +825,7 @@
 func (w *watch) fail(why string) {
 	w.drop()
 	w.set.core.Log("discovery: " + why)
+	w.set.begin(nil)
 	w.set.core.List(w.set, hollyyoke.ListError, nil)
 }
 
@@ -873,7 +918,11 @@
 	loop := w.set.core.Loop
 	loop.Set(&w.due, loop.Now()+watchLine)
 	first := !w.live
-	w.live, w.told = true, true
+	w.live = true
+	if len(text) == 0 && w.set.first != nil {
+		w.set.begin(nil)
+		return nil
+	}
 	if len(text) == 0 {
 		if first { // nothing has changed; but the call did not fail, and the module waits for word of it
 			w.set.core.List(w.set, hollyyoke.ListChanges, nil)
@@ -894,6 +943,12 @@
 		w.set.onlyThese(entries)
 	}
 	w.seq = list.Seq
+	if w.set.first != nil && !list.Whole {
+		w.set.begin(entries)
+		return nil
+	}
+	w.set.first = nil
+	w.set.core.Loop.Clear(&w.set.due)
 	w.set.core.List(w.set, kind, entries)
 	return nil
 }
