Workers that turn away one class get it seldom; a request's last byte stays back

At fault: dispatcher.go's case Saturated, which holds the worker full for all classes for a quarter of a round trip and learns nothing of the class; again() then puts the last attempt off until it is late. Ruled out: full queues (the reports tell free slots) and errors. Now the module keeps what each worker does with each class.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -349,7 +349,7 @@
 // busy tells whether a job would wait there in vain, by what the worker has told.
 func (d *Dispatcher) busy(r *request, w *worker) bool {
 	left := (r.aim - d.now).Seconds() - d.runTime(r, w)
-	if d.now < w.full || d.s.TellsStart && w.unstarted > 0 && d.now-w.waitFrom > 4*d.s.Tick ||
+	if d.now < w.full || d.now < w.refusal(r.class).until || d.s.TellsStart && w.unstarted > 0 && d.now-w.waitFrom > 4*d.s.Tick ||
 		!r.late && d.startWait(w) > left { // late there; held here, the first free worker takes it
 		return true
 	}
@@ -397,7 +397,7 @@
 		d.lostOn(lost)
 		d.giveUp(q)
 	}
-	d.started(a)
+	d.started(r.class, a)
 	if d.s.TellsStart && ev.Kind == ProgressMade && ev.Fraction > 0 && ev.Fraction <= 1 {
 		d.learnPace(a.w, (d.now-a.started).Seconds()/ev.Fraction/r.work)
 	}
@@ -430,11 +430,12 @@
 	switch ev.Outcome {
 	case Completed: // only this teaches speed: a fast error must not look like a fast worker
 		w.heard, w.unusable = d.now, 0
+		a.taken(r.class)
 		d.learnPace(w, (d.now-max(a.sent, a.started)).Seconds()/r.work)
 		d.roundTrip += ((d.now - a.sent).Seconds() - d.roundTrip) / fewJobs
 		d.judge(w, 0.7*fail, "answers again")
 	case Saturated:
-		w.full = d.now + seconds(d.roundTrip/4)
+		d.turnedAway(w, r.class)
 	case Unusable: // guards against blaming all workers in turn, and the fleet, for what a client sent
 		if !ev.Settled && !r.ended && r.out == 0 {
 			d.act(Action{Kind: FinishError, Request: r.id})
@@ -463,6 +464,21 @@
 	d.forget(r)
 }
 
+// turnedAway books that a worker is full, or full for a class: one that turns job after job of it away while
+// it takes others gets it ever more seldom. Guards against spending all attempts on such workers.
+func (d *Dispatcher) turnedAway(w *worker, c *Class) {
+	t := w.refusal(c)
+	if t.n++; t.n == 1 {
+		t.from = d.now
+	}
+	if t.n == 1 || !w.takesOthers(c, t.from) {
+		w.full = d.now + seconds(d.roundTrip/4)
+		return
+	}
+	t.backoff = min(max(2*t.backoff, d.horizon/8), 2*d.horizon)
+	t.until = d.now + t.backoff
+}
+
 // lostOn learns when unused connections are dropped unseen: what was sent on one was reset at once, or did
 // not start though a later job there did. The worker is not blamed; older ones are closed before use.
 func (d *Dispatcher) lostOn(a *attempt) {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1503,3 +1503,44 @@
 		break
 	}
 }
+
+// A worker that turns away job after job of one class while it takes others gets that class ever more seldom,
+// and the others as before. All attempts of such jobs once went to a few workers of that kind, and the last
+// one was put off until it was late.
+func TestClassTurnedAwayIsTakenElsewhere(t *testing.T) {
+	s := testSettings()
+	s.TellsStart = true
+	r := newRig(t, s, 4)
+	turned := map[string]int{}
+	for range 120 {
+		for class := range 2 {
+			id := r.arrive(class)
+			for n := 0; r.requests[id] != nil && len(r.requests[id].attempts) > n; n++ {
+				w := r.worker(id)
+				if class == 1 && (w == "w0" || w == "w1") {
+					turned[w]++
+					r.respond(id, n, Saturated, time.Millisecond)
+					continue
+				}
+				r.at(r.now+time.Millisecond, Event{Kind: Started, Request: id, Attempt: n, Worker: w})
+				r.respond(id, n, Completed, 100*time.Millisecond)
+			}
+		}
+	}
+	if n := turned["w0"] + turned["w1"]; n < 4 || n > 30 {
+		t.Errorf("%d of 120 jobs were turned away by workers that do not take them", n)
+	}
+	// It is tried again, and believed.
+	r.now += 5 * time.Second
+	for range 40 {
+		id := r.arrive(1)
+		w := r.worker(id)
+		r.at(r.now+time.Millisecond, Event{Kind: Started, Request: id, Worker: w})
+		r.respond(id, 0, Completed, 100*time.Millisecond)
+	}
+	for _, w := range r.fleet {
+		if u := w.refusal(&r.s.Classes[1]); u.n != 0 || u.until != 0 {
+			t.Errorf("%s takes the class again, but is held to turn it away: %+v", w.Worker, *u)
+		}
+	}
+}
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -62,6 +62,9 @@
 	job     core.Fetch
 	probe   bool
 	mark    int64 // behind the last byte of the request
+	tail    byte  // that byte, until it is sent
+	held    bool  // it is not sent yet
+	fresh   bool  // the fetch has lost a new connection already
 	in      *net.Buffer
 	text    *net.Buffer // the line of the body at hand
 	chunked bool
@@ -88,6 +91,13 @@
 	probeTime  = time.Second // for the answer to a probe
 	clearTime  = time.Second // for the rest of an answer whose outcome is known
 	drainSlack = 100 * time.Millisecond
+
+	// holdTime is how long the last byte of a request stays back. A connection
+	// that the backend has closed, or closes on the request, shows it by then,
+	// most within 3 ms; and a request that
+	// broke off before its last byte has never run, so that it can go elsewhere,
+	// a fragile one too.
+	holdTime   = 12 * time.Millisecond
 	anyConnect = 250 * time.Millisecond // connect time where the settings name none
 )
 
@@ -119,7 +129,7 @@
 	if l == nil {
 		l = s.dial(b)
 	}
-	l.fetch, l.job = f.Handle, f
+	l.fetch, l.job, l.fresh = f.Handle, f, false
 	s.lines[f.Handle] = l
 	if l.conn != nil {
 		l.send()
@@ -215,30 +225,56 @@
 	}
 	s.out = out
 	l.phase = waiting
-	ok := l.conn.Write(out)
+	whole := len(out) - 1
+	if l.probe {
+		whole++
+	}
+	ok := l.conn.Write(out[:whole])
 	l.mark = l.conn.Mark()
-	if ok {
+	if l.held = !l.probe; l.held {
+		l.mark, l.tail = l.mark+1, out[whole]
+	}
+	if !ok {
+		l.close()
+		l.unsent()
 		return
 	}
-	l.close()
-	l.unsent()
+	if l.held {
+		s.core.Loop.Set(&l.due, now+holdTime)
+	}
+}
+
+// release sends the last byte of a request.
+func (l *line) release() {
+	l.held = false
+	s := l.set
+	if l.b.late(s.core.Loop.Now(), s.core.Settings.DrainGrace) { // as in send
+		l.close()
+		l.settle(hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
+		return
+	}
+	if !l.conn.Write([]byte{l.tail}) {
+		l.close()
+		l.unsent()
+	}
 }
 
 // unsent is told that the connection broke before the request's last byte had
 // left: nothing ran. A kept one may have been dead for long, which says nothing
-// of the backend, and the fetch goes on on another.
+// of the backend, and the fetch goes on on another. So may one new one, once.
 func (l *line) unsent() {
 	s, f := l.set, l.fetch
-	if !l.kept || f == 0 {
+	if !l.kept && l.fresh || f == 0 {
 		l.fail(hollyyoke.RefusedConn)
 		return
 	}
+	fresh := l.fresh || !l.kept
 	l.fetch = 0
 	n := l.b.take()
 	if n == nil {
 		n = s.dial(l.b)
 	}
-	n.fetch, n.job = f, l.job
+	n.fetch, n.job, n.fresh = f, l.job, fresh
 	s.lines[f] = n
 	if n.conn != nil {
 		n.send()
@@ -271,6 +307,8 @@
 	switch {
 	case l.conn == nil:
 		l.fail(hollyyoke.RefusedConn)
+	case l.held:
+		l.release()
 	case l.probe:
 		l.fail(hollyyoke.Overdue)
 		l.close()
@@ -318,7 +356,7 @@
 
 // rest keeps the line for the next fetch, for a while.
 func (l *line) rest() {
-	l.phase, l.probe, l.over, l.status = resting, false, false, 0
+	l.phase, l.probe, l.over, l.held, l.status = resting, false, false, false, 0
 	l.free()
 	if l.conn == nil || l.conn.Handle == 0 {
 		return
@@ -462,7 +500,7 @@
 		}
 	}
 	if l.over {
-		l.last = l.last || l.in != nil // bytes behind the answer
+		l.last = l.last || l.in != nil || l.held // bytes behind the answer, or some of the request still here
 		// Idle first, told then: the fetch that the module starts on this news finds the connection.
 		l.set.core.Loop.Clear(&l.due)
 		l.rest()
@@ -476,6 +514,9 @@
 	if l.end = nil; e == nil {
 		return
 	}
+	if l.held { // what is told as over must not begin now
+		l.close()
+	}
 	if l.phase != resting && l.conn.Handle != 0 {
 		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+clearTime)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -548,6 +548,79 @@
 	})
 }
 
+// A connection that turns out dead on a request costs nothing, even a fragile
+// one: its last byte stays back until the connection has shown that it lives. A
+// backend that answers before that byte never gets it.
+func TestLastByteStaysBack(t *testing.T) {
+	r := newRig(t)
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	r.do(func() {
+		b := NewBackends(r.core, r.engine, "")
+		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
+			t.Error(err)
+		}
+	})
+	take := func(id string) judge {
+		got := make(judge, 1)
+		r.do(func() {
+			r.core.Take(got, 0, core.Job{ID: id, Class: 1, Target: "/renewal/k", Body: []byte("body"), Work: 1e6})
+		})
+		return got
+	}
+	ln.(*stdnet.TCPListener).SetDeadline(time.Now().Add(patience))
+	next := func() (stdnet.Conn, *bufio.Reader) {
+		conn, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(patience))
+		return conn, bufio.NewReader(conn)
+	}
+	serve := func(conn stdnet.Conn, in *bufio.Reader) {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(req.Body); string(body) != "body" {
+			t.Fatalf("%q, %v", body, err)
+		}
+		io.WriteString(conn, strings.ReplaceAll(chunked(done), "IDENTITY", req.Header.Get("X-Correlation-Id")))
+	}
+	first := take("id000001")
+	conn, in := next()
+	serve(conn, in)
+	if a := <-first; a.Verdict != core.Served {
+		t.Fatalf("the first: %v", a.Verdict)
+	}
+	second := take("id000002")
+	if _, err := in.ReadByte(); err != nil { // on the kept connection
+		t.Fatal(err)
+	}
+	conn.(*stdnet.TCPConn).SetLinger(0)
+	conn.Close()
+	conn, in = next()
+	serve(conn, in)
+	if a := <-second; a.Verdict != core.Served {
+		t.Errorf("after a reset on its first byte: %v", a.Verdict)
+	}
+	third := take("id000003")
+	if _, err := in.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+	if a := <-third; a.Verdict != core.Refused {
+		t.Errorf("turned away early: %v", a.Verdict)
+	}
+	text, err := io.ReadAll(in)
+	if err != nil || !bytes.HasSuffix(text, []byte("\r\n\r\nbod")) {
+		t.Errorf("it went on to send %q, %v", text, err)
+	}
+}
+
 // A probe that is not answered ends, also on a connection of its own: it once
 // had no deadline there. One that is answered leaves its connection to a fetch.
 func TestProbes(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -34,11 +34,21 @@
 	heard     time.Duration   // last sign of life
 	fail      fading          // recent failures, 0 to 1
 	unusable  int             // jobs in a row that it called unusable
+	refusals  map[*Class]*refusal
 	suspect   bool
 	backoff   time.Duration
 	retryAt   time.Duration // when a suspect may be tried again
 }
 
+// refusal is what a worker does with the jobs of one class.
+type refusal struct {
+	taken   time.Duration // when the last one was sent that it started
+	n       int           // how many it has turned away since
+	from    time.Duration // when the first of them was
+	backoff time.Duration
+	until   time.Duration // it gets none of the class until then
+}
+
 // attempt is one send of a request to a worker.
 type attempt struct {
 	w                    *worker
@@ -271,6 +281,34 @@
 	d.act(Action{Kind: Assign, Request: r.id, Worker: w.Worker})
 }
 
+// refusal finds what a worker does with jobs of a class.
+func (w *worker) refusal(c *Class) *refusal {
+	if w.refusals[c] == nil {
+		if w.refusals == nil {
+			w.refusals = map[*Class]*refusal{}
+		}
+		w.refusals[c] = &refusal{}
+	}
+	return w.refusals[c]
+}
+
+// taken books that the worker has taken a job of a class.
+func (a *attempt) taken(c *Class) {
+	if t := a.w.refusal(c); a.sent > t.taken {
+		*t = refusal{taken: a.sent}
+	}
+}
+
+// takesOthers tells whether the worker has taken jobs of other classes sent after a moment.
+func (w *worker) takesOthers(c *Class, after time.Duration) bool {
+	for other, t := range w.refusals {
+		if other != c && t.taken > after {
+			return true
+		}
+	}
+	return false
+}
+
 // closeIdle asks for the idle connections to a worker to be closed.
 func (d *Dispatcher) closeIdle(w *worker) {
 	w.idle = w.idle[:0]
@@ -298,11 +336,12 @@
 }
 
 // started books an attempt's start, once, and how long it waited for it.
-func (d *Dispatcher) started(a *attempt) {
+func (d *Dispatcher) started(class *Class, a *attempt) {
 	if a.started > 0 {
 		return
 	}
 	a.started = d.now
+	a.taken(class)
 	if d.s.TellsStart {
 		a.w.wait = fading{(d.startWait(a.w) + (d.now - a.sent).Seconds()) / 2, d.now}
 	}
