--- a/dispatcher.go
+++ b/dispatcher.go
@@ -349,7 +349,8 @@
 // busy tells whether a job would wait there in vain, by what the worker has told.
 func (d *Dispatcher) busy(r *request, w *worker) bool {
 	left := (r.aim - d.now).Seconds() - d.runTime(r, w)
-	if d.now < w.full || d.now < w.refusal(r.class).until || d.s.TellsStart && w.unstarted > 0 && d.now-w.waitFrom > 4*d.s.Tick ||
+	if d.now < max(w.full, w.refusal(r.class).until) ||
+		d.s.TellsStart && w.unstarted > 0 && d.now-w.waitFrom > 4*d.s.Tick ||
 		!r.late && d.startWait(w) > left { // late there; held here, the first free worker takes it
 		return true
 	}
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -94,10 +94,9 @@
 
 	// holdTime is how long the last byte of a request stays back. A connection
 	// that the backend has closed, or closes on the request, shows it by then,
-	// most within 3 ms; and a request that
-	// broke off before its last byte has never run, so that it can go elsewhere,
-	// a fragile one too.
-	holdTime   = 12 * time.Millisecond
+	// most of them at once; and a request that broke off before its last byte
+	// has never run, so that it can go elsewhere, a fragile one too.
+	holdTime   = 2 * time.Millisecond
 	anyConnect = 250 * time.Millisecond // connect time where the settings name none
 )
 
