--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -33,6 +33,7 @@
 	watch  watch
 	first  map[string]hollyyoke.Entry // the list known at the start, until discovery has spoken
 	due    core.Deadline              // until when that is waited for
+	wary   time.Duration              // until when connections are thought to die unseen
 }
 
 // backend is one backend as discovery told it last.
@@ -95,8 +96,11 @@
 	// holdTime is how long the last byte of a request stays back. A connection
 	// that the backend has closed, or closes on the request, shows it by then,
 	// most of them at once; and a request that broke off before its last byte
-	// has never run, so that it can go elsewhere, a fragile one too.
+	// has never run, so that it can go elsewhere, a fragile one too. On calm days
+	// it would only cost time, so it is done for a while after a backend has
+	// closed a connection before its time.
 	holdTime   = 2 * time.Millisecond
+	waryTime   = 10 * time.Second
 	anyConnect = 250 * time.Millisecond // connect time where the settings name none
 )
 
@@ -224,13 +228,13 @@
 	}
 	s.out = out
 	l.phase = waiting
-	whole := len(out) - 1
-	if l.probe {
-		whole++
+	whole := len(out)
+	if l.held = !l.probe && now < s.wary; l.held {
+		whole--
 	}
 	ok := l.conn.Write(out[:whole])
 	l.mark = l.conn.Mark()
-	if l.held = !l.probe; l.held {
+	if l.held {
 		l.mark, l.tail = l.mark+1, out[whole]
 	}
 	if !ok {
@@ -398,6 +402,9 @@
 func (l *line) Closed(c *net.Conn, _ error) {
 	l.set.core.Loop.Clear(&l.due)
 	l.unlist()
+	if l.phase != streaming && l.b.state == hollyyoke.Running {
+		l.set.wary = l.set.core.Loop.Now() + waryTime
+	}
 	if l.phase == streaming && !l.chunked && l.left < 0 && l.done() == nil { // it ends with the connection
 		l.tell()
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -558,8 +558,9 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
+	var b *Backends
 	r.do(func() {
-		b := NewBackends(r.core, r.engine, "")
+		b = NewBackends(r.core, r.engine, "")
 		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
 			t.Error(err)
 		}
@@ -596,6 +597,18 @@
 	if a := <-first; a.Verdict != core.Served {
 		t.Fatalf("the first: %v", a.Verdict)
 	}
+	conn.Close() // before its time: from now on they are not trusted
+	for wary, end := false, time.Now().Add(patience); !wary; time.Sleep(time.Millisecond) {
+		if r.do(func() { wary = b.wary > 0 }); time.Now().After(end) {
+			t.Fatal("a connection closed before its time goes unnoticed")
+		}
+	}
+	again := take("id000012")
+	conn, in = next()
+	serve(conn, in)
+	if a := <-again; a.Verdict != core.Served {
+		t.Fatalf("the next: %v", a.Verdict)
+	}
 	second := take("id000002")
 	if _, err := in.ReadByte(); err != nil { // on the kept connection
 		t.Fatal(err)
