--- a/api.go
+++ b/api.go
@@ -289,3 +289,18 @@
 	Timer   uint64
 	Text    string
 }
+
+// Ejected names the workers that run and that it avoids, since what they did lately looks like failure. One
+// that gets a job now and then to see whether it has come back is still among them. While most look bad the
+// trouble is not theirs: all are used, and none is named.
+func (d *Dispatcher) Ejected() (names []string) {
+	if d.trustAll() {
+		return nil
+	}
+	for _, w := range d.fleet {
+		if w.suspect && w.State == Running {
+			names = append(names, w.Worker)
+		}
+	}
+	return names
+}
--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/control"
 	"hollyyoke.example/hollyyoke/internal/core"
 	"hollyyoke.example/hollyyoke/internal/faktory"
 	"hollyyoke.example/hollyyoke/internal/net"
@@ -52,6 +53,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Admin     string          `json:"admin_addr"`
 	Seed      any             `json:"seed"`
 	Limits    limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
@@ -80,6 +82,7 @@
 	}
 	c.Name = cmp.Or(env("BALANCER_NAME"), c.Name, "hollyyoke")
 	c.Listen = cmp.Or(env("BALANCER_LISTEN"), c.Listen)
+	c.Admin = cmp.Or(env("BALANCER_ADMIN_ADDR"), c.Admin)
 	if !again || c.Discovery == "" {
 		c.Discovery = cmp.Or(env("BALANCER_DISCOVERY"), c.Discovery)
 	}
@@ -130,6 +133,14 @@
 // lie outside the heap, which has as much again.
 const bufferShare = 0.3
 
+// clients is how many of them are left where the operators' door has its own.
+func (c *config) clients() int {
+	if c.Admin == "" {
+		return c.descriptors()
+	}
+	return c.descriptors() - control.Calls - 1 // the listener too
+}
+
 // buffers is how many bytes the buffers may take up.
 func (c *config) buffers() int {
 	if c.Limits.MemoryMB < 1 {
@@ -175,7 +186,7 @@
 		return fmt.Errorf("config: %w", err)
 	}
 	d.Log = func(text string) { fmt.Fprintf(log, "%s: %s\n", c.Name, text) }
-	engine, err := net.NewEngine(loop, c.descriptors())
+	engine, err := net.NewEngine(loop, c.clients())
 	if err != nil {
 		return err
 	}
@@ -183,7 +194,7 @@
 	if err := backends.Known(c.Known); err != nil {
 		return fmt.Errorf("config: known: %w", err)
 	}
-	fronts, sessions := fronts{}, net.Accepted(c.descriptors())
+	fronts, sessions := fronts{}, net.Accepted(c.clients())
 	if *faktoryPath != "" && c.Listen != "" {
 		sessions /= 2 // half for either front
 	}
@@ -203,6 +214,16 @@
 		}
 	}
 
+	node := &node{core: d, fronts: fronts}
+	if c.Admin != "" {
+		door := control.New(d, engine, backends, control.Desk{Ready: node.ready, Service: node.service})
+		addr, err := door.Listen(c.Admin)
+		if err != nil {
+			return fmt.Errorf("config: admin_addr: %w", err)
+		}
+		d.Log("operators' door at " + addr)
+	}
+
 	go func() { // those that come while one is read are one
 		for range hangups {
 			next, now, err := readConfig(*configPath, env, true)
@@ -213,7 +234,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
-		loop.Post(func() { stop(d, fronts, loop) })
+		loop.Post(node.stop)
 		for sig := range signals {
 			if sig == syscall.SIGINT { // someone at a terminal insists; a second SIGTERM changes nothing
 				os.Exit(1)
@@ -245,7 +266,7 @@
 	}
 	var restart []string
 	for name, changed := range map[string]bool{
-		"name": next.Name != c.Name, "listen": next.Listen != c.Listen, "limits": next.Limits != c.Limits,
+		"name": next.Name != c.Name, "listen": next.Listen != c.Listen, "admin_addr": next.Admin != c.Admin, "limits": next.Limits != c.Limits,
 		"settings": !reflect.DeepEqual(now, told),
 	} {
 		if changed {
@@ -282,9 +303,43 @@
 	return ended
 }
 
+// node is the running dispatcher as operators and signals see it.
+type node struct {
+	core     *core.Core
+	fronts   fronts
+	stopping bool
+}
+
+// ready tells whether this process takes clients.
+func (n *node) ready() bool {
+	return !n.stopping && (n.fronts.platform == nil || n.fronts.platform.Serving())
+}
+
+var errStopping = errors.New("the dispatcher is ending and does not come back into service")
+
+// service takes the dispatcher out of service or back in; said again, it changes nothing.
+func (n *node) service(out bool) error {
+	switch {
+	case n.stopping && !out:
+		return errStopping
+	case n.fronts.platform == nil:
+		return errors.New("the Faktory front alone tells no health, and cannot be taken out of service")
+	case n.stopping: // it is out already
+	case out:
+		n.core.Log("out of service")
+		n.fronts.platform.Withdraw()
+	default:
+		n.core.Log("in service")
+		n.fronts.platform.Return()
+	}
+	return nil
+}
+
 // stop is the planned end: all that comes in the arrival window is served like
 // before, then sessions end between requests, and the last answer ends the program.
-func stop(d *core.Core, f fronts, loop *core.Loop) {
+func (n *node) stop() {
+	d, f, loop := n.core, n.fronts, n.core.Loop
+	n.stopping = true
 	if f.platform != nil {
 		f.platform.Stop()
 	}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,227 @@
+// Package control is the operators' door: a thin front that answers one call a
+// connection, tells the core's figures and passes on what operators want done.
+// It words and carries; it must never count, decide when the dispatcher may
+// leave service, share descriptors with the clients' front, nor let a caller
+// that says nothing keep out one that speaks.
+package control
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/net"
+	"hollyyoke.example/hollyyoke/internal/platform"
+)
+
+// Calls is how many connections the door holds at a time. Their descriptors are
+// its own: no number of clients takes one of them.
+const Calls = 16
+
+const (
+	callTime  = 3 * time.Second        // for a call to arrive whole, from its accept on
+	youngTime = 300 * time.Millisecond // within which a caller is about to speak
+)
+
+// Desk is what the door speaks for.
+type Desk struct {
+	Ready   func() bool          // whether this process takes clients
+	Service func(out bool) error // out of service or back in; an error is a no, worded for the caller
+}
+
+// Door is the operators' door. It belongs to the loop's goroutine.
+type Door struct {
+	core    *core.Core
+	engine  *net.Engine
+	members core.Carrier // whose backends are the membership workers
+	desk    Desk
+	calls   core.Table[call]
+	ended   []*net.Conn // answered, on their way out, the oldest first
+}
+
+// call is one connection until its call has been answered.
+type call struct {
+	door  *Door
+	token uint64
+	conn  *net.Conn
+	in    *net.Buffer
+	read  platform.CallReader
+	due   core.Deadline
+}
+
+// New returns a door; members is the carrier whose backends the figures are about.
+func New(c *core.Core, e *net.Engine, members core.Carrier, desk Desk) *Door {
+	return &Door{core: c, engine: e, members: members, desk: desk}
+}
+
+// Listen opens the door at an address, which it returns.
+func (d *Door) Listen(addr string) (string, error) {
+	a, err := d.engine.Listen(addr, Calls, true, d.accept, d.room)
+	if err != nil {
+		return "", err
+	}
+	return a.String(), nil
+}
+
+func (d *Door) accept(c *net.Conn) net.Owner {
+	k := &call{door: d, conn: c}
+	k.token = d.calls.Put(k)
+	k.due.Fire = k.expire
+	d.core.Loop.Set(&k.due, d.core.Loop.Now()+callTime)
+	return k
+}
+
+// room makes room for the next caller: the oldest that has said nothing goes,
+// else the oldest that has its answer, else the oldest half call. Guards the
+// callers that speak against those that only hold the line. One that has just
+// come counts as no silent one, for its call is on the way: among half calls it
+// was the only one that had not spoken, and was closed.
+func (d *Door) room() {
+	d.prune()
+	if d.calls.Len()+len(d.ended) < Calls { // some have gone since it was full
+		return
+	}
+	now := d.core.Loop.Now()
+	silent := func(k *call) bool { return k.in == nil && now-k.conn.Opened >= youngTime }
+	var oldest *call
+	d.calls.All(func(_ uint64, k *call) {
+		switch {
+		case oldest == nil, silent(k) && !silent(oldest),
+			silent(k) == silent(oldest) && k.conn.Opened < oldest.conn.Opened:
+			oldest = k
+		}
+	})
+	switch {
+	case oldest != nil && (silent(oldest) || len(d.ended) == 0):
+		oldest.forget()
+		oldest.conn.Close()
+	case len(d.ended) > 0:
+		d.ended[0].Close()
+		d.ended = d.ended[1:]
+	}
+}
+
+// prune forgets the answered ones that have gone.
+func (d *Door) prune() {
+	d.ended = slices.DeleteFunc(d.ended, func(c *net.Conn) bool { return c.Handle == 0 })
+}
+
+// Data takes in what the caller sent.
+func (k *call) Data(_ *net.Conn, b *net.Buffer) {
+	if k.in == nil {
+		k.in = b
+	} else {
+		fits := k.in.Add(b.Bytes())
+		k.door.engine.Pool.Put(b)
+		if !fits {
+			k.answer(413, "the call is too long\n", "")
+			return
+		}
+	}
+	c, whole, err := k.read.Read(k.in.Bytes())
+	switch {
+	case err != nil:
+		k.answer(platform.StatusOf(err), err.Error()+"\n", "")
+	case whole:
+		k.serve(c)
+	}
+}
+
+// Closed is told that the caller has gone.
+func (k *call) Closed(*net.Conn, error) { k.forget() }
+
+// expire ends a call that has not come whole in time.
+func (k *call) expire() {
+	if k.in == nil {
+		k.forget()
+		k.conn.Close()
+		return
+	}
+	k.answer(408, "the call did not come in time\n", "")
+}
+
+func (k *call) forget() {
+	k.door.calls.Drop(k.token)
+	k.door.core.Loop.Clear(&k.due)
+	k.door.engine.Pool.Put(k.in)
+	k.in = nil
+}
+
+// serve answers one whole call.
+func (k *call) serve(c platform.Call) {
+	d := k.door
+	method, act := "GET", func() {}
+	switch c.Path {
+	case "/control/ready":
+		act = func() {
+			if !d.desk.Ready() {
+				k.answer(503, "not ready\n", "")
+				return
+			}
+			k.answer(200, "ready\n", "")
+		}
+	case "/control/counters":
+		act = func() { k.figures() }
+	case "/control/out-of-service":
+		method, act = "PUT", func() { k.service(true) }
+	case "/control/in-service":
+		method, act = "PUT", func() { k.service(false) }
+	default:
+		k.answer(404, "no such call\n", "")
+		return
+	}
+	if c.Method != method {
+		k.answer(405, method+" only\n", "Allow: "+method+"\r\n")
+		return
+	}
+	act()
+}
+
+func (k *call) service(out bool) {
+	if err := k.door.desk.Service(out); err != nil {
+		k.answer(409, err.Error()+"\n", "")
+		return
+	}
+	text := "in service\n"
+	if out {
+		text = "out of service\n"
+	}
+	k.answer(200, text, "")
+}
+
+// figures words what the core has counted.
+func (k *call) figures() {
+	c, members := k.door.core, k.door.members
+	f := struct {
+		Succeeded   map[string]uint64 `json:"succeeded"`
+		Declined    map[string]uint64 `json:"declined"`
+		Aborted     map[string]uint64 `json:"aborted"`
+		Forwards    uint64            `json:"forwards"`
+		Outstanding int               `json:"outstanding"`
+		Discovered  int               `json:"discovered"`
+		Ejected     int               `json:"ejected"`
+	}{
+		map[string]uint64{}, map[string]uint64{}, map[string]uint64{}, c.Counts().Sent,
+		c.Owed(), c.Listed(members), c.Ejected(members),
+	}
+	for i, class := range c.Settings.Classes {
+		t := c.Tally(i)
+		f.Succeeded[class.Name], f.Declined[class.Name], f.Aborted[class.Name] = t.Served, t.Refused, t.Failed
+	}
+	text, err := json.Marshal(f)
+	if err != nil {
+		k.answer(500, err.Error()+"\n", "")
+		return
+	}
+	k.answer(200, string(text)+"\n", "Content-Type: application/json\r\n")
+}
+
+// answer gives the one answer and ends the connection.
+func (k *call) answer(status int, text, fields string) {
+	k.forget()
+	k.conn.Write(platform.AppendAnswer(nil, status, []byte(text), 0, true, fields))
+	k.conn.End()
+	k.door.prune()
+	k.door.ended = append(k.door.ended, k.conn)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,6 +93,7 @@
 	handling bool
 	owed     int
 	counts   Counts
+	tallies  []Tally // by class
 	ids      ids
 }
 
@@ -127,8 +128,12 @@
 	s.ring[s.next], s.next = h, (s.next+1)%pastIDs
 }
 
-// Counts tells what became of the reqs taken so far.
-type Counts struct{ Taken, Served, Refused, Failed, HungUp, Fetches uint64 }
+// Counts tells what became of the reqs taken so far. Fetches are those assigned,
+// Sent those of which the last byte left for a backend that its carrier reports.
+type Counts struct{ Taken, Served, Refused, Failed, HungUp, Fetches, Sent uint64 }
+
+// Tally counts the final answers to requests of one class, those of the fronts too.
+type Tally struct{ Served, Refused, Failed uint64 }
 
 type req struct {
 	handle   uint64
@@ -153,6 +158,7 @@
 	attempt int
 	backend string
 	carrier Carrier
+	sent    bool // its last byte has left
 }
 
 type listing struct {
@@ -168,7 +174,8 @@
 	}
 	return &Core{
 		Loop: loop, Settings: s, Log: func(string) {}, module: m, listed: map[string]listing{},
-		ids: ids{seed: maphash.MakeSeed(), open: map[uint64]int{}, past: map[uint64]struct{}{}},
+		tallies: make([]Tally, len(s.Classes)),
+		ids:     ids{seed: maphash.MakeSeed(), open: map[uint64]int{}, past: map[uint64]struct{}{}},
 	}, nil
 }
 
@@ -187,6 +194,41 @@
 // Counts tells what became of the reqs taken so far.
 func (c *Core) Counts() Counts { return c.counts }
 
+// Tally counts the final answers to requests of a class.
+func (c *Core) Tally(class int) Tally { return c.tallies[class] }
+
+// Book counts a final answer that a front gave by itself, without a req.
+func (c *Core) Book(class int, v Verdict) {
+	switch t := &c.tallies[class]; v {
+	case Served:
+		t.Served++
+	case Refused:
+		t.Refused++
+	default:
+		t.Failed++
+	}
+}
+
+// Listed is the number of backends that a source has listed, draining ones too.
+func (c *Core) Listed(source Carrier) (n int) {
+	for _, l := range c.listed {
+		if l.source == source {
+			n++
+		}
+	}
+	return n
+}
+
+// Ejected is the number of those that the module avoids as failing.
+func (c *Core) Ejected(source Carrier) (n int) {
+	for _, name := range c.module.Ejected() {
+		if l, ok := c.listed[name]; ok && l.source == source {
+			n++
+		}
+	}
+	return n
+}
+
 // Backends is the number of backends listed that take new work.
 func (c *Core) Backends() (ready int) {
 	for _, l := range c.listed {
@@ -264,6 +306,7 @@
 		return
 	}
 	a.MayHaveRun = r.mayHaveRun()
+	c.Book(r.job.Class, a.Verdict)
 	switch a.Verdict {
 	case Served:
 		c.counts.Served++
@@ -318,6 +361,14 @@
 	c.tidy(r)
 }
 
+// Sent tells that the last byte of a fetch has left; told again, it counts once.
+func (c *Core) Sent(handle uint64) {
+	if f := c.fetches.Get(handle); f != nil && !f.sent {
+		f.sent = true
+		c.counts.Sent++
+	}
+}
+
 // Started tells that a backend has begun with a fetch.
 func (c *Core) Started(handle uint64) {
 	if f := c.fetches.Get(handle); f != nil {
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -381,6 +381,34 @@
 	c.again(func() { c.paused = false })
 }
 
+// Quiet tells whether nothing of the peer's is on its way to the owner, neither
+// in a buffer nor unread in the socket: a close now crosses nothing that is here.
+func (c *Conn) Quiet() bool {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.Handle == 0 || c.flight > 0 || c.stalled {
+		return c.Handle == 0
+	}
+	quiet := true
+	c.control(func(fd int) {
+		n, _, err := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err != nil || n == 0
+	})
+	return quiet
+}
+
+// control calls f with the descriptor, which is ours as long as nbio has not closed it.
+func (c *Conn) control(f func(fd int)) {
+	c.nb.Lock()
+	defer c.nb.Unlock()
+	if closed, _ := c.nb.IsClosed(); closed {
+		return
+	}
+	if raw, err := c.nb.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+	}
+}
+
 // Accepted is the share of the descriptors that accepted connections may take.
 func Accepted(descriptors int) int {
 	return int(acceptedShare * float64(max(descriptors-spareDescriptors, 8)))
@@ -577,13 +605,7 @@
 	}
 	if !c.halfEnded && c.Passed(c.asked) {
 		c.halfEnded = true
-		c.nb.Lock() // the descriptor is ours as long as nbio has not closed it
-		if closed, _ := c.nb.IsClosed(); !closed {
-			if raw, err := c.nb.SyscallConn(); err == nil {
-				_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-			}
-		}
-		c.nb.Unlock()
+		c.control(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) })
 	}
 	c.engine.Loop.Set(&c.ending, min(now+lingerStep, c.endBy))
 }
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -245,6 +245,14 @@
 	if l.held {
 		s.core.Loop.Set(&l.due, now+holdTime)
 	}
+	l.tellSent()
+}
+
+// tellSent tells that the fetch's last byte has left, if it has.
+func (l *line) tellSent() {
+	if l.fetch != 0 && l.phase != resting && !l.held && l.conn.Passed(l.mark) {
+		l.set.core.Sent(l.fetch)
+	}
 }
 
 // release sends the last byte of a request.
@@ -259,7 +267,9 @@
 	if !l.conn.Write([]byte{l.tail}) {
 		l.close()
 		l.unsent()
+		return
 	}
+	l.tellSent()
 }
 
 // unsent is told that the connection broke before the request's last byte had
@@ -346,6 +356,7 @@
 	if l == nil {
 		return false
 	}
+	l.tellSent()
 	delete(s.lines, handle)
 	l.fetch = 0
 	if l.conn == nil { // the connection may serve another
@@ -405,6 +416,7 @@
 	if l.phase != streaming && l.b.state == hollyyoke.Running {
 		l.set.wary = l.set.core.Loop.Now() + waryTime
 	}
+	l.tellSent()
 	if l.phase == streaming && !l.chunked && l.left < 0 && l.done() == nil { // it ends with the connection
 		l.tell()
 	}
@@ -491,6 +503,7 @@
 		l.close()
 		return
 	}
+	l.tellSent()
 	if !collect(&l.set.engine.Pool, &l.in, b) {
 		l.broken()
 		return
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -29,7 +29,10 @@
 	most     int    // sessions at a time
 	stopping bool
 	closing  bool // the arrival window has passed: sessions end between requests
-	pressed  bool // new sessions wait, and none could be closed for them
+	away     bool // out of service, for a drain
+	awayAt   time.Duration
+	drain    core.Deadline // the drain's next step
+	pressed  bool          // new sessions wait, and none could be closed for them
 	press    core.Deadline
 	quiet    core.Deadline
 }
@@ -75,14 +78,22 @@
 	graceTime   = time.Second             // a session that has just come is not shed, for its request is on the way
 	pressTime   = 50 * time.Millisecond   // between looks for sessions to shed
 	turnWork    = 16                      // requests that a session may have read in one turn
-	mostWaiting = 256 << 10               // bytes of answers that a client leaves unread
+
+	// A drain. The platform's front asks every 0.1 s and sends new connections
+	// for 0.2 s more; then answers end their sessions, which spares a close that
+	// may cross a request; what rests after that is ended.
+	frontTime   = 450 * time.Millisecond  // from the call on: all goes on as before, but for healthz
+	restTime    = 1200 * time.Millisecond // from the call on: sessions may rest until then
+	lateRest    = 300 * time.Millisecond  // for the first byte of a session that comes later
+	drainStep   = 50 * time.Millisecond
+	mostWaiting = 256 << 10 // bytes of answers that a client leaves unread
 )
 
 // NewFront returns a front that accepts on addr once Listen is called. Its
 // buffers, with those of others, should not take up more than memory bytes.
 func NewFront(c *core.Core, e *net.Engine, memory int, ready func() bool) *Front {
 	f := &Front{core: c, engine: e, classes: map[string]int{}, memory: memory, ready: ready}
-	f.press.Fire, f.quiet.Fire = f.shed, f.hush
+	f.press.Fire, f.quiet.Fire, f.drain.Fire = f.shed, f.hush, f.drainOn
 	for i, class := range c.Settings.Classes {
 		f.classes[class.Name] = i
 	}
@@ -193,16 +204,53 @@
 // Stop begins a planned restart: it goes on accepting, but no longer says that it is ready.
 func (f *Front) Stop() { f.stopping = true }
 
-// Close ends all sessions between requests, now and from now on.
-func (f *Front) Close() {
+// Withdraw takes the front out of service: healthz says no at once, and sessions
+// end soon, whereas requests that come all the same are served. Said again, it
+// changes nothing.
+func (f *Front) Withdraw() {
+	if !f.away {
+		f.away, f.awayAt = true, f.core.Loop.Now()
+		f.core.Loop.Set(&f.drain, f.awayAt+frontTime)
+	}
+}
+
+// Return brings the front back into service at once. It must not be called
+// after Stop.
+func (f *Front) Return() {
+	f.away, f.closing = false, false
+	f.core.Loop.Clear(&f.drain)
+}
+
+// drainOn goes on with a drain.
+func (f *Front) drainOn() {
 	f.closing = true
+	now := f.core.Loop.Now()
+	if now >= f.awayAt+restTime {
+		f.endResting(lateRest)
+	}
+	f.core.Loop.Set(&f.drain, now+drainStep)
+}
+
+// endResting ends the sessions between requests on which nothing is on its way,
+// and spares those that are silent and younger than young.
+func (f *Front) endResting(young time.Duration) {
+	now := f.core.Loop.Now()
 	f.sessions.All(func(_ uint64, s *session) {
-		if s.between() {
+		if s.between() && (s.stage != silent || now-s.conn.Opened >= young) && s.conn.Quiet() {
 			s.end()
 		}
 	})
 }
 
+// Close ends all sessions between requests, now and from now on.
+func (f *Front) Close() {
+	f.closing = true
+	f.endResting(0)
+}
+
+// Serving tells whether backends are known, so that jobs have somewhere to go.
+func (f *Front) Serving() bool { return f.ready() }
+
 // Sessions is the number of sessions open.
 func (f *Front) Sessions() int { return f.sessions.Len() }
 
@@ -390,19 +438,8 @@
 
 // reject answers what cannot be understood, and ends the session, whose next bytes mean nothing.
 func (s *session) reject(err error) {
-	status := 400
-	switch {
-	case errors.Is(err, errBody):
-		status = 413
-	case errors.Is(err, errHead):
-		status = 431
-	case errors.Is(err, errSlow):
-		status = 408
-	case errors.Is(err, errMemory):
-		status = 503
-	}
 	s.last = true
-	s.write(status, []byte(err.Error()+"\n"), 0, "")
+	s.write(StatusOf(err), []byte(err.Error()+"\n"), 0, "")
 }
 
 // request handles one whole request.
@@ -416,7 +453,7 @@
 		status, text = 503, "not ready\n"
 		if !bytes.Equal(m.a, []byte("GET")) && !bytes.Equal(m.a, []byte("HEAD")) {
 			status, text, fields = 405, "GET only\n", "Allow: GET\r\n"
-		} else if s.front.ready() && !s.front.stopping {
+		} else if s.front.ready() && !s.front.stopping && !s.front.away {
 			status, text = 200, "ready\n"
 		}
 	case !known:
@@ -426,9 +463,12 @@
 	default:
 		if err := readJob(m, &job); err != nil {
 			status, text = 400, err.Error()+"\n"
+			s.front.core.Book(class, core.Failed)
 		} else if s.front.core.Named(job.ID) { // guards the req of that name, which may be another client's
 			status, text = 409, "X-Correlation-Id names another request\n"
+			s.front.core.Book(class, core.Failed)
 		} else if s.front.relieve(); s.front.full() {
+			s.front.core.Book(class, core.Refused)
 			s.cut(m.size)
 			s.write(503, []byte(errMemory.Error()+"\n"), lateTime, "")
 			return
@@ -543,7 +583,7 @@
 func (s *session) write(status int, body []byte, retryAfter time.Duration, fields string) {
 	f := s.front
 	s.last = s.last || f.pressed
-	f.out = appendAnswer(f.out[:0], status, body, retryAfter, s.last, fields)
+	f.out = AppendAnswer(f.out[:0], status, body, retryAfter, s.last, fields)
 	s.conn.Write(f.out)
 	switch {
 	case s.last:
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -377,14 +377,47 @@
 	return true, false, nil
 }
 
-// statusText words the statuses that a client session answers with.
+// statusText words the statuses that fronts answer with.
 var statusText = map[int]string{
 	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
-	431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
+	431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
 }
 
-// appendAnswer appends a whole answer to out. retryAfter is told if it is positive.
-func appendAnswer(out []byte, status int, body []byte, retryAfter time.Duration, last bool, fields string) []byte {
+// StatusOf is the status that answers what could not be understood, or not be kept.
+func StatusOf(err error) int {
+	switch {
+	case errors.Is(err, errBody):
+		return 413
+	case errors.Is(err, errHead):
+		return 431
+	case errors.Is(err, errSlow):
+		return 408
+	case errors.Is(err, errMemory):
+		return 503
+	}
+	return 400
+}
+
+// Call is one whole request as another front needs it.
+type Call struct{ Method, Path string }
+
+// CallReader reads one call, however its bytes come.
+type CallReader struct{ sc scan }
+
+// Read reads the call at the start of b, which holds all that has come so far;
+// false without an error: it is not all there yet.
+func (r *CallReader) Read(b []byte) (Call, bool, error) {
+	var m message
+	ok, _, err := parseRequest(b, &m, &r.sc)
+	if !ok || err != nil {
+		return Call{}, false, err
+	}
+	path, _, _ := bytes.Cut(m.b, []byte("?"))
+	return Call{string(m.a), string(path)}, true, nil
+}
+
+// AppendAnswer appends a whole answer to out. retryAfter is told if it is positive.
+func AppendAnswer(out []byte, status int, body []byte, retryAfter time.Duration, last bool, fields string) []byte {
 	out = append(out, "HTTP/1.1 "...)
 	out = strconv.AppendInt(out, int64(status), 10)
 	out = append(out, ' ')
