--- a/api.go
+++ b/api.go
@@ -227,6 +227,7 @@
 	HungUp                        // Request
 	TimerDue                      // Timer
 	PeerMessage                   // ignored: dispatchers share nothing
+	ColdCharge                    // Worker, Charge: what the same dispatcher's other process, while there is one, sent
 )
 
 // ListKind tells how the entries of a WorkerList event are meant.
@@ -258,6 +259,7 @@
 	Settled     bool // the request has its final answer
 	Load        Load
 	Fraction    float64
+	Charge      float64 // of a cold worker's budget
 	Timer       uint64
 	List        ListKind
 	Entries     []Entry
@@ -268,7 +270,7 @@
 
 // The kinds of actions, with the fields they use.
 const (
-	Assign      ActionKind = iota // Request, Worker: start the next attempt
+	Assign      ActionKind = iota // Request, Worker, Charge: start the next attempt
 	Refuse                        // Request, Delay: turned away, safe to try again after Delay
 	FinishError                   // Request: failed, no promise
 	StopAttempt                   // Request, Attempt
@@ -286,6 +288,7 @@
 	Attempt int
 	Worker  string
 	Delay   time.Duration
+	Charge  float64 // what the attempt takes of a cold worker's budget; 0: the worker is warm
 	Timer   uint64
 	Text    string
 }
--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -1,8 +1,8 @@
 // Command hollyyoke is the dispatcher: it takes jobs from clients over sockets
 // and has backends run them, as the module decides. This file owns the
-// process: what it is told at its start and on SIGHUP, its limits, and its
-// planned end. It must never exit while an answer is owed, but on a second
-// interrupt or a bad start, nor take over any part of a file that is not whole.
+// process: what it is told at its start and on SIGHUP, and its limits. It must
+// never exit while an answer is owed, but on a second interrupt or a bad start,
+// nor let any part of a file that is not whole through.
 package main
 
 import (
@@ -16,14 +16,10 @@
 	stdnet "net"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
-	"slices"
 	"strconv"
-	"strings"
 	"syscall"
-	"time"
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/control"
@@ -42,10 +38,6 @@
 	}
 }
 
-// arrivalWindow is how long new connections and requests may still come after
-// SIGTERM: 0.4 s by the platform's page, and some for a slow machine.
-const arrivalWindow = 600 * time.Millisecond
-
 // config is what the dispatcher is told: the file, with the environment before
 // it. After a reload the file's discovery comes before the environment's, which
 // still names the one that the program was started with.
@@ -149,6 +141,31 @@
 	return int(c.Limits.MemoryMB * bufferShare * (1 << 20))
 }
 
+// listener is where clients come: the socket that the platform keeps and that
+// BALANCER_FD numbers, or one of our own.
+func listener(env func(string) string, addr string) (stdnet.Listener, error) {
+	text := env("BALANCER_FD")
+	if text == "" {
+		ln, err := stdnet.Listen("tcp", addr)
+		if err != nil {
+			return nil, fmt.Errorf("config: listen: %w", err)
+		}
+		return ln, nil
+	}
+	fd, err := strconv.Atoi(text)
+	if err == nil && fd < 0 {
+		err = errors.New("a descriptor is not negative")
+	}
+	var ln stdnet.Listener
+	if err == nil {
+		ln, err = net.Inherit(fd)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("BALANCER_FD: %q: %w", text, err)
+	}
+	return ln, nil
+}
+
 func run(args []string, env func(string) string, log io.Writer) error {
 	flags := flag.NewFlagSet("hollyyoke", flag.ContinueOnError)
 	configPath := flags.String("config", "", "configuration `file`; BALANCER_CONFIG where not given")
@@ -191,50 +208,54 @@
 		return err
 	}
 	backends := platform.NewBackends(d, engine, c.Discovery)
-	if err := backends.Known(c.Known); err != nil {
-		return fmt.Errorf("config: known: %w", err)
+	if err := backends.CheckList(c.Known); err != nil {
+		return err
 	}
-	fronts, sessions := fronts{}, net.Accepted(c.clients())
+	n := &node{core: d, engine: engine, backends: backends, config: c, told: told}
+	n.sessions = net.Accepted(c.clients())
 	if *faktoryPath != "" && c.Listen != "" {
-		sessions /= 2 // half for either front
+		n.sessions /= 2 // half for either front
 	}
 	if c.Listen != "" {
-		fronts.platform = platform.NewFront(d, engine, c.buffers(), func() bool {
+		n.fronts.platform = platform.NewFront(d, engine, c.buffers(), func() bool {
 			return d.Backends() > 0 || backends.Listed()
 		})
-		addr, err := fronts.platform.Listen(c.Listen, sessions)
-		if err != nil {
-			return fmt.Errorf("config: listen: %w", err)
+		if n.listener, err = listener(env, c.Listen); err != nil {
+			return err
 		}
-		d.Log("listening on " + addr)
+		d.Log("listening on " + n.listener.Addr().String())
+	}
+	former := n.former(env)
+	if former != nil && *faktoryPath != "" {
+		return fmt.Errorf("%s: the Faktory front cannot be handed over, neither its address nor its jids: "+
+			"end the running process first", *faktoryPath)
 	}
 	if *faktoryPath != "" {
-		if fronts.faktory, err = faktory.Open(d, engine, second, sessions); err != nil {
+		if n.fronts.faktory, err = faktory.Open(d, engine, second, n.sessions); err != nil {
 			return fmt.Errorf("%s: %w", *faktoryPath, err)
 		}
 	}
-
-	node := &node{core: d, fronts: fronts}
 	if c.Admin != "" {
-		door := control.New(d, engine, backends, control.Desk{Ready: node.ready, Service: node.service})
+		door := control.New(d, engine, backends, control.Desk{Ready: n.ready, Service: n.service})
 		addr, err := door.Listen(c.Admin)
 		if err != nil {
 			return fmt.Errorf("config: admin_addr: %w", err)
 		}
 		d.Log("operators' door at " + addr)
 	}
+	n.start(former)
 
 	go func() { // those that come while one is read are one
 		for range hangups {
 			next, now, err := readConfig(*configPath, env, true)
-			loop.Post(func() { c = reload(d, backends, c, next, told, now, err) })
+			loop.Post(func() { n.reload(next, now, err) })
 		}
 	}()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
-		loop.Post(node.stop)
+		loop.Post(n.stop)
 		for sig := range signals {
 			if sig == syscall.SIGINT { // someone at a terminal insists; a second SIGTERM changes nothing
 				os.Exit(1)
@@ -242,124 +263,8 @@
 		}
 	}()
 	loop.Run()
-	n := d.Counts()
+	sum := d.Counts()
 	d.Log(fmt.Sprintf("stopped: taken %d, served %d, refused %d, failed %d, hung up %d, fetches %d",
-		n.Taken, n.Served, n.Refused, n.Failed, n.HungUp, n.Fetches))
-	return nil
-}
-
-// reload takes over from a file read anew what can change while the program
-// runs: where discovery is. It returns what is in force now. A file of which any
-// part is wrong changes nothing; what needs a restart is named in the log.
-func reload(d *core.Core, b *platform.Backends, c, next config, told, now hollyyoke.Settings, err error) config {
-	if err == nil {
-		err = b.CheckList(next.Known)
-	}
-	if err == nil {
-		if _, err = hollyyoke.New(now, 0); err != nil {
-			err = fmt.Errorf("config: %w", err)
-		}
-	}
-	if err != nil {
-		d.Log(fmt.Sprintf("reload: %v; what was in force stays", err))
-		return c
-	}
-	var restart []string
-	for name, changed := range map[string]bool{
-		"name": next.Name != c.Name, "listen": next.Listen != c.Listen, "admin_addr": next.Admin != c.Admin, "limits": next.Limits != c.Limits,
-		"settings": !reflect.DeepEqual(now, told),
-	} {
-		if changed {
-			restart = append(restart, name)
-		}
-	}
-	slices.Sort(restart)
-	text := "reload: discovery stays at " + c.Discovery
-	if next.Discovery != c.Discovery {
-		text = "reload: discovery moves to " + next.Discovery
-		b.Move(next.Discovery)
-	}
-	if len(restart) > 0 {
-		text += "; changed, but only a restart takes over: " + strings.Join(restart, ", ")
-	}
-	d.Log(text)
-	c.Discovery = next.Discovery
-	return c
-}
-
-// fronts are those that are on.
-type fronts struct {
-	platform *platform.Front
-	faktory  faktory.Front
-}
-
-// close ends what owes nothing, now and from now on, and tells whether all has ended.
-func (f fronts) close() bool {
-	ended := f.faktory.Idle()
-	if f.platform != nil {
-		f.platform.Close()
-		ended = ended && f.platform.Sessions() == 0
-	}
-	return ended
-}
-
-// node is the running dispatcher as operators and signals see it.
-type node struct {
-	core     *core.Core
-	fronts   fronts
-	stopping bool
-}
-
-// ready tells whether this process takes clients.
-func (n *node) ready() bool {
-	return !n.stopping && (n.fronts.platform == nil || n.fronts.platform.Serving())
-}
-
-var errStopping = errors.New("the dispatcher is ending and does not come back into service")
-
-// service takes the dispatcher out of service or back in; said again, it changes nothing.
-func (n *node) service(out bool) error {
-	switch {
-	case n.stopping && !out:
-		return errStopping
-	case n.fronts.platform == nil:
-		return errors.New("the Faktory front alone tells no health, and cannot be taken out of service")
-	case n.stopping: // it is out already
-	case out:
-		n.core.Log("out of service")
-		n.fronts.platform.Withdraw()
-	default:
-		n.core.Log("in service")
-		n.fronts.platform.Return()
-	}
+		sum.Taken, sum.Served, sum.Refused, sum.Failed, sum.HungUp, sum.Fetches))
 	return nil
 }
-
-// stop is the planned end: all that comes in the arrival window is served like
-// before, then sessions end between requests, and the last answer ends the program.
-func (n *node) stop() {
-	d, f, loop := n.core, n.fronts, n.core.Loop
-	n.stopping = true
-	if f.platform != nil {
-		f.platform.Stop()
-	}
-	f.faktory.Stop()
-	loop.After(arrivalWindow, func() {
-		// For requests that have begun to come in, and for closings that upstream has not taken.
-		patience, upstream := loop.Now()+time.Second, loop.Now()+8*time.Second
-		var last func()
-		last = func() {
-			ended, now := f.close(), loop.Now()
-			if d.Owed() == 0 && (ended || now > patience && !f.faktory.Busy() || now > upstream) {
-				// What was answered just now is still on its way out of the sockets.
-				loop.After(lastBytes, loop.Stop)
-				return
-			}
-			loop.After(5*time.Millisecond, last)
-		}
-		last()
-	})
-}
-
-// lastBytes is left to sockets for their last bytes before the process ends.
-const lastBytes = 50 * time.Millisecond
--- /dev/null
+++ b/cmd/hollyyoke/node.go
@@ -0,0 +1,511 @@
+package main
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	stdnet "net"
+	"os"
+	"reflect"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/faktory"
+	"hollyyoke.example/hollyyoke/internal/handover"
+	"hollyyoke.example/hollyyoke/internal/net"
+	"hollyyoke.example/hollyyoke/internal/platform"
+)
+
+// This file owns the states of the running dispatcher: in service, drained,
+// beside a predecessor or a successor, and at its planned end. It must never end
+// a process that owes an answer, take clients before it can serve them, nor keep
+// more of the limits than the other process leaves.
+
+const (
+	// arrivalWindow is how long new connections and requests may still come after
+	// SIGTERM: 0.4 s by the platform's page, and some for a slow machine.
+	arrivalWindow = 600 * time.Millisecond
+
+	callPatience  = 300 * time.Millisecond  // for a predecessor to take the call
+	helloPatience = time.Second             // and for its first word
+	backendsTime  = 3 * time.Second         // then clients are taken, though no backend is known
+	startStep     = 10 * time.Millisecond   // between looks whether they can be
+	roomStep      = 100 * time.Millisecond  // between words of what the old one keeps
+	leaveRest     = 1500 * time.Millisecond // sessions left to a successor may rest so long
+	killAfter     = 700 * time.Millisecond  // SIGKILL comes so long after the longest deadline,
+	killDeadline  = 3 * time.Second         // which counts as this at the most
+	killMargin    = 250 * time.Millisecond  // what is still open so long before it has its last moment
+	roomMargin    = 8                       // descriptors that may come between two words of room
+)
+
+// node is the running dispatcher as operators, signals and the other process see it.
+type node struct {
+	core     *core.Core
+	engine   *net.Engine
+	backends *platform.Backends
+	fronts   fronts
+	config   config             // in force
+	told     hollyyoke.Settings // as the file words them
+	listener stdnet.Listener
+	sessions int // of clients, at a time
+
+	inherited bool // the listener is the platform's, and other processes have it
+	path      string
+	meeting   *net.Acceptor  // where a successor calls
+	link      *handover.Link // to the other process, nil without one
+	greeted   bool           // the predecessor has spoken, or has had its time
+	theirs    bool           // the successor takes clients
+	serving   bool           // clients are taken here
+	stopping  bool
+	room      core.Deadline
+}
+
+// former calls the process whose successor this one may be; nil: there is none.
+func (n *node) former(env func(string) string) stdnet.Conn {
+	if n.inherited = env("BALANCER_FD") != "" && n.listener != nil; !n.inherited {
+		return nil
+	}
+	n.path = handover.Path(env("TMPDIR"), n.config.Name+" "+n.config.Listen)
+	conn, err := handover.Call(n.path, callPatience)
+	if err != nil {
+		return nil
+	}
+	return conn
+}
+
+// start takes clients, beside a predecessor only once they can be served.
+func (n *node) start(former stdnet.Conn) {
+	n.room.Fire = n.tellRoom
+	if former != nil {
+		n.keep(n.config.descriptors()/4, n.memory()/4)
+		err := n.engine.Adopt(former, func(c *net.Conn) net.Owner {
+			n.link = handover.NewLink(n.engine, c, n.heardFormer, n.formerGone)
+			n.listenIn()
+			return n.link
+		})
+		if err == nil {
+			n.core.Loop.After(helloPatience, func() { n.greet(nil) })
+			return
+		}
+		n.keep(n.config.descriptors(), n.memory())
+	}
+	n.greeted = true
+	n.known(nil)
+	if n.fronts.platform != nil {
+		n.serve()
+	}
+	n.meet()
+}
+
+// known starts from a list, the configuration's where there is no newer one.
+func (n *node) known(list []byte) {
+	if len(list) > 0 {
+		err := n.backends.Known(list)
+		if err == nil {
+			return
+		}
+		n.core.Log(fmt.Sprintf("the list handed over: %v", err))
+	}
+	if err := n.backends.Known(n.config.Known); err != nil { // checked at the start
+		n.core.Log(err.Error())
+	}
+}
+
+func (n *node) serve() {
+	n.serving = true
+	n.fronts.platform.Serve(n.listener, n.sessions)
+}
+
+// ready tells whether this process takes clients.
+func (n *node) ready() bool {
+	return !n.stopping && (n.fronts.platform == nil || n.serving && n.fronts.platform.Serving())
+}
+
+var errStopping = errors.New("the dispatcher is ending and does not come back into service")
+
+// service takes the dispatcher out of service or back in; said again, it changes nothing.
+func (n *node) service(out bool) error {
+	switch {
+	case n.stopping && !out:
+		return errStopping
+	case n.fronts.platform == nil:
+		return errors.New("the Faktory front alone tells no health, and cannot be taken out of service")
+	}
+	n.tell(handover.Message{Out: &out})
+	n.drain(out)
+	return nil
+}
+
+func (n *node) drain(out bool) {
+	switch {
+	case n.stopping: // it is out already
+	case out:
+		n.core.Log("out of service")
+		n.fronts.platform.Withdraw()
+	default:
+		n.core.Log("in service")
+		n.fronts.platform.Return()
+	}
+}
+
+// ---- The other process.
+
+// tell tells the other process, if there is one.
+func (n *node) tell(m handover.Message) {
+	if n.link != nil {
+		n.link.Tell(m)
+	}
+}
+
+// listenIn lets the other process know what it must not do again.
+func (n *node) listenIn() {
+	n.core.Taken = n.link.Taken
+	n.core.Charged = func(backend string, amount float64) {
+		n.tell(handover.Message{Charge: &handover.Charge{Backend: backend, Amount: amount}})
+	}
+}
+
+// alone is told that the other process has gone: all limits are this one's.
+func (n *node) alone() {
+	n.link, n.theirs = nil, false
+	n.core.Taken, n.core.Charged, n.backends.Told = nil, nil, nil
+	n.core.Loop.Clear(&n.room)
+	n.keep(n.config.descriptors(), n.memory())
+	if n.fronts.platform != nil {
+		n.fronts.platform.Share(false)
+	}
+}
+
+// heard takes in what either process may tell.
+func (n *node) heard(m handover.Message) {
+	if m.Names != "" {
+		names, err := m.ReadNames()
+		if err != nil {
+			n.core.Log("handover: " + err.Error())
+		}
+		n.core.Bar(names)
+	}
+	if m.Charge != nil {
+		n.core.ChargedElsewhere(m.Charge.Backend, m.Charge.Amount)
+	}
+	if m.Out != nil {
+		n.drain(*m.Out)
+	}
+	if m.Moved != "" && m.Moved != n.config.Discovery {
+		n.core.Log("discovery moves to " + m.Moved + ", the other process says")
+		n.config.Discovery = m.Moved
+		n.backends.Move(m.Moved)
+	}
+}
+
+// memory is what all processes of the dispatcher may take up; 0: not told.
+func (n *node) memory() int64 { return int64(n.config.Limits.MemoryMB * (1 << 20)) }
+
+// keep makes this process keep to a part of the limits.
+func (n *node) keep(descriptors int, memory int64) {
+	n.engine.Resize(descriptors - (n.config.descriptors() - n.config.clients()))
+	if n.config.Limits.MemoryMB < 1 {
+		return
+	}
+	debug.SetMemoryLimit(int64(float64(memory) * (0.6 - bufferShare)))
+	if n.fronts.platform != nil {
+		n.fronts.platform.Room(int(float64(memory) * bufferShare))
+	}
+}
+
+// ---- The successor's side.
+
+// heardFormer takes in what the predecessor says.
+func (n *node) heardFormer(m handover.Message) {
+	if m.Hello != nil {
+		n.greet(m.Hello)
+	}
+	n.heard(m)
+	if m.Room != nil {
+		n.keep(n.config.descriptors()-m.Room.Descriptors, n.memory()-m.Room.Memory)
+	}
+	if len(m.List) > 0 {
+		if err := n.backends.Relay(m.List); err != nil {
+			n.core.Log(fmt.Sprintf("the list handed over: %v", err))
+		}
+	}
+}
+
+// greet begins, by the predecessor's word or, where it has none in time, without.
+func (n *node) greet(hello *handover.Hello) {
+	if n.greeted {
+		return
+	}
+	n.greeted = true
+	var list []byte
+	if hello != nil {
+		n.core.Log("beside a running process, as its successor")
+		n.core.Succeed(hello.Key)
+		list = hello.List
+		n.config.Discovery = cmp.Or(hello.Discovery, n.config.Discovery)
+		n.backends.Discovery(n.config.Discovery)
+		if hello.Out {
+			n.drain(true)
+		}
+	}
+	n.known(list)
+	n.wait(n.core.Loop.Now() + backendsTime)
+}
+
+// wait takes clients once discovery has spoken, or has had its time and the list
+// known holds: the predecessor serves until then.
+func (n *node) wait(until time.Duration) {
+	loop := n.core.Loop
+	if n.stopping {
+		return
+	}
+	if !(n.backends.Heard() && n.core.Backends() > 0) && loop.Now() < until {
+		loop.After(startStep, func() { n.wait(until) })
+		return
+	}
+	if n.link != nil {
+		n.fronts.platform.Share(true)
+	}
+	n.serve()
+	n.core.Log("takes clients")
+	n.tell(handover.Message{Ready: true})
+}
+
+// formerGone is told that the predecessor has ended, as planned or not.
+func (n *node) formerGone() {
+	n.core.Log("the former process has gone")
+	n.alone()
+	n.greet(nil)
+	if !n.stopping {
+		n.meet()
+	}
+}
+
+// ---- The predecessor's side.
+
+// meet waits for a successor, where the platform keeps the listener for one.
+func (n *node) meet() {
+	if !n.inherited {
+		return
+	}
+	ln, err := handover.Listen(n.path)
+	if err != nil {
+		n.core.Log(fmt.Sprintf("a successor will not find this process: %v", err))
+		return
+	}
+	n.meeting = n.engine.Serve(ln, 1, false, n.met, func() {}).Fix()
+}
+
+// met is told of a successor.
+func (n *node) met(c *net.Conn) net.Owner {
+	if n.stopping || n.link != nil {
+		return nil
+	}
+	addr, list, err := n.backends.Tell()
+	if err != nil {
+		n.core.Log(fmt.Sprintf("the list cannot be handed over: %v", err))
+	}
+	key, names := n.core.Names()
+	n.core.Log("a successor has started")
+	n.link = handover.NewLink(n.engine, c, n.heardNext, n.nextGone)
+	n.listenIn()
+	n.backends.Told = func() {
+		if _, list, err := n.backends.Tell(); err == nil {
+			n.tell(handover.Message{List: list})
+		}
+	}
+	out := n.fronts.platform.Away()
+	n.tell(handover.Message{Hello: &handover.Hello{Discovery: addr, List: list, Out: out, Key: key}})
+	n.link.TellAll(names)
+	n.tellRoom()
+	return n.link
+}
+
+// heardNext takes in what the successor says.
+func (n *node) heardNext(m handover.Message) {
+	n.heard(m)
+	if m.Ready {
+		n.core.Log("the successor takes clients")
+		n.theirs = true
+		n.fronts.platform.Share(true)
+		n.tellRoom()
+	}
+}
+
+// nextGone is told that the successor has ended.
+func (n *node) nextGone() {
+	n.core.Log("the successor has gone")
+	n.alone()
+}
+
+// tellRoom tells the successor what is left of the limits for it: little while
+// it starts, half once it takes clients, and all but what is held here at last.
+func (n *node) tellRoom() {
+	if n.link == nil {
+		return
+	}
+	held, resident := usage()
+	held += roomMargin
+	descriptors, memory := n.config.descriptors()*3/4, n.memory()/2
+	switch {
+	case n.stopping:
+		descriptors, memory = held, resident
+	case n.theirs:
+		descriptors = max(n.config.descriptors()/2, held)
+	}
+	memory = min(max(memory, resident), n.memory())
+	if !n.stopping {
+		n.keep(descriptors, memory)
+	}
+	n.tell(handover.Message{Room: &handover.Room{Descriptors: descriptors, Memory: memory}})
+	n.core.Loop.Set(&n.room, n.core.Loop.Now()+roomStep)
+}
+
+// usage is how many descriptors and bytes the process holds, by the system's word.
+func usage() (descriptors int, resident int64) {
+	if list, err := os.ReadDir("/proc/self/fd"); err == nil {
+		descriptors = len(list)
+	}
+	if text, err := os.ReadFile("/proc/self/statm"); err == nil {
+		if fields := strings.Fields(string(text)); len(fields) > 1 {
+			pages, _ := strconv.ParseInt(fields[1], 10, 64)
+			resident = pages * int64(os.Getpagesize())
+		}
+	}
+	return descriptors, resident
+}
+
+// leave ends the process beside a successor that takes clients. Nothing is
+// accepted any more, sessions end with an answer, and only those that go on
+// resting are closed. What cannot be done before SIGKILL is answered before it.
+func (n *node) leave() {
+	d, f, loop := n.core, n.fronts, n.core.Loop
+	d.Log("the successor takes over")
+	longest := time.Duration(0)
+	for _, class := range d.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	began := loop.Now()
+	last := began + min(longest, killDeadline) + killAfter - killMargin
+	f.platform.Leave()
+	f.faktory.Stop()
+	n.tellRoom()
+	var step func()
+	step = func() {
+		now := loop.Now()
+		if now >= began+leaveRest {
+			f.close()
+		}
+		if now >= last {
+			d.Finish()
+		}
+		if d.Owed() == 0 && (f.platform.Sessions() == 0 || now >= last) && !f.faktory.Busy() {
+			loop.After(lastBytes, loop.Stop)
+			return
+		}
+		loop.After(startStep, step)
+	}
+	step()
+}
+
+// ---- What is told anew, and the planned end.
+
+// reload takes over from a file read anew what can change while the program
+// runs: where discovery is. A file of which any part is wrong changes nothing;
+// what needs a restart is named in the log.
+func (n *node) reload(next config, now hollyyoke.Settings, err error) {
+	d, b, c := n.core, n.backends, n.config
+	if err == nil {
+		err = b.CheckList(next.Known)
+	}
+	if err == nil {
+		if _, err = hollyyoke.New(now, 0); err != nil {
+			err = fmt.Errorf("config: %w", err)
+		}
+	}
+	if err != nil {
+		d.Log(fmt.Sprintf("reload: %v; what was in force stays", err))
+		return
+	}
+	var restart []string
+	for name, changed := range map[string]bool{
+		"name": next.Name != c.Name, "listen": next.Listen != c.Listen, "admin_addr": next.Admin != c.Admin, "limits": next.Limits != c.Limits,
+		"settings": !reflect.DeepEqual(now, n.told),
+	} {
+		if changed {
+			restart = append(restart, name)
+		}
+	}
+	slices.Sort(restart)
+	text := "reload: discovery stays at " + c.Discovery
+	if next.Discovery != c.Discovery {
+		text = "reload: discovery moves to " + next.Discovery
+		b.Move(next.Discovery)
+		n.tell(handover.Message{Moved: next.Discovery})
+	}
+	if len(restart) > 0 {
+		text += "; changed, but only a restart takes over: " + strings.Join(restart, ", ")
+	}
+	d.Log(text)
+	n.config.Discovery = next.Discovery
+}
+
+// fronts are those that are on.
+type fronts struct {
+	platform *platform.Front
+	faktory  faktory.Front
+}
+
+// close ends what owes nothing, now and from now on, and tells whether all has ended.
+func (f fronts) close() bool {
+	ended := f.faktory.Idle()
+	if f.platform != nil {
+		f.platform.Close()
+		ended = ended && f.platform.Sessions() == 0
+	}
+	return ended
+}
+
+// stop is the planned end: all that comes in the arrival window is served like
+// before, then sessions end between requests, and the last answer ends the program.
+func (n *node) stop() {
+	d, f, loop := n.core, n.fronts, n.core.Loop
+	n.stopping = true
+	if n.meeting != nil {
+		n.meeting.Close()
+	}
+	if n.theirs {
+		n.leave()
+		return
+	}
+	if f.platform != nil {
+		f.platform.Stop()
+	}
+	f.faktory.Stop()
+	loop.After(arrivalWindow, func() {
+		// For requests that have begun to come in, and for closings that upstream has not taken.
+		if n.inherited { // what comes now waits in the backlog for the next process
+			f.platform.Refrain()
+		}
+		patience, upstream := loop.Now()+time.Second, loop.Now()+8*time.Second
+		var last func()
+		last = func() {
+			ended, now := f.close(), loop.Now()
+			if d.Owed() == 0 && (ended || now > patience && !f.faktory.Busy() || now > upstream) {
+				// What was answered just now is still on its way out of the sockets.
+				loop.After(lastBytes, loop.Stop)
+				return
+			}
+			loop.After(5*time.Millisecond, last)
+		}
+		last()
+	})
+}
+
+// lastBytes is left to sockets for their last bytes before the process ends.
+const lastBytes = 50 * time.Millisecond
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -67,6 +67,8 @@
 		}
 	case TimerDue:
 		d.timer(ev.Timer)
+	case ColdCharge:
+		d.charged(d.workers[ev.Worker], ev.Charge)
 	}
 	d.drain()
 	out, d.actions = d.actions, nil
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return "", err
 	}
-	return a.String(), nil
+	return a.Fix().String(), nil
 }
 
 func (d *Door) accept(c *net.Conn) net.Owner {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,7 +1,9 @@
 package core
 
 import (
-	"hash/maphash"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -83,6 +85,10 @@
 	Settings hollyyoke.Settings
 	Log      func(text string)
 
+	// What a second process of the same dispatcher must know; nil while there is none.
+	Taken   func(name uint64)                    // a req of that name has come
+	Charged func(backend string, charge float64) // a cold backend got a fetch
+
 	module   *hollyyoke.Dispatcher
 	reqs     Table[req]
 	fetches  Table[fetch]
@@ -99,8 +105,9 @@
 
 // ids are the names of reqs, hashed: those that are open, and the latest that
 // were. Each is a client's own for good, so a second req of that name is none.
+// The key, which no client knows, is the same in a process and its successor.
 type ids struct {
-	seed maphash.Seed
+	key  [16]byte
 	open map[uint64]int
 	past map[uint64]struct{}
 	ring []uint64 // the past ones, in the order in which they ended
@@ -109,13 +116,21 @@
 
 const pastIDs = 8192
 
-func (s *ids) take(id string) { s.open[maphash.String(s.seed, id)]++ }
+func (s *ids) hash(id string) uint64 {
+	var text [16 + 128]byte // longer names are cut by no front
+	sum := sha256.Sum256(append(append(text[:0], s.key[:]...), id...))
+	return binary.LittleEndian.Uint64(sum[:])
+}
 
-func (s *ids) drop(id string) {
-	h := maphash.String(s.seed, id)
+func (s *ids) drop(h uint64) {
 	if s.open[h]--; s.open[h] <= 0 {
 		delete(s.open, h)
 	}
+	s.bar(h)
+}
+
+// bar lets no req of a name in any more.
+func (s *ids) bar(h uint64) {
 	if _, ok := s.past[h]; ok {
 		return
 	}
@@ -137,6 +152,7 @@
 
 type req struct {
 	handle   uint64
+	name     uint64 // its name, hashed
 	front    Front
 	token    uint64
 	job      Job
@@ -172,18 +188,49 @@
 	if err != nil {
 		return nil, err
 	}
+	var key [16]byte
+	_, _ = rand.Read(key[:]) // never fails
 	return &Core{
 		Loop: loop, Settings: s, Log: func(string) {}, module: m, listed: map[string]listing{},
 		tallies: make([]Tally, len(s.Classes)),
-		ids:     ids{seed: maphash.MakeSeed(), open: map[uint64]int{}, past: map[uint64]struct{}{}},
+		ids:     ids{key: key, open: map[uint64]int{}, past: map[uint64]struct{}{}},
 	}, nil
 }
 
+// Names tells the key of the names of reqs, and the names that are open or were
+// lately, for a successor.
+func (c *Core) Names() (key []byte, names []uint64) {
+	for h := range c.ids.open {
+		names = append(names, h)
+	}
+	return c.ids.key[:], append(names, c.ids.ring...)
+}
+
+// Succeed takes over the key of the names. No req may have come yet.
+func (c *Core) Succeed(key []byte) { copy(c.ids.key[:], key) }
+
+// Bar lets no req of these names in: the other process has or had them.
+func (c *Core) Bar(names []uint64) {
+	for _, h := range names {
+		c.ids.bar(h)
+	}
+}
+
+// ChargedElsewhere tells what the other process sent to a cold backend.
+func (c *Core) ChargedElsewhere(backend string, charge float64) {
+	c.handle(hollyyoke.Event{Kind: hollyyoke.ColdCharge, Worker: backend, Charge: charge})
+}
+
+// Finish gives all reqs that are still open their last moment now.
+func (c *Core) Finish() {
+	c.reqs.All(func(_ uint64, r *req) { c.lastMoment(r) })
+}
+
 // Named tells whether a req of that name is open, or was lately. A front that
 // lets another in would have two jobs pass for one: the backends turn it away,
 // and the answer of either could be taken for the other's.
 func (c *Core) Named(id string) bool {
-	h := maphash.String(c.ids.seed, id)
+	h := c.ids.hash(id)
 	_, past := c.ids.past[h]
 	return past || c.ids.open[h] > 0
 }
@@ -253,7 +300,11 @@
 	}
 	r.deadline = max(job.Since+left-answerMargin, now)
 	r.handle = c.reqs.Put(r)
-	c.ids.take(job.ID)
+	r.name = c.ids.hash(job.ID)
+	c.ids.open[r.name]++
+	if c.Taken != nil {
+		c.Taken(r.name)
+	}
 	r.due.Fire = func() { c.lastMoment(r) }
 	r.timer.Fire = func() { c.handle(hollyyoke.Event{Kind: hollyyoke.TimerDue, Timer: r.handle}) }
 	c.Loop.Set(&r.due, r.deadline)
@@ -331,7 +382,7 @@
 	if r.answered && r.out == 0 && c.reqs.Get(r.handle) == r {
 		c.Loop.Clear(&r.due)
 		c.reqs.Drop(r.handle)
-		c.ids.drop(r.job.ID)
+		c.ids.drop(r.name)
 		if r.job.Release != nil {
 			r.job.Release()
 		}
@@ -450,7 +501,7 @@
 func (c *Core) act(a *hollyyoke.Action) {
 	switch a.Kind {
 	case hollyyoke.Assign:
-		c.assign(a.Request, a.Worker)
+		c.assign(a.Request, a.Worker, a.Charge)
 	case hollyyoke.Refuse, hollyyoke.FinishError:
 		if r := c.reqs.Get(a.Request); r != nil {
 			answer := Answer{Verdict: Failed}
@@ -496,7 +547,7 @@
 }
 
 // assign starts the next fetch of a req.
-func (c *Core) assign(handle uint64, backend string) {
+func (c *Core) assign(handle uint64, backend string, charge float64) {
 	r := c.reqs.Get(handle)
 	if r == nil {
 		c.Log("the module assigned a req that is over")
@@ -516,6 +567,9 @@
 	r.attempts = append(r.attempts, attempt{fetch: h})
 	r.out++
 	c.counts.Fetches++
+	if charge > 0 && c.Charged != nil {
+		c.Charged(backend, charge)
+	}
 	l.source.Start(Fetch{Handle: h, Backend: backend, Job: &r.job, Deadline: r.deadline, Copy: n})
 }
 
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	stdnet "net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -166,8 +167,10 @@
 	conns     core.Table[Conn]
 	dials     gate       // connections that we open
 	fence     sync.Mutex // orders what add writes before what nbio's callbacks read
+	all       int        // descriptors allowed in all
+	part      float64    // of them, that are this process's at present; guarded by mu
 	mu        sync.Mutex
-	listeners []listener
+	listeners []*Acceptor
 
 	flights sync.Mutex // guards the number of buffers on their way to owners
 	landed  sync.Cond
@@ -186,9 +189,23 @@
 	return c
 }
 
-type listener struct {
-	stdnet.Listener
-	gate *gate
+// Acceptor accepts connections from one listener.
+type Acceptor struct {
+	ln    stdnet.Listener
+	gate  *gate
+	fixed bool // its bound is its own, whatever the engine has
+}
+
+// Addr is the address it accepts on.
+func (a *Acceptor) Addr() stdnet.Addr { return a.ln.Addr() }
+
+func (a *Acceptor) String() string { return a.ln.Addr().String() }
+
+// Close accepts no more. Where another process has the same listening socket,
+// that one goes on, and what waits in the backlog waits for it.
+func (a *Acceptor) Close() {
+	_ = a.ln.Close()
+	a.gate.close()
 }
 
 // gate bounds connections of one kind.
@@ -196,7 +213,8 @@
 	mu   sync.Mutex
 	cond sync.Cond
 	open int
-	most int
+	full int // the bound where the engine has all descriptors
+	most int // the bound at present
 	shut bool
 
 	window int // buffers that may be on their way from one connection to its owner
@@ -206,7 +224,17 @@
 // end: nbio closes on that end at once, and what was not read by then is lost.
 const wideWindow = 8
 
-func newGate(most, window int) gate { return gate{most: max(most, 1), window: window} }
+func newGate(most, window int) gate {
+	return gate{full: max(most, 1), most: max(most, 1), window: window}
+}
+
+// resize changes the bound. What is open above it stays.
+func (g *gate) resize(part float64) {
+	g.mu.Lock()
+	g.most = max(int(part*float64(g.full)), 1)
+	g.mu.Unlock()
+	g.cond.Broadcast()
+}
 
 func (g *gate) try() bool {
 	g.mu.Lock()
@@ -261,7 +289,7 @@
 // NewEngine starts an engine that keeps to a number of descriptors in all.
 func NewEngine(loop *core.Loop, descriptors int) (*Engine, error) {
 	usable := max(descriptors-spareDescriptors, 8)
-	e := &Engine{Loop: loop, dials: newGate(usable-int(acceptedShare*float64(usable)), wideWindow)}
+	e := &Engine{Loop: loop, all: descriptors, part: 1, dials: newGate(usable-int(acceptedShare*float64(usable)), wideWindow)}
 	e.dials.cond.L, e.landed.L = &e.dials.mu, &e.flights
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = descriptors + 4096 // nbio keeps an array of that length, by descriptor
@@ -414,24 +442,68 @@
 	return int(acceptedShare * float64(max(descriptors-spareDescriptors, 8)))
 }
 
+// Resize makes the engine keep to another number of descriptors in all, while
+// another process of the same dispatcher has the rest. Bounds move in step, but
+// for fixed ones; what is open above them stays.
+func (e *Engine) Resize(descriptors int) {
+	part := float64(max(descriptors-spareDescriptors, 8)) / float64(max(e.all-spareDescriptors, 8))
+	part = min(part, 1)
+	e.dials.resize(part)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.part = part
+	for _, a := range e.listeners {
+		if !a.fixed {
+			a.gate.resize(part)
+		}
+	}
+}
+
+// Inherit returns the listener that a descriptor of this process is, as one of
+// its own: closing it leaves the socket to the other processes that have it.
+func Inherit(fd int) (stdnet.Listener, error) {
+	f := os.NewFile(uintptr(fd), "inherited listener")
+	if f == nil {
+		return nil, errors.New("no descriptor")
+	}
+	defer f.Close()
+	return stdnet.FileListener(f)
+}
+
 // Listen accepts connections on an address, most at a time; own names the
 // owner of each, and full is called when one waits since there are too many. A
 // narrow one hands over one buffer of a connection at a time, so that an owner
 // who pauses gets no more; what a peer sent just before it closed may be lost.
 func (e *Engine) Listen(
 	addr string, most int, narrow bool, own func(c *Conn) Owner, full func(),
-) (stdnet.Addr, error) {
+) (*Acceptor, error) {
 	ln, err := stdnet.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	return e.Serve(ln, most, narrow, own, full), nil
+}
+
+// Fix makes the acceptor's bound its own: Resize leaves it as it is.
+func (a *Acceptor) Fix() *Acceptor {
+	a.fixed = true
+	a.gate.resize(1)
+	return a
+}
+
+// Serve accepts connections from a listener, as Listen does.
+func (e *Engine) Serve(
+	ln stdnet.Listener, most int, narrow bool, own func(c *Conn) Owner, full func(),
+) *Acceptor {
 	g := newGate(most, wideWindow)
 	if narrow {
 		g.window = 1
 	}
 	g.cond.L = &g.mu
+	a := &Acceptor{ln: ln, gate: &g}
 	e.mu.Lock()
-	e.listeners = append(e.listeners, listener{ln, &g})
+	g.resize(e.part)
+	e.listeners = append(e.listeners, a)
 	e.mu.Unlock()
 	go func() {
 		for g.wait(func() { e.Loop.Post(full) }) {
@@ -449,7 +521,17 @@
 			e.add(conn, &g, own)
 		}
 	}()
-	return ln.Addr(), nil
+	return a
+}
+
+// Adopt takes over a connection that was opened elsewhere.
+func (e *Engine) Adopt(conn stdnet.Conn, own func(*Conn) Owner) error {
+	if !e.dials.try() {
+		_ = conn.Close()
+		return ErrFull
+	}
+	e.add(conn, &e.dials, own)
+	return nil
 }
 
 // Dial opens a connection and calls done on the loop's goroutine.
@@ -617,9 +699,8 @@
 func (e *Engine) StopListening() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, ln := range e.listeners {
-		_ = ln.Close()
-		ln.gate.close()
+	for _, a := range e.listeners {
+		a.Close()
 	}
 	e.listeners = nil
 }
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -211,7 +211,7 @@
 		t.Cleanup(func() { peer.Close() })
 		return peer, receive(t, opened)
 	}
-	peer, c := open(narrow)
+	peer, c := open(narrow.Addr())
 	do(e, c.Pause)
 	total := 5 << 20
 	go peer.Write(bytes.Repeat([]byte("x"), total))
@@ -229,11 +229,11 @@
 			t.Fatalf("%d bytes are held", held)
 		}
 	}
-	peer, c = open(narrow)
+	peer, c = open(narrow.Addr())
 	do(e, c.Pause)
 	peer.Close()
 	w.gone(t)
-	peer, _ = open(wide)
+	peer, _ = open(wide.Addr())
 	release := make(chan bool)
 	e.Loop.Post(func() { <-release })
 	for _, part := range []string{"one ", "two ", "three"} { // while the loop is busy elsewhere
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -34,6 +34,9 @@
 	first  map[string]hollyyoke.Entry // the list known at the start, until discovery has spoken
 	due    core.Deadline              // until when that is waited for
 	wary   time.Duration              // until when connections are thought to die unseen
+
+	// Told is called when discovery has told something; nil: nobody wants to know.
+	Told func()
 }
 
 // backend is one backend as discovery told it last.
@@ -41,6 +44,7 @@
 	name, dial string
 	state      hollyyoke.WorkerState
 	told       time.Duration // when that state was told
+	host       host          // discovery's words
 	idle       []*line       // the one used last at the end
 }
 
@@ -470,6 +474,9 @@
 	}
 }
 
+// Discovery sets where discovery is before the first call.
+func (s *Backends) Discovery(addr string) { s.watch.addr = addr }
+
 // Move goes on with discovery at another address, at once. What the former one
 // has listed stands, and so does every fetch; the watch goes on where it was.
 func (s *Backends) Move(addr string) {
@@ -477,6 +484,50 @@
 	s.watch.open()
 }
 
+// Heard tells whether the module has a list: discovery's, or the known one after its time.
+func (s *Backends) Heard() bool { return s.first == nil }
+
+// Tell tells where discovery is, and the list in its words, for a successor.
+func (s *Backends) Tell() (addr string, list json.RawMessage, err error) {
+	words := map[hollyyoke.WorkerState]string{hollyyoke.Running: "ready", hollyyoke.Stopping: "draining"}
+	l := hosts{Seq: s.watch.seq, Whole: true, Hosts: []host{}}
+	for _, b := range s.hosts {
+		h := b.host
+		h.Health = words[b.state]
+		l.Hosts = append(l.Hosts, h)
+	}
+	slices.SortFunc(l.Hosts, func(a, b host) int { return strings.Compare(a.Host, b.Host) })
+	list, err = json.Marshal(l)
+	return s.watch.addr, list, err
+}
+
+// Relay takes in the list that the predecessor has heard, as long as discovery
+// is silent here. Its word comes first once it speaks.
+func (s *Backends) Relay(raw json.RawMessage) error {
+	var list hosts
+	if s.watch.live {
+		return nil
+	}
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return err
+	}
+	entries, err := s.entries(list.Hosts)
+	if err != nil {
+		return err
+	}
+	s.onlyThese(entries)
+	s.watch.seq = max(s.watch.seq, list.Seq)
+	if s.first == nil {
+		s.core.List(s, hollyyoke.ListComplete, entries)
+		return nil
+	}
+	clear(s.first)
+	for _, e := range entries {
+		s.first[e.Worker] = e
+	}
+	return nil
+}
+
 // CheckList tells what is wrong with a list of backends, and takes in none of it.
 func (s *Backends) CheckList(raw []byte) error {
 	var list hosts
@@ -1003,6 +1054,9 @@
 		w.set.onlyThese(entries)
 	}
 	w.seq = list.Seq
+	if w.set.Told != nil {
+		defer w.set.Told()
+	}
 	if w.set.first != nil && !list.Whole {
 		w.set.begin(entries)
 		return nil
@@ -1090,7 +1144,7 @@
 			b.closeIdle()
 			b.dial = list[i].Dial
 		}
-		if b.state != e.State {
+		if b.host = list[i]; b.state != e.State {
 			b.state, b.told = e.State, now
 		}
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	stdnet "net"
 	"strconv"
 	"time"
 
@@ -31,6 +32,9 @@
 	closing  bool // the arrival window has passed: sessions end between requests
 	away     bool // out of service, for a drain
 	awayAt   time.Duration
+	shared   bool // another process accepts on the same listener
+	left     bool // to the successor, which is the same dispatcher to those who ask for its health
+	acceptor *net.Acceptor
 	drain    core.Deadline // the drain's next step
 	pressed  bool          // new sessions wait, and none could be closed for them
 	press    core.Deadline
@@ -102,12 +106,18 @@
 
 // Listen starts accepting client sessions, most at a time, and returns the address.
 func (f *Front) Listen(addr string, most int) (string, error) {
-	f.most = most
-	a, err := f.engine.Listen(addr, most, true, f.accept, f.shed)
+	ln, err := stdnet.Listen("tcp", addr)
 	if err != nil {
 		return "", err
 	}
-	return a.String(), nil
+	f.Serve(ln, most)
+	return ln.Addr().String(), nil
+}
+
+// Serve starts accepting client sessions from a listener, most at a time.
+func (f *Front) Serve(ln stdnet.Listener, most int) {
+	f.most = most
+	f.acceptor = f.engine.Serve(ln, most, true, f.accept, f.shed)
 }
 
 func (f *Front) accept(c *net.Conn) net.Owner {
@@ -163,6 +173,7 @@
 func (f *Front) shed() {
 	const some = 8
 	now := f.core.Loop.Now()
+	room := f.shared // the other process has room: nobody who may be a usual client goes for it
 	for i := range some {
 		s := f.pick(func(s *session) int {
 			switch young := now-s.conn.Opened < graceTime; {
@@ -170,6 +181,8 @@
 				return 1
 			case s.in != nil:
 				return 0
+			case s.stage == proven && room:
+				return 0
 			case s.stage == proven:
 				return 2
 			case s.stage == asking:
@@ -180,7 +193,7 @@
 			return 0
 		})
 		if s == nil {
-			f.pressed = i == 0
+			f.pressed = i == 0 && !room
 			break
 		}
 		if s.stage == proven && i > 0 { // there is room already
@@ -248,6 +261,31 @@
 	f.endResting(0)
 }
 
+// Share tells whether another process accepts on the same listener.
+func (f *Front) Share(shared bool) { f.shared = shared }
+
+// Room is how many bytes the buffers may take up from now on.
+func (f *Front) Room(memory int) { f.memory = memory }
+
+// Leave accepts no more, since the successor does: what is not accepted yet waits
+// for that one. Sessions end with their next answer; a close between requests,
+// which may cross one, comes only to those that go on resting.
+func (f *Front) Leave() {
+	f.stopping, f.closing, f.left = true, true, true
+	f.core.Loop.Clear(&f.drain)
+	f.Refrain()
+}
+
+// Refrain accepts no more; what comes waits in the backlog for the next process.
+func (f *Front) Refrain() {
+	if f.acceptor != nil { // one that ends before it has begun accepts nothing anyway
+		f.acceptor.Close()
+	}
+}
+
+// Away tells whether the front is out of service.
+func (f *Front) Away() bool { return f.away }
+
 // Serving tells whether backends are known, so that jobs have somewhere to go.
 func (f *Front) Serving() bool { return f.ready() }
 
@@ -453,7 +491,7 @@
 		status, text = 503, "not ready\n"
 		if !bytes.Equal(m.a, []byte("GET")) && !bytes.Equal(m.a, []byte("HEAD")) {
 			status, text, fields = 405, "GET only\n", "Allow: GET\r\n"
-		} else if s.front.ready() && !s.front.stopping && !s.front.away {
+		} else if s.front.ready() && (!s.front.stopping || s.front.left) && !s.front.away {
 			status, text = 200, "ready\n"
 		}
 	case !known:
--- a/state.go
+++ b/state.go
@@ -256,7 +256,11 @@
 // sent books an attempt at w and asks for it.
 func (d *Dispatcher) sent(r *request, w *worker) {
 	w.sent.add(d.now, d.horizon, r.cost)
-	w.cold -= r.charge()
+	charge := r.charge()
+	w.cold -= charge
+	if d.warmth(w) >= 1 {
+		charge = 0
+	}
 	w.out += r.slots
 	if w.suspect {
 		d.stuck += r.slots
@@ -278,7 +282,15 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	d.act(Action{Kind: Assign, Request: r.id, Worker: w.Worker})
+	d.act(Action{Kind: Assign, Request: r.id, Worker: w.Worker, Charge: charge})
+}
+
+// charged books what the dispatcher's other process sent a cold worker: the budget is one for both.
+func (d *Dispatcher) charged(w *worker, charge float64) {
+	if w != nil && charge > 0 {
+		w.cold -= charge
+		w.sent.add(d.now, d.horizon, 0) // it has had its first job
+	}
 }
 
 // refusal finds what a worker does with jobs of a class.
