Tests of door, drain, handover and two processes; an inherited accept never blocks

Seen: the test of a replacement found the old process stuck at SIGTERM. Its accept waited in the system and the close of the listener waited for it on the loop: the flag O_NONBLOCK is the socket's, not the process's, and whoever starts a process may clear it (here the test's own exec). Ruled out: a session that does not end, an answer owed (goroutine dump). The accept now sets the flag each time, and the close waits for nobody. Also: a model of draining under random steps, of the handover's link, of the door; cold charges of both processes and the meaning of ejected in the module's tests.

--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -60,6 +60,8 @@
 	listen   string
 	config   map[string]any
 	path     string      // of the file
+	env      []string    // beyond what it is told anyway
+	files    []*os.File  // that it inherits
 	first    chan string // where discovery's first word comes from; nil: it has nothing to tell
 	cmd      *exec.Cmd
 	log      record
@@ -99,6 +101,26 @@
 	return true
 }
 
+// held runs one job until its release, and all others at once.
+func held(slow string, arrived chan<- struct{}, release <-chan struct{}) func(string, net.Conn) bool {
+	return func(id string, conn net.Conn) bool {
+		if id != slow {
+			return done(id, conn)
+		}
+		line := func(state string) {
+			text := fmt.Sprintf(`{"id":%q,"state":%q,"result":"x"}`+"\n", id, state)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		}
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		line("started") // or the backend counts as one that starts nothing
+		arrived <- struct{}{}
+		<-release
+		line("done")
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	}
+}
+
 func listen(t *testing.T) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -164,9 +186,11 @@
 	t := w.t
 	t.Helper()
 	discovery := w.discovery()
-	ln := listen(t)
-	w.listen = ln.Addr().String()
-	ln.Close()
+	if w.listen == "" {
+		ln := listen(t)
+		w.listen = ln.Addr().String()
+		ln.Close()
+	}
 	var hosts []json.RawMessage
 	for _, b := range w.backends {
 		hosts = append(hosts, json.RawMessage(b.entry("ready")))
@@ -185,9 +209,26 @@
 	}
 	w.config, w.path = config, filepath.Join(t.TempDir(), "config.json")
 	w.write()
+	w.launch(args...)
+	w.client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		if resp, err := w.client.Get("http://" + w.listen + "/healthz"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return
+			}
+		} else if time.Now().After(end) {
+			t.Fatalf("it does not come up: %v", err)
+		}
+	}
+}
+
+// launch starts a process of the program.
+func (w *world) launch(args ...string) {
+	t := w.t
+	t.Helper()
 	w.cmd = exec.Command(binary, args...)
-	w.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+w.path, "BALANCER_LISTEN=", "BALANCER_DISCOVERY="+discovery, "BALANCER_NAME=")
-	w.cmd.Stderr = &w.log
+	w.cmd.Env, w.cmd.ExtraFiles, w.cmd.Stderr = w.environment(), w.files, &w.log
 	if err := w.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -200,17 +241,13 @@
 			t.Logf("its log:\n%s", w.log.String())
 		}
 	})
-	w.client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
-	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
-		if resp, err := w.client.Get("http://" + w.listen + "/healthz"); err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == 200 {
-				return
-			}
-		} else if time.Now().After(end) {
-			t.Fatalf("it does not come up: %v", err)
-		}
-	}
+}
+
+func (w *world) environment() []string {
+	discovery, _ := w.config["discovery"].(string)
+	env := append(os.Environ(), "BALANCER_CONFIG="+w.path, "BALANCER_LISTEN=", "BALANCER_DISCOVERY="+discovery,
+		"BALANCER_NAME=", "BALANCER_ADMIN_ADDR=", "BALANCER_FD=")
+	return append(env, w.env...)
 }
 
 // write writes the configuration file.
@@ -302,6 +339,8 @@
 	select {
 	case <-over:
 	case <-time.After(patience):
+		w.cmd.Process.Signal(syscall.SIGQUIT) // its log then tells what it waits for
+		<-over
 		w.t.Fatal("it does not end")
 	}
 	return w.cmd.ProcessState.ExitCode()
@@ -640,22 +679,7 @@
 func TestPlannedRestart(t *testing.T) {
 	w := &world{t: t}
 	release, arrived := make(chan struct{}), make(chan struct{}, 1)
-	w.backend("s-1", func(id string, conn net.Conn) bool {
-		if id != "slow" {
-			return done(id, conn)
-		}
-		line := func(state string) {
-			text := fmt.Sprintf(`{"id":"slow","state":%q,"result":"x"}`+"\n", state)
-			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
-		}
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-		line("started") // or the backend counts as one that starts nothing
-		arrived <- struct{}{}
-		<-release
-		line("done")
-		fmt.Fprint(conn, "0\r\n\r\n")
-		return true
-	})
+	w.backend("s-1", held("slow", arrived, release))
 	w.start()
 	slow := make(chan int, 1)
 	go func() {
--- /dev/null
+++ b/cmd/hollyyoke/node_test.go
@@ -0,0 +1,443 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// These tests start the program as operators run it: with the door, drained, and
+// replaced by a second process on a listener that the test keeps as the platform does.
+
+// kept is the platform's side: a listening socket that every process inherits.
+type kept struct {
+	file   *os.File
+	folder string
+}
+
+func keep(t *testing.T) *kept {
+	t.Helper()
+	ln := listen(t).(*net.TCPListener)
+	file, err := ln.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { file.Close() })
+	folder, err := os.MkdirTemp("", "y")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(folder) })
+	return &kept{file, folder}
+}
+
+// operate makes a world that has a door, and inherits a listener where there is one.
+func operate(t *testing.T, k *kept) *world {
+	w := &world{t: t, env: []string{"BALANCER_ADMIN_ADDR=127.0.0.1:0"}}
+	if k != nil {
+		w.files, w.listen = []*os.File{k.file}, address(t, k)
+		w.env = append(w.env, "BALANCER_FD=3", "TMPDIR="+k.folder)
+	}
+	return w
+}
+
+func address(t *testing.T, k *kept) string {
+	ln, err := net.FileListener(k.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// beside is a second process of the same dispatcher, in the same world.
+func (w *world) beside(env ...string) *world {
+	next := &world{t: w.t, env: append(append([]string{}, w.env...), env...), files: w.files, listen: w.listen,
+		backends: w.backends, config: w.config, path: w.path, client: w.client, watches: w.watches, changes: w.changes}
+	next.launch()
+	return next
+}
+
+// door calls the operators' door; 0 where nobody answers.
+func (w *world) door(method, path string) (int, string) {
+	const mark = "operators' door at "
+	w.says(mark)
+	_, addr, _ := strings.Cut(w.log.String(), mark)
+	addr, _, _ = strings.Cut(addr, "\n")
+	req, _ := http.NewRequest(method, "http://"+addr+path, nil)
+	resp, err := (&http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// until waits for something to hold.
+func (w *world) until(what string, holds func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
+func (w *world) ready() bool { status, _ := w.door("GET", "/control/ready"); return status == 200 }
+
+func (w *world) health() int {
+	resp, err := w.client.Get("http://" + w.listen + "/healthz")
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// figures reads what the door tells.
+func (w *world) figures() (f struct {
+	Succeeded, Declined, Aborted               map[string]int
+	Forwards, Outstanding, Discovered, Ejected int
+}) {
+	w.t.Helper()
+	_, text := w.door("GET", "/control/counters")
+	if err := json.Unmarshal([]byte(text), &f); err != nil {
+		w.t.Fatalf("%q: %v", text, err)
+	}
+	return f
+}
+
+// session is a client's connection that the test holds.
+type session struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (w *world) session() *session {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", w.listen)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(patience))
+	w.t.Cleanup(func() { conn.Close() })
+	return &session{conn, bufio.NewReader(conn)}
+}
+
+func (s *session) send(id string) {
+	fmt.Fprintf(s, "POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: %s\r\nContent-Length: 1\r\n\r\nx", id)
+}
+
+// answer reads an answer and tells whether the session ends with it.
+func (s *session) answer(t *testing.T) (status int, ends bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(s.in, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Close
+}
+
+func (s *session) ended() bool {
+	_, err := s.in.ReadByte()
+	return err == io.EOF
+}
+
+// A drain: healthz says no at once, on a kept session too; jobs are served all
+// the same; sessions end, idle and silent ones too; a late comer is served once.
+// Back in service all is as before. Said twice, each means no more.
+func TestDrain(t *testing.T) {
+	w := operate(t, nil)
+	release, arrived := make(chan struct{}), make(chan struct{}, 1)
+	w.backend("s-1", held("long", arrived, release))
+	w.start()
+	health, idle, silent, long := w.session(), w.session(), w.session(), w.session()
+	ask := func() int {
+		fmt.Fprint(health, "GET /healthz HTTP/1.1\r\n\r\n")
+		status, _ := health.answer(t)
+		return status
+	}
+	idle.send("idle")
+	if status, ends := idle.answer(t); status != 200 || ends || ask() != 200 {
+		t.Errorf("in service: %d, ends: %v", status, ends)
+	}
+	long.send("long")
+	<-arrived
+	for range 2 {
+		if status, _ := w.door("PUT", "/control/out-of-service"); status != 200 {
+			t.Errorf("out of service: %d", status)
+		}
+	}
+	if status := ask(); status != 503 {
+		t.Errorf("healthz of a drained dispatcher: %d", status)
+	}
+	fresh := w.session()
+	fresh.send("fresh")
+	if status, _ := fresh.answer(t); status != 200 {
+		t.Errorf("while the front still sends: %d", status)
+	}
+	for name, s := range map[string]*session{"idle": idle, "silent": silent, "health": health, "fresh": fresh} {
+		if !s.ended() {
+			t.Errorf("the %s session does not end by itself", name)
+		}
+	}
+	late := w.session()
+	late.send("late")
+	if status, ends := late.answer(t); status != 200 || !ends {
+		t.Errorf("a late comer: %d, ends: %v", status, ends)
+	}
+	if !w.session().ended() {
+		t.Error("a late comer that says nothing stays")
+	}
+	close(release)
+	if status, ends := long.answer(t); status != 200 || !ends {
+		t.Errorf("a job from before: %d, ends: %v", status, ends)
+	}
+	for range 2 {
+		if status, _ := w.door("PUT", "/control/in-service"); status != 200 {
+			t.Errorf("in service: %d", status)
+		}
+	}
+	back := w.session()
+	back.send("back")
+	if status, ends := back.answer(t); status != 200 || ends || w.health() != 200 {
+		t.Errorf("back in service: %d, ends: %v", status, ends)
+	}
+	if f := w.figures(); f.Succeeded["renewal"] != 5 || f.Forwards != 5 || f.Discovered != 1 || f.Outstanding != 0 {
+		t.Errorf("figures %+v", f)
+	}
+	w.signal(syscall.SIGTERM)
+	w.until("no after SIGTERM", func() bool { status, _ := w.door("PUT", "/control/in-service"); return status == 409 })
+	if code := w.ended(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// A process is replaced while clients send without a pause: none of them sees a
+// refused or an unread connection, each job has one answer, and none runs twice.
+// The successor follows discovery to where the first one was moved, is out of
+// service if the first one is, lets no name in that the first one took, and is
+// replaced in its turn; both keep to the descriptors of one.
+func TestReplacement(t *testing.T) {
+	k := keep(t)
+	first, other := operate(t, k), &world{t: t}
+	b := first.backend("s-1", done)
+	first.config = map[string]any{"limits": map[string]any{"sockets": 256, "memory_mb": 192}}
+	first.start()
+	first.watch()
+	moved := other.discovery()
+	first.config["discovery"] = moved
+	first.write()
+	first.signal(syscall.SIGHUP)
+	other.watch()
+	first.config["discovery"] = "127.0.0.1:1" // what the file says to the next one is old news by then
+	first.write()
+	stop, sent, failed := make(chan bool), make(chan int), make(chan string, 1000)
+	for c := range 4 {
+		go func() {
+			n := 0
+			defer func() { sent <- n }()
+			client := &http.Client{Timeout: patience, Transport: &http.Transport{}}
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("c%d-%d", c, n)
+				req, _ := http.NewRequest("POST", "http://"+first.listen+"/renewal/k", strings.NewReader("x"))
+				req.Header.Set("X-Correlation-Id", id)
+				resp, err := client.Do(req)
+				n++
+				if err != nil {
+					failed <- err.Error()
+					continue
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != 200 {
+					failed <- fmt.Sprint(id, " ", resp.StatusCode)
+				}
+				if n%20 == 0 {
+					client.CloseIdleConnections()
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	old := first
+	for round := range 2 {
+		next := old.beside()
+		next.until("the successor is ready", next.ready)
+		if q := other.watch(); !strings.HasPrefix(q, "watch=1") {
+			t.Errorf("watch %q where discovery has moved", q)
+		}
+		next.says("takes clients")
+		if fds := descriptors(old) + descriptors(next); fds > 256 {
+			t.Errorf("round %d: %d descriptors", round, fds)
+		}
+		old.says("the successor takes clients")
+		old.signal(syscall.SIGTERM)
+		if code := old.ended(); code != 0 {
+			t.Errorf("round %d: exit code %d", round, code)
+		}
+		next.says("the former process has gone")
+		old = next
+	}
+	close(stop)
+	total := 0
+	for range 4 {
+		total += <-sent
+	}
+	for len(failed) > 0 {
+		t.Errorf("a client: %s", <-failed)
+	}
+	got := map[string]int{}
+	for _, a := range b.arrivals() {
+		id, _, _ := strings.Cut(a, " ")
+		if got[id]++; got[id] > 1 {
+			t.Errorf("%s ran twice", id)
+		}
+	}
+	if len(got) != total || total < 20 {
+		t.Errorf("%d jobs ran of %d", len(got), total)
+	}
+	if status, _, _ := old.post("renewal", "c0-0", "x", 0); status != 409 {
+		t.Errorf("a name that the first process took: %d", status)
+	}
+	if status, _ := old.door("PUT", "/control/out-of-service"); status != 200 {
+		t.Errorf("out of service: %d", status)
+	}
+	next := old.beside()
+	next.until("the drained dispatcher's successor is ready", next.ready)
+	if next.health() != 503 || old.health() != 503 {
+		t.Error("the successor of a drained process says it is healthy")
+	}
+	if status, _ := next.door("PUT", "/control/in-service"); status != 200 {
+		t.Errorf("in service: %d", status)
+	}
+	old.says("n0: in service") // the two are one dispatcher
+	next.cmd.Process.Kill()    // and if the successor dies, the first one goes on
+	old.says("the successor has gone")
+	old.until("health", func() bool { return old.health() == 200 })
+	if status, _, _ := old.post("renewal", "after", "x", 0); status != 200 {
+		t.Errorf("after the successor's end: %d", status)
+	}
+}
+
+func descriptors(w *world) int {
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return len(fds)
+}
+
+// Where the two cannot meet each is right by itself: without a folder, with a
+// path longer than the system takes, with a file that a dead process left, and
+// with a predecessor that dies before it is asked to go. Discovery that says
+// nothing does not keep a successor from its predecessor's list.
+func TestMeeting(t *testing.T) {
+	k := keep(t)
+	long := filepath.Join(k.folder, strings.Repeat("long-", 25))
+	if err := os.Mkdir(long, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	for name, folder := range map[string]string{"no folder": "", "long": long, "absent": k.folder + "/absent"} {
+		t.Run(name, func(t *testing.T) {
+			w := operate(t, keep(t))
+			w.env = append(w.env, "TMPDIR="+folder)
+			w.backend("s-1", done)
+			w.start()
+			next := w.beside()
+			next.until("the successor is ready", next.ready)
+			if name == "long" {
+				w.says("the successor takes clients")
+			}
+			w.signal(syscall.SIGTERM)
+			if code := w.ended(); code != 0 {
+				t.Errorf("exit code %d", code)
+			}
+			if status, _, _ := next.post("renewal", "after", "x", 0); status != 200 {
+				t.Errorf("the second process: %d", status)
+			}
+		})
+	}
+	w := operate(t, k)
+	a := w.backend("s-1", done)
+	w.start()
+	w.watch()
+	a2 := w.backend("s-2", done)
+	w.changes <- `{"seq":42,"whole":true,"hosts":[` + a2.entry("ready") + `]}`
+	for i, end := 0, time.Now().Add(patience); len(a2.arrivals()) == 0 && time.Now().Before(end); i++ {
+		w.post("status-check", fmt.Sprint("new-", i), "x", 200)
+	}
+	before := len(a.arrivals())
+	silent := listen(t) // accepts, by the kernel's hand, and says nothing
+	w.config["discovery"] = silent.Addr().String()
+	w.write()
+	w.signal(syscall.SIGHUP)
+	w.says("discovery moves to")
+	next := w.beside()
+	next.until("ready by the list handed over", next.ready)
+	w.cmd.Process.Kill()
+	w.ended()
+	next.says("the former process has gone")
+	for i := range 10 {
+		if status, _, _ := next.post("renewal", fmt.Sprint("list-", i), "x", 0); status != 200 {
+			t.Errorf("by the list handed over: %d", status)
+		}
+	}
+	if len(a.arrivals()) != before {
+		t.Error("the configuration's old list was used")
+	}
+	next.cmd.Process.Kill() // it leaves its file
+	next.ended()
+	last := w.beside()
+	last.until("ready beside a dead process's file", last.ready)
+}
+
+// The Faktory front cannot be in two processes: a successor with one says so and
+// ends, and the first goes on.
+func TestFaktoryIsNotReplaced(t *testing.T) {
+	w := operate(t, keep(t))
+	w.backend("s-1", done)
+	w.start()
+	path := filepath.Join(t.TempDir(), "faktory.toml")
+	os.WriteFile(path, []byte("listen = \"127.0.0.1:0\"\n"), 0o600)
+	cmd := exec.Command(binary, "-faktory", path)
+	cmd.Env, cmd.ExtraFiles = w.environment(), w.files
+	out, err := cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "the Faktory front cannot be handed over") {
+		t.Errorf("%v, %q", err, out)
+	}
+	if status, _, _ := w.post("renewal", "after", "x", 0); status != 200 {
+		t.Errorf("the first process: %d", status)
+	}
+}
+
+// A BALANCER_FD that is no listener ends the start with a line that names it.
+func TestBadInheritance(t *testing.T) {
+	w := operate(t, nil)
+	w.env = append(w.env, "BALANCER_FD=77")
+	dir := t.TempDir()
+	w.path = filepath.Join(dir, "config.json")
+	os.WriteFile(w.path, []byte(`{"listen":"127.0.0.1:0","settings":`+strings.ReplaceAll(settingsText, "CONN_IDLE", "1")+`}`), 0o600)
+	cmd := exec.Command(binary)
+	cmd.Env = w.environment()
+	if out, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(out), `BALANCER_FD: "77"`) {
+		t.Errorf("%v, %q", err, out)
+	}
+}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -560,6 +560,90 @@
 	}
 }
 
+// What is called ejected is what gets no work: a suspect until it answers again, on trial too; none that
+// drains, and none at all while most look bad and all are used.
+func TestEjectedIsWhatIsAvoided(t *testing.T) {
+	r := newRig(t, testSettings(), 5)
+	r.perSlot, r.perRate, r.bucket = 1000, 1000, 1e6
+	bad := r.fleet[2]
+	if r.Ejected() != nil {
+		t.Fatalf("%v are ejected at the start", r.Ejected())
+	}
+	r.judge(bad, 1, "fails")
+	for range 30 {
+		id := r.arrive(0)
+		if r.worker(id) == bad.Worker || len(r.Ejected()) != 1 || r.Ejected()[0] != bad.Worker {
+			t.Fatalf("%v are ejected, and %s gets work", r.Ejected(), r.worker(id))
+		}
+		r.respond(id, 0, Completed, time.Millisecond)
+	}
+	trials := 0
+	for ; bad.suspect && trials < 5; trials++ {
+		r.now = max(r.now, bad.retryAt)
+		trial := uint64(0)
+		for range 60 {
+			if id := r.arrive(0); r.worker(id) == bad.Worker {
+				trial = id
+			}
+		}
+		if trial == 0 || len(r.Ejected()) != 1 {
+			t.Fatalf("trial %d, %v are ejected meanwhile", trial, r.Ejected())
+		}
+		r.respond(trial, 0, Completed, time.Millisecond)
+	}
+	if trials == 0 || r.Ejected() != nil {
+		t.Fatalf("%v are ejected after %d trials that were served", r.Ejected(), trials)
+	}
+	for _, w := range r.fleet[:3] {
+		r.judge(w, 1, "fails")
+	}
+	if r.Ejected() != nil {
+		t.Fatalf("%v are ejected while most look bad", r.Ejected())
+	}
+	r.judge(r.fleet[0], 0, "answers again")
+	r.judge(r.fleet[1], 0, "answers again")
+	r.at(r.now, Event{Kind: WorkerList, List: ListChanges, Entries: []Entry{{Worker: bad.Worker, State: Stopping}}})
+	if r.Ejected() != nil {
+		t.Fatalf("%v are ejected, and drain", r.Ejected())
+	}
+}
+
+// While a dispatcher is replaced, what either process sends a cold worker is of one budget: each tells what
+// it sends there, and the other's counts as its own.
+func TestColdChargesOfBothProcessesAddUp(t *testing.T) {
+	budget := func(other float64) (sent int, charged float64) {
+		s := testSettings()
+		s.Peers = 1
+		r := newRig(t, s, 4)
+		r.perSlot, r.perRate, r.bucket = 1000, 1000, 1e6
+		for range 40 {
+			r.respond(r.arrive(0), 0, Completed, 10*time.Millisecond)
+		}
+		r.at(r.now, Event{Kind: WorkerList, List: ListChanges, Entries: []Entry{{Worker: "w0", LastStart: r.now}}})
+		for range 200 {
+			id := r.arrive(0)
+			for _, a := range r.actions {
+				if a.Kind == Assign && a.Worker != "w0" && a.Charge != 0 {
+					t.Fatalf("a warm worker was charged %v", a.Charge)
+				}
+				if a.Kind == Assign && a.Worker == "w0" {
+					sent++
+					charged += a.Charge
+				}
+			}
+			r.respond(id, 0, Completed, 10*time.Millisecond)
+			r.at(r.now, Event{Kind: ColdCharge, Worker: "w0", Charge: other})
+		}
+		r.at(r.now, Event{Kind: ColdCharge, Worker: "unknown", Charge: 1})
+		return sent, charged
+	}
+	alone, charged := budget(0)
+	beside, _ := budget(charged / 200 / 2) // the other one sends half of what one may
+	if alone < 10 || beside >= alone*3/4 || beside == 0 || charged <= 0 {
+		t.Fatalf("%d sent alone, charged %v; %d beside one that sends half as much", alone, charged, beside)
+	}
+}
+
 // A vanished machine gives no sign: the job is sent a second time, and the worker is ejected.
 func TestSilenceIsNoticed(t *testing.T) {
 	r := newRig(t, testSettings(), 4)
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -467,7 +467,36 @@
 		return nil, errors.New("no descriptor")
 	}
 	defer f.Close()
-	return stdnet.FileListener(f)
+	ln, err := stdnet.FileListener(f)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := ln.(*stdnet.TCPListener)
+	if !ok {
+		ln.Close()
+		return nil, errors.New("not a listener for TCP")
+	}
+	return &inherited{tcp}, nil
+}
+
+// inherited is a listener whose socket other processes have too, and with it the
+// flag that says whether a call waits. Whoever starts a process may clear it:
+// the accept then waited in the system, and the close for the accept, without end.
+type inherited struct{ *stdnet.TCPListener }
+
+// Accept sets the flag first, lest it wait where no close reaches it.
+func (l *inherited) Accept() (stdnet.Conn, error) {
+	if raw, err := l.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
+	}
+	return l.TCPListener.Accept()
+}
+
+// Close does not wait for an accept that does, all the same. What that one still
+// takes is served.
+func (l *inherited) Close() error {
+	go l.TCPListener.Close()
+	return nil
 }
 
 // Listen accepts connections on an address, most at a time; own names the
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -717,3 +717,97 @@
 		}
 	})
 }
+
+// FuzzDrain checks client sessions against a model of a drain. A byte is a step
+// on one of four sessions: open it, ask for health, send half a request or the
+// rest of one; or on the front: withdraw it, let its time pass, let the time for
+// resting pass, bring it back. Each whole request has its one answer, which ends
+// the session where the model says so; healthz says no while the front is away;
+// and only a session that rests may end without an answer, after its time.
+func FuzzDrain(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4, 1, 3, 5, 1, 8, 10, 11, 16, 17})
+	f.Add([]byte{0, 2, 8, 9, 16, 18, 4, 5, 6, 3, 9, 19, 7, 24, 25, 26, 27})
+	f.Add([]byte{4, 5, 0, 2, 6, 3, 8, 9, 7, 16, 17, 4, 6, 17, 7, 4, 4, 7, 7, 16, 17})
+	r := newRig(f)
+	var addr string
+	var front *Front
+	r.do(func() {
+		r.core.Listen(echo{r.core})
+		r.core.List(echo{r.core}, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "w"}})
+		front = NewFront(r.core, r.engine, 64<<20, func() bool { return true })
+		addr, _ = front.Listen("127.0.0.1:0", 200)
+	})
+	type peer struct {
+		stdnet.Conn
+		in   *bufio.Reader
+		half string // what is left to send of the request at hand
+	}
+	number := 0
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		var peers [4]*peer
+		away, closing, resting := false, false, false
+		defer r.do(front.Return)
+		for i, b := range steps[:min(len(steps), 60)] {
+			p := peers[b/8%4]
+			ask := func(text string, status int) {
+				fmt.Fprint(p, text) // may fail where a resting session has ended
+				got, err := http.ReadResponse(p.in, nil)
+				if err != nil {
+					if !resting {
+						t.Fatalf("step %d of %v: no answer: %v", i, steps, err)
+					}
+					peers[b/8%4] = nil
+					return
+				}
+				io.Copy(io.Discard, got.Body)
+				if got.StatusCode != status || got.Close != closing {
+					t.Fatalf("step %d of %v: %d, ends: %v; want %d, %v", i, steps, got.StatusCode, got.Close, status, closing)
+				}
+				if closing {
+					if _, err := p.in.ReadByte(); err != io.EOF {
+						t.Fatalf("step %d of %v: behind the last answer: %v", i, steps, err)
+					}
+					peers[b/8%4] = nil
+				}
+			}
+			switch op := b % 8; {
+			case op == 0 && p == nil:
+				conn, err := stdnet.Dial("tcp", addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				conn.SetDeadline(time.Now().Add(patience))
+				peers[b/8%4] = &peer{Conn: conn, in: bufio.NewReader(conn)}
+			case op == 1 && p != nil && p.half == "":
+				status := 200
+				if away {
+					status = 503
+				}
+				ask("GET /healthz HTTP/1.1\r\n\r\n", status)
+			case op == 2 && p != nil && p.half == "":
+				number++
+				text := fmt.Sprintf("POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: drain%d\r\nContent-Length: 4\r\n\r\ndone", number)
+				cut := 1 + number%(len(text)-1)
+				fmt.Fprint(p, text[:cut])
+				p.half = text[cut:]
+			case op == 3 && p != nil && p.half != "":
+				text := p.half
+				p.half = ""
+				ask(text, 200)
+			case op == 4:
+				r.do(func() { front.Withdraw(); r.core.Loop.Clear(&front.drain) }) // its time passes when a step says so
+				away = true
+			case op == 5 && away:
+				r.do(func() { front.drainOn(); r.core.Loop.Clear(&front.drain) })
+				closing = true
+			case op == 6 && away:
+				r.do(func() { front.awayAt -= restTime; front.drainOn(); r.core.Loop.Clear(&front.drain) })
+				closing, resting = true, true
+			case op == 7:
+				r.do(front.Return)
+				away, closing = false, false // one that has ended in the meantime stays ended
+			}
+		}
+	})
+}
