--- a/api.go
+++ b/api.go
@@ -99,6 +99,10 @@
 	DrainGrace time.Duration // how long after the news a draining worker may still be sent to
 }
 
+// Herd tells whether so many dispatchers call for the list that they must not do so at once. The list known
+// serves meanwhile.
+func (s *Settings) Herd() bool { return s.Peers > herdFrom }
+
 // normalize checks the settings and fills in what must not be zero.
 func (s *Settings) normalize() error {
 	if len(s.Classes) == 0 {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -31,6 +31,8 @@
 	coldSafety  = 0.4             // share of the cold budget that is used
 	hintDoubt   = 0.25            // how far a job with a small hint may lie towards the mean of its class
 	oddJobs     = 4               // jobs in a row that a worker calls unusable and is believed
+	herdFrom    = 8               // dispatchers that may call for the list without a spread
+	herdPart    = 0.008           // of the time allowed without asking that each further one adds to it
 	coldGrain   = 0.31            // largest job for a cold worker, as a share of the used budget of all
 )
 
@@ -676,17 +678,30 @@
 func (d *Dispatcher) list(ev Event) {
 	if ev.List == ListError { // the old list stands; ask again, ever more slowly and not all at once
 		d.listBackoff = min(max(2*d.listBackoff, d.s.AskWithin/20), max(d.s.AskWithin/2, d.s.Tick))
-		wait := seconds(d.listBackoff.Seconds() * (0.5 + d.rng.Float64()/2))
+		wait := seconds(d.listBackoff.Seconds()*(0.5+d.rng.Float64()/2)) + d.spread()
 		d.act(Action{Kind: SetTimer, Timer: listTimer, Delay: wait})
 		d.log("worker list unavailable, asking again in %v", wait)
 		return
 	}
 	if d.listBackoff = 0; ev.List == ListPersisted && d.s.AskForList {
-		d.act(Action{Kind: Subscribe})
+		if wait := d.spread(); wait > 0 {
+			d.act(Action{Kind: SetTimer, Timer: listTimer, Delay: wait})
+		} else {
+			d.act(Action{Kind: Subscribe})
+		}
 	}
 	d.roster(ev)
 }
 
+// spread is a random wait before a call for the list, longer the more dispatchers call. Guards against a
+// herd: thirty that called at once took discovery's time in vain, waited too long, and called at once again.
+func (d *Dispatcher) spread() time.Duration {
+	if !d.s.Herd() {
+		return 0
+	}
+	return seconds(float64(d.s.Peers-herdFrom) * herdPart * d.s.AskWithin.Seconds() * d.rng.Float64())
+}
+
 // ---- Prices: the dual of the fluid LP over the recent mix.
 
 // solve sets the prices from the recent mix, for what bucket and lease let through in the same span.
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -838,6 +838,62 @@
 	}
 }
 
+// Thirty-six dispatchers that start together, or lose their subscription together, do not call together: their
+// calls are spread so that a service of seven calls a second keeps none waiting for the two seconds after which
+// it fails, and those that fail come back ever more seldom. Few dispatchers call at once.
+func TestHerdCallsAreSpread(t *testing.T) {
+	const peers, service, patience = 36, time.Second / 7, 2 * time.Second
+	s := testSettings()
+	s.AskForList, s.Peers = true, herdFrom
+	if r := newRig(t, s, 1); find(r.actions, Subscribe) == nil || find(r.actions, SetTimer) != nil {
+		t.Fatalf("few dispatchers do not call at once: %v", r.actions)
+	}
+	s.Peers = peers
+	for _, first := range []ListKind{ListPersisted, ListError} {
+		var rigs []*rig
+		var calls []time.Duration // when each calls next
+		for i := range peers {
+			r := newSeededRig(t, s, 1, uint64(i))
+			if first == ListError {
+				r.at(r.now, Event{Kind: WorkerList, List: ListError})
+			}
+			if r.sentTo(0) == "" {
+				t.Fatal("the known list does not serve meanwhile")
+			}
+			r.at(r.now, Event{Kind: WorkerList, List: first})
+			a := find(r.actions, SetTimer)
+			if a == nil || find(r.actions, Subscribe) != nil {
+				t.Fatalf("called at once: %v", r.actions)
+			}
+			rigs, calls = append(rigs, r), append(calls, time.Hour+a.Delay)
+		}
+		free, failed, last := time.Duration(0), 0, time.Duration(0)
+		for served := 0; served < peers; {
+			next := 0
+			for i := range calls {
+				if calls[i] < calls[next] {
+					next = i
+				}
+			}
+			now := calls[next]
+			start := max(free, now)
+			free = start + service // a call that has waited too long takes its time all the same
+			if start+service-now <= patience {
+				served, last = served+1, start+service
+				calls[next] = math.MaxInt64
+				continue
+			}
+			failed++
+			r := rigs[next]
+			r.at(now+patience, Event{Kind: WorkerList, List: ListError})
+			calls[next] = now + patience + find(r.actions, SetTimer).Delay
+		}
+		if last > time.Hour+10*time.Second || failed > peers/2 {
+			t.Errorf("list kind %d: all served after %v, %d calls in vain", first, last-time.Hour, failed)
+		}
+	}
+}
+
 // The cold rule, played out: four dispatchers under the same overload hear of a start at once. Work
 // that warm workers turn away must not enlarge the budget, nor a fast kind's rate a slow kind's.
 func TestColdWorkerIsNotPushedOver(t *testing.T) {
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -846,7 +846,8 @@
 // Known takes in the list that the dispatcher had before its start. It may be
 // old: nothing is sent by it until discovery has told what has changed, or has
 // had its time. Reqs are taken meanwhile and wait for that list, since a client
-// that is let in late has nobody else to go to.
+// that is let in late has nobody else to go to. In a herd of dispatchers the word
+// of discovery may be long in coming, and the list known serves at once.
 func (s *Backends) Known(raw []byte) error {
 	list := hosts{Whole: true}
 	if len(raw) > 0 {
@@ -865,7 +866,7 @@
 			s.first[e.Worker] = e
 		}
 	}
-	if s.watch.addr == "" {
+	if s.watch.addr == "" || s.core.Settings.Herd() { // the module says when to call
 		s.begin(nil)
 		return nil
 	}
