A job on a connection gone silent is sent again elsewhere and no longer bars its worker

Silence of a connection was not seen while its worker spoke on others. Now notes that are 1.75 s overdue, or a start while the worker, asked since, has nothing waiting, lead to a second copy where the class allows; a fragile one waits on, and its worker gets other jobs.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -668,11 +668,36 @@
 		d.judge(a.w, 1, "is silent")
 	}
 	stuck := (a.w.suspect || a.started == 0 && a.idle > d.idleSafe) && d.now-a.heard > d.beat
+	stuck = d.mute(r, a) || stuck
 	if stuck && d.s.SecondCopies && r.class.Repeat != Fragile && len(r.attempts) < d.s.MaxAttempts {
 		d.place(r)
 	}
 }
 
+// mute tells whether the connection of an attempt looks dead though its worker lives: notes are overdue,
+// or the start is while nothing waits there by what the worker has told since. If it has not, it is asked.
+func (d *Dispatcher) mute(r *request, a *attempt) bool {
+	w, wait := a.w, d.s.Progress/2+d.s.ConnectTimeout
+	if d.s.Progress <= 0 || !d.s.TellsStart || a.mute {
+		return a.mute
+	}
+	if a.started > 0 {
+		return d.now-a.heard > d.s.Progress+wait
+	}
+	if !d.s.StartsInOrder || d.now-a.sent <= wait || d.priceC+d.priceK > 0 || len(d.queue) > 0 {
+		return false
+	}
+	if w.toldAt > a.sent+d.s.ConnectTimeout {
+		if a.mute = w.backlog < 1; a.mute {
+			d.unblock(r, a)
+		}
+	} else if d.s.Probing && d.now-w.probedAt > wait {
+		w.probedAt = d.now
+		d.act(Action{Kind: Probe, Worker: w.Worker})
+	}
+	return a.mute
+}
+
 // ---- The worker list.
 
 func (d *Dispatcher) list(ev Event) {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -677,6 +677,58 @@
 	}
 }
 
+// A connection may go silent alone, on a worker that lives: the job's notes stop, or its start is never told
+// though nothing waits there. A job that may be repeated is sent again elsewhere, a fragile one never, and the
+// worker neither loses its trust nor is kept from other jobs. Where jobs wait, a missing start proves nothing.
+func TestSilentConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		class, backlog int
+		started        bool
+		want           int // attempts in the end
+	}{
+		"notes stop": {0, 5, true, 2}, "no start, nothing waits": {0, 0, false, 2}, "no start, jobs wait": {0, 1, false, 1},
+		"fragile, notes stop": {1, 0, true, 1}, "fragile, no start": {1, 0, false, 1},
+	} {
+		s := testSettings()
+		s.TellsStart, s.StartsInOrder, s.Probing, s.Peers = true, true, true, 1
+		r := newRig(t, s, 4)
+		id := r.arrive(test.class)
+		w := r.workers[r.worker(id)]
+		note := func(q uint64) {
+			r.at(r.now, Event{Kind: Started, Request: q, Worker: r.worker(q)})
+		}
+		if test.started {
+			note(id)
+		}
+		probes := 0
+		for end := r.now + 1900*time.Millisecond; r.now < end; {
+			r.at(r.now+r.beat, Event{Kind: TimerDue, Timer: beatTimer})
+			if find(r.actions, Probe) != nil {
+				probes++
+				r.at(r.now, Event{Kind: ProbeResult, Worker: w.Worker, Outcome: Completed,
+					Load: Load{Backlog: float64(test.backlog), HasBacklog: true}})
+			}
+			w.heard = r.now // by another connection
+		}
+		if n := len(r.requests[id].attempts); n != test.want || w.suspect {
+			t.Errorf("%s: %d attempts, want %d; suspect %v", name, n, test.want, w.suspect)
+		}
+		if test.started != (probes == 0) || probes > 3 {
+			t.Errorf("%s: %d probes", name, probes)
+		}
+		if blocked := w.unstarted > 0; !test.started && blocked != (test.backlog > 0) {
+			t.Errorf("%s: %d starts are waited for", name, w.unstarted)
+		}
+		r.at(r.now, Event{Kind: HungUp, Request: id})
+		for n := range r.requests[id].attempts {
+			r.respond(id, n, Recalled, 0)
+		}
+		if w.unstarted != 0 || w.out != 0 || r.inflight != 0 {
+			t.Errorf("%s: in the end %d starts are waited for, %v slots out, %v leased", name, w.unstarted, w.out, r.inflight)
+		}
+	}
+}
+
 // Where starts are told, a job in a worker's queue is silent by nature: that proves nothing, and a
 // second copy would only fill another queue.
 func TestQueuedJobIsNotSilence(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -27,6 +27,9 @@
 	coldAt    time.Duration // when that was reckoned
 	free      float64       // free slots by the last report, less what was sent since
 	freeAt    time.Duration
+	backlog   float64       // jobs that wait there by the last report
+	toldAt    time.Duration // when that came
+	probedAt  time.Duration
 	others    float64         // jobs of others there by the last report, or by a live weight
 	idle      []time.Duration // since when its open connections are unused, the oldest first
 	doubt     *request        // late, not started: its connection may be dead
@@ -54,6 +57,7 @@
 	w                    *worker
 	sent, started, heard time.Duration
 	done, neverRan       bool
+	mute                 bool          // its connection looks dead: nobody waits for its start any more
 	idle                 time.Duration // how long its connection may have been unused, where no wait was foreseen
 }
 
@@ -334,6 +338,14 @@
 	d.closeIdle(a.w)
 }
 
+// unblock books that an attempt's start is waited for no more, so that its worker gets others.
+func (d *Dispatcher) unblock(r *request, a *attempt) {
+	if a.w.doubt != r { // else that is booked
+		d.left(a.w)
+	}
+	d.closeIdle(a.w)
+}
+
 // overtaken returns the job in doubt at a worker, if a later one of another request has started before it.
 func (d *Dispatcher) overtaken(r *request, a *attempt) (*request, *attempt) {
 	q := a.w.doubt
@@ -357,7 +369,9 @@
 	if d.s.TellsStart {
 		a.w.wait = fading{(d.startWait(a.w) + (d.now - a.sent).Seconds()) / 2, d.now}
 	}
-	d.left(a.w)
+	if !a.mute {
+		d.left(a.w)
+	}
 }
 
 // left books that one attempt fewer waits for its start.
@@ -371,7 +385,7 @@
 	if o == Completed || o == Errored || o == Saturated || o == Unusable {
 		a.w.idle = append(a.w.idle, d.now)
 	}
-	if a.started == 0 {
+	if a.started == 0 && !a.mute {
 		d.left(a.w)
 	}
 	a.done = true
@@ -582,6 +596,9 @@
 	if l.HasFreeSlots {
 		w.free, w.freeAt = l.FreeSlots, d.now
 	}
+	if l.HasBacklog {
+		w.backlog, w.toldAt = l.Backlog, d.now
+	}
 	if l.HasOutstanding {
 		w.others = max(l.Outstanding-w.out, 0)
 	} else if l.HasBacklog {
