Requests and answers that come in pieces are looked at once

Seen by reading: each piece of a head was searched from its start, each piece of a body parsed the head again, and each chunk of an answer moved all that followed it. The scan now keeps where it is; an answer's buffer is cut once a reading. Checked: the parser fuzz compares whole and in pieces at every byte.

--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -71,6 +71,8 @@
 	held    bool  // it is not sent yet
 	fresh   bool  // the fetch has lost a new connection already
 	in      *net.Buffer
+	seen    int         // bytes of it that hold no end of a head
+	at      int         // bytes of it that have been taken in
 	text    *net.Buffer // the line of the body at hand
 	chunked bool
 	chunk   chunks
@@ -393,7 +395,7 @@
 func (l *line) free() {
 	l.set.engine.Pool.Put(l.in)
 	l.set.engine.Pool.Put(l.text)
-	l.in, l.text = nil, nil
+	l.in, l.text, l.at, l.seen = nil, nil, 0, 0
 }
 
 func (l *line) unlist() {
@@ -559,16 +561,14 @@
 		l.broken()
 		return
 	}
-	for l.in != nil && !l.over {
-		more, err := l.step()
-		if err != nil {
+	for more := true; more && !l.over && l.in != nil && l.at < len(l.in.Bytes()); {
+		var err error
+		if more, err = l.step(); err != nil {
 			l.broken()
 			return
 		}
-		if !more {
-			break
-		}
 	}
+	l.cut()
 	if l.over {
 		l.last = l.last || l.in != nil || l.held // bytes behind the answer, or some of the request still here
 		// Idle first, told then: the fetch that the module starts on this news finds the connection.
@@ -602,23 +602,23 @@
 
 // step takes one piece out of the input; false: more must come first.
 func (l *line) step() (bool, error) {
-	in := l.in.Bytes()
+	in := l.in.Bytes()[l.at:]
 	switch {
 	case l.phase == waiting:
 		var h head
-		if ok, err := parseHead(in, &h); !ok {
+		if ok, err := parseHead(in, &h, &l.seen); !ok {
 			return false, err
 		}
-		err := l.head(&h)
-		l.cut(h.size)
-		return true, err
+		l.seen = 0
+		l.at += h.size
+		return true, l.head(&h)
 	case l.chunked:
 		data, used, err := l.chunk.next(in)
 		if err != nil || used == 0 {
 			return false, err
 		}
 		err = l.body(data)
-		l.cut(used)
+		l.at += used
 		if l.chunk.done && err == nil {
 			err = l.done()
 		}
@@ -630,7 +630,7 @@
 			l.left -= n
 		}
 		err := l.body(in[:n])
-		l.cut(n)
+		l.at += n
 		if l.left == 0 && err == nil {
 			err = l.done()
 		}
@@ -638,11 +638,14 @@
 	}
 }
 
-func (l *line) cut(n int) {
-	if l.in == nil {
+// cut drops what has been taken in, once for all pieces of it: each cut moves
+// all that is left.
+func (l *line) cut() {
+	at := l.at
+	if l.at = 0; l.in == nil {
 		return
 	}
-	if l.in.Cut(n); len(l.in.Bytes()) == 0 {
+	if l.in.Cut(at); len(l.in.Bytes()) == 0 {
 		l.set.engine.Pool.Put(l.in)
 		l.in = nil
 	}
@@ -812,6 +815,7 @@
 	conn  *net.Conn
 	in    *net.Buffer
 	text  *net.Buffer
+	seen  int  // bytes of it that hold no end of the head
 	ok    bool // the head of the answer has come
 	live  bool // and its first line
 	chunk chunks
@@ -929,7 +933,7 @@
 	if w.conn != nil {
 		w.conn.Close()
 	}
-	w.in, w.text, w.conn, w.out, w.ok, w.live, w.chunk = nil, nil, nil, false, false, false, chunks{}
+	w.in, w.text, w.conn, w.out, w.ok, w.live, w.chunk, w.seen = nil, nil, nil, false, false, false, chunks{}, 0
 	w.turn++
 }
 
@@ -966,7 +970,7 @@
 func (w *watch) read() error {
 	if !w.ok {
 		var h head
-		ok, err := parseHead(w.in.Bytes(), &h)
+		ok, err := parseHead(w.in.Bytes(), &h, &w.seen)
 		if !ok {
 			return err
 		}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -94,18 +94,25 @@
 	return false
 }
 
-// parseHead parses a head at the start of b; false without an error: it is not all there yet.
-func parseHead(b []byte, h *head) (bool, error) {
-	end := bytes.Index(b, []byte("\r\n\r\n"))
+// parseHead parses a head at the start of b; false without an error: it is not
+// all there yet, and what has been looked at in vain is not looked at again.
+func parseHead(b []byte, h *head, seen *int) (bool, error) {
+	from := max(*seen-3, 0)
+	end := bytes.Index(b[from:], []byte("\r\n\r\n"))
 	if end < 0 {
 		if len(b) > maxHead {
 			return false, errHead
 		}
-		if bareLineEnd(b) { // guards against waiting for the end of a head that can have none
+		if *seen > 0 && b[*seen-1] == '\r' { // its line feed may be there by now
+			*seen--
+		}
+		if bareLineEnd(b[*seen:]) { // guards against waiting for the end of a head that can have none
 			return false, errMalformed
 		}
+		*seen = len(b)
 		return false, nil
 	}
+	end += from
 	if end > maxHead {
 		return false, errHead
 	}
@@ -277,11 +284,14 @@
 	size int // bytes that it takes in the buffer
 }
 
-// scan is how far a chunked body has been looked at. Guards against looking at
-// all of it again for every byte that trickles in.
+// scan is how far a request has been looked at. Guards against looking at all of
+// it again for every byte that trickles in.
 type scan struct {
+	head       int // bytes that hold no end of the head
+	need       int // bytes that the request has, where its head told
+	chunked    bool
 	chunk      chunks
-	at, length int
+	at, length int // of a chunked body
 }
 
 // parseRequest parses a request at the start of b; false without an error: it
@@ -289,7 +299,15 @@
 // put together in place. early tells that the head is there and asks for word
 // before the body is sent.
 func parseRequest(b []byte, m *message, sc *scan) (ok, early bool, err error) {
-	if ok, err = parseHead(b, &m.head); !ok {
+	if len(b) < sc.need {
+		return false, false, nil
+	}
+	if sc.chunked {
+		if done, err := sc.chunks(b); !done {
+			return false, false, err
+		}
+	}
+	if ok, err = parseHead(b, &m.head, &sc.head); !ok {
 		return false, false, err
 	}
 	if v := string(m.c); v != "HTTP/1.1" && v != "HTTP/1.0" || !isToken(m.a) || !isTarget(m.b) {
@@ -312,7 +330,7 @@
 		return parseChunked(b, m, sc)
 	}
 	length = max(length, 0)
-	if len(b) < m.size+length {
+	if sc.need = m.size + length; len(b) < sc.need {
 		return false, len(b) == m.size && m.has("Expect", "100-continue"), nil
 	}
 	m.body = b[m.size : m.size+length]
@@ -324,7 +342,7 @@
 // sees it; size 0 without an error: it is not all there yet.
 func ParseAnswer(b []byte) (status int, body []byte, size int, last bool, err error) {
 	var h head
-	ok, err := parseHead(b, &h)
+	ok, err := parseHead(b, &h, new(int))
 	if !ok {
 		return 0, nil, 0, false, err
 	}
@@ -349,21 +367,31 @@
 	return status, b[h.size : h.size+length], h.size + length, h.has("Connection", "close"), nil
 }
 
-func parseChunked(b []byte, m *message, sc *scan) (ok, early bool, err error) {
-	sc.at = max(sc.at, m.size)
+// chunks looks at the body on from where it has stopped.
+func (sc *scan) chunks(b []byte) (done bool, err error) {
 	for !sc.chunk.done {
 		data, used, err := sc.chunk.next(b[sc.at:])
 		if err != nil {
-			return false, false, err
+			return false, err
 		}
 		if sc.length += len(data); sc.length > maxBody {
-			return false, false, errBody
+			return false, errBody
 		}
 		if used == 0 {
-			return false, len(b) == m.size && m.has("Expect", "100-continue"), nil
+			return false, nil
 		}
 		sc.at += used
 	}
+	return true, nil
+}
+
+func parseChunked(b []byte, m *message, sc *scan) (ok, early bool, err error) {
+	if !sc.chunked {
+		sc.chunked, sc.at = true, m.size
+	}
+	if done, err := sc.chunks(b); !done {
+		return false, len(b) == m.size && m.has("Expect", "100-continue"), err
+	}
 	var c chunks
 	start := m.size
 	at := start
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -710,8 +710,25 @@
 		if ok && (err != nil || m.size > len(b) || len(m.body) > m.size || len(m.body) > maxBody) {
 			t.Fatalf("size %d, body %d of %d bytes, %v", m.size, len(m.body), len(b), err)
 		}
+		// In pieces it is the same as at once, and what has been looked at stays so.
+		var sc scan
+		for n := 1; n <= min(len(b), 700); n++ {
+			var whole, piece message
+			seen, at := sc.head, sc.at
+			ok1, _, err1 := parseRequest(slices.Clone(b[:n]), &whole, new(scan))
+			ok2, _, err2 := parseRequest(slices.Clone(b[:n]), &piece, &sc)
+			if ok1 != ok2 || err1 != err2 || !bytes.Equal(whole.body, piece.body) || whole.size != piece.size && ok1 {
+				t.Fatalf("%d bytes of %q: at once %v, %v; in pieces %v, %v", n, b, ok1, err1, ok2, err2)
+			}
+			if ok1 || err1 != nil {
+				break
+			}
+			if sc.need == 0 && !sc.chunked && sc.head != n || sc.head < seen-1 || sc.at < at {
+				t.Fatalf("%d bytes of %q: looked at %d, then %d; body %d, then %d", n, b, seen, sc.head, at, sc.at)
+			}
+		}
 		var h head
-		if ok, _ := parseHead(b, &h); ok {
+		if ok, _ := parseHead(b, &h, new(int)); ok {
 			h.framing()
 			h.has("Connection", "close")
 		}
