A closed connection's number is left to the poller, whose event closed its next owner

Cause, by reading nbio's poller: it looks a connection up by the descriptor of an event; closed on the loop while that event waited in the poller's batch, the number went to a new connection, and the event closed that one. On a busy node the poller waits for the loop in the middle of a batch, so this grows with load. The loop now shuts a connection down and the poller closes it.

--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -309,7 +309,9 @@
 				e.landed.Wait()
 			}
 			e.flights.Unlock()
-			e.read(c)
+			if err := e.read(c); err != nil {
+				_ = nc.CloseWithError(err)
+			}
 		}
 	})
 	e.nb.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
@@ -332,13 +334,10 @@
 // Guards the memory, and the other connections' turns: nbio's own reading went
 // on for as long as a peer kept sending, and each piece waited for the loop in
 // a buffer of its own.
-func (e *Engine) read(c *Conn) {
+func (e *Engine) read(c *Conn) error {
 	c.reading.Lock()
-	err := c.readOnce()
-	c.reading.Unlock()
-	if err != nil { // not under the lock, since nbio tells of the close at once
-		_ = c.nb.CloseWithError(err)
-	}
+	defer c.reading.Unlock()
+	return c.readOnce()
 }
 
 func (c *Conn) readOnce() error {
@@ -392,8 +391,8 @@
 	change()
 	stalled := c.stalled
 	c.reading.Unlock()
-	if stalled {
-		c.engine.read(c)
+	if stalled && c.engine.read(c) != nil {
+		c.sever()
 	}
 }
 
@@ -633,6 +632,7 @@
 }
 
 func (c *Conn) gone(err error) {
+	c.engine.Loop.Clear(&c.ending)
 	if c.Handle == 0 {
 		return
 	}
@@ -675,9 +675,27 @@
 		return
 	}
 	c.drop()
-	_ = c.nb.Close()
+	c.sever()
 }
 
+// sever ends the connection and leaves its descriptor for nbio's poller to
+// close, which hears of it at once. Guards the next owner of that number: closed
+// here, while the poller still had an event of it, the event closed a connection
+// that had just come.
+func (c *Conn) sever() {
+	open := false
+	c.control(func(fd int) {
+		_ = syscall.Shutdown(fd, syscall.SHUT_RDWR)
+		open = true
+	})
+	if open { // in case nothing is left to hear, as after a reset
+		c.ending.Fire = func() { _ = c.nb.Close() }
+		c.engine.Loop.Set(&c.ending, c.engine.Loop.Now()+severTime)
+	}
+}
+
+const severTime = 200 * time.Millisecond // for the poller to close a severed connection
+
 const (
 	lingerFor  = time.Second
 	lingerStep = 5 * time.Millisecond
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -287,3 +287,73 @@
 		t.Error("a cooled buffer cannot be used again")
 	}
 }
+
+// A connection closed while the poller still has an event of it must not give
+// its number to the next one: the event closed that one, unread. The poller is
+// held between two events here, as a busy loop holds it.
+func TestCloseSparesTheNextOwner(t *testing.T) {
+	e := engine(t, 100)
+	w := newWatcher(e)
+	opened := make(chan *Conn, 20)
+	a, err := e.Listen("127.0.0.1:0", 20, false, func(c *Conn) Owner { opened <- c; return w }, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func() stdnet.Conn {
+		conn, err := stdnet.Dial("tcp", a.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	fly := func(n int) {
+		e.flights.Lock()
+		e.flying = n
+		e.flights.Unlock()
+		e.landed.Signal()
+	}
+	first, second := dial(), dial()
+	receive(t, opened)
+	receive(t, opened)
+	var peers []stdnet.Conn
+	var conns []*Conn
+	for range 6 {
+		peers = append(peers, dial())
+		conns = append(conns, receive(t, opened))
+	}
+	fly(mostFlying)
+	first.Write([]byte("first")) // the poller waits with it
+	time.Sleep(20 * time.Millisecond)
+	second.Write([]byte("second")) // and will wait with this one, while it has the ends of the others
+	for _, p := range peers {
+		p.Close()
+	}
+	closed, come := make(chan bool), make(chan bool)
+	e.Loop.Post(func() {
+		for _, c := range conns {
+			c.Close()
+		}
+		close(closed)
+		<-come
+	})
+	fly(mostFlying - 1)
+	receive(t, closed)
+	next := []stdnet.Conn{dial(), dial(), dial()}
+	time.Sleep(50 * time.Millisecond) // they should have been accepted; where not, the test shows less
+	close(come)
+	fly(0)
+	for range 3 {
+		receive(t, opened)
+	}
+	for _, conn := range next {
+		conn.Write([]byte("next"))
+	}
+	heard := map[string]int{}
+	for range 5 {
+		heard[receive(t, w.data)]++
+	}
+	if heard["first"] != 1 || heard["second"] != 1 || heard["next"] != 3 || len(w.closed) > 0 {
+		t.Errorf("heard %v; %d connections were closed unread", heard, len(w.closed))
+	}
+}
