Resting connections and probes of silent jobs' workers scale down by peers_total

A backend's connections are held for all dispatchers together: 96 rest at one in all, at least one each (48 dispatchers rested as many as their bursts had opened). Probes of a job that is not told to have started come peers/8 times more seldom.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -691,7 +691,7 @@
 		if a.mute = w.backlog < 1; a.mute {
 			d.unblock(r, a)
 		}
-	} else if d.s.Probing && d.now-w.probedAt > wait {
+	} else if d.s.Probing && d.now-w.probedAt > wait*time.Duration(max(d.s.Peers/herdFrom, 1)) {
 		w.probedAt = d.now
 		d.act(Action{Kind: Probe, Worker: w.Worker})
 	}
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -94,6 +94,7 @@
 }
 
 const (
+	idleInAll  = 96          // connections that rest at a backend, of all dispatchers
 	idleMargin = time.Second // idle connections close so long before the backend may
 	probeTime  = time.Second // for the answer to a probe
 	clearTime  = time.Second // for the rest of an answer whose outcome is known
@@ -127,6 +128,10 @@
 	return anyConnect
 }
 
+// mostIdle is how many connections to a backend rest here at the most. It holds
+// only so many for all dispatchers together.
+func (s *Backends) mostIdle() int { return max(idleInAll/max(s.core.Settings.Peers, 1), 1) }
+
 // Start sends a fetch on the connection used last, or on a new one.
 func (s *Backends) Start(f core.Fetch) {
 	b := s.hosts[f.Backend]
@@ -386,7 +391,10 @@
 		return
 	}
 	l.kept = true
-	l.b.idle = append(l.b.idle, l)
+	if l.b.idle = append(l.b.idle, l); len(l.b.idle) > l.set.mostIdle() { // the one unused longest goes
+		l.b.idle[0].close()
+		l.b.idle = l.b.idle[1:]
+	}
 	if idle := l.set.core.Settings.ConnIdle; idle > 0 {
 		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+max(idle-idleMargin, idle/2))
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -828,3 +828,42 @@
 		}
 	})
 }
+
+// A backend holds only so many connections for all dispatchers together: the
+// more dispatchers there are, the fewer rest here, the one used last among them.
+func TestRestingConnectionsScaleDown(t *testing.T) {
+	for _, x := range []struct{ peers, rest int }{{idleInAll / 3, 3}, {48 * idleInAll, 1}} {
+		r, s := newRig(t), newStand(t)
+		r.core.Settings.Peers = x.peers
+		const load = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"x0\":1.5}"
+		s.mu.Lock()
+		s.scripts = []string{load, load, load, load, load}
+		s.mu.Unlock()
+		var b *Backends
+		r.do(func() {
+			b = NewBackends(r.core, r.engine, "")
+			if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, s.ln.Addr())); err != nil {
+				t.Error(err)
+			}
+			for range 5 {
+				b.Probe("s")
+			}
+		})
+		for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+			idle, open := 0, 0
+			r.do(func() { idle, open = len(b.hosts["s"].idle), r.engine.Open() })
+			s.mu.Lock()
+			came := len(s.conns)
+			s.mu.Unlock()
+			if idle > x.rest {
+				t.Fatalf("%d dispatchers: %d connections rest, %d at the most", x.peers, idle, x.rest)
+			}
+			if came == 5 && idle == x.rest && open == x.rest {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%d dispatchers: %d connections came, %d rest, %d are open", x.peers, came, idle, open)
+			}
+		}
+	}
+}
