--- a/cmd/hollyyoke/node_test.go
+++ b/cmd/hollyyoke/node_test.go
@@ -441,3 +441,34 @@
 		t.Errorf("%v, %q", err, out)
 	}
 }
+
+// With all descriptors of clients taken, and more callers at the door that say
+// nothing or half a call than it holds, a call is answered; and the limit holds.
+func TestDoorAtTheLimit(t *testing.T) {
+	w := operate(t, nil)
+	w.config = map[string]any{"limits": map[string]any{"sockets": 80, "memory_mb": 192}}
+	w.backend("s-1", done)
+	w.start()
+	w.door("GET", "/control/ready")
+	_, addr, _ := strings.Cut(w.log.String(), "operators' door at ")
+	addr, _, _ = strings.Cut(addr, "\n")
+	for i := range 60 {
+		w.session()
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if i%2 == 0 {
+			fmt.Fprint(conn, "GET /control/cou")
+		}
+		if n := descriptors(w); n > 80 {
+			t.Fatalf("%d descriptors", n)
+		}
+		if i%10 == 9 {
+			if status, text := w.door("GET", "/control/counters"); status != 200 || !strings.Contains(text, `"discovered":1`) {
+				t.Fatalf("after %d callers: %d %q", i, status, text)
+			}
+		}
+	}
+}
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -357,3 +357,52 @@
 		t.Errorf("heard %v; %d connections were closed unread", heard, len(w.closed))
 	}
 }
+
+// A process that has less room for a while accepts less, closes nothing for it,
+// and takes all again; a fixed bound stays, and so does a smaller part at a
+// listener that comes later.
+func TestResize(t *testing.T) {
+	e := engine(t, 124)
+	opened := make(chan *Conn, 100)
+	w := newWatcher(e)
+	own := func(c *Conn) Owner { opened <- c; return w }
+	serve := func(most int) *Acceptor {
+		a, err := e.Listen("127.0.0.1:0", most, true, own, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	dial := func(a *Acceptor, n int) {
+		for range n {
+			conn, err := stdnet.Dial("tcp", a.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { conn.Close() })
+		}
+	}
+	wide, fixed := serve(10), serve(4).Fix()
+	e.Resize(24 + 50) // half of what is usable
+	dial(wide, 7)
+	dial(fixed, 4)
+	for range 9 {
+		receive(t, opened)
+	}
+	later := serve(6)
+	dial(later, 4)
+	for range 3 {
+		receive(t, opened)
+	}
+	time.Sleep(20 * time.Millisecond) // time for one too many, which would be a fault
+	if n := len(opened); n > 0 || e.dials.most != 20 {
+		t.Fatalf("%d more than half have come; %d may be dialed", n, e.dials.most)
+	}
+	e.Resize(124)
+	for range 3 {
+		receive(t, opened)
+	}
+	if e.Resize(1 << 20); e.dials.most != 40 {
+		t.Errorf("%d may be dialed, more than at first", e.dials.most)
+	}
+}
