make rehearse: daemon, stand-ins, open-loop replay and report from one raw log

Need: a rehearsal needed a daemon and workers that somebody else had started, sent all entries of a second at once (of 2,000 in a second 1,591 could not be sent), and would have sent a recorded renewal to whatever listened.

Change: internal/rehearsal/standin (discovery, workers with books, the proof by challenges bound to both ends of a connection), replay (open loop, latency from the intended moment), report (table, JSON, one HTML file), and a command line of import, inspect, slice, merge, scale, run and replay. A class that is not retryable is sent only while every listed worker is proven; against a daemon that the kit did not start it is withheld, with no flag against that.

--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,15 @@
 run: build
 	exec bin/hollyyoke -config deploy/faktory-config.json -faktory deploy/faktory.toml
 
-# A recording to that daemon: make rehearse IN=access.log
+# A rehearsal from a raw log, with everything it needs started here:
+# make rehearse IN=access.log RULES=rules.toml REPORT=found/report
+IN ?= deploy/sample/access.log
+RULES ?= deploy/rehearsal.toml
+REPORT ?= found/rehearsal
 rehearse: build
-	bin/hollyyoke-rehearse -in "$(IN)" -rules deploy/rehearsal.toml -to 127.0.0.1:7419 -front faktory
+	mkdir -p $(REPORT)
+	bin/hollyyoke-rehearse import --rules $(RULES) --rejects $(REPORT)/rejects.jsonl -o $(REPORT)/recording.rec $(IN)
+	bin/hollyyoke-rehearse run --recording $(REPORT)/recording.rec --report $(REPORT)
 
 clean:
-	rm -rf bin
+	rm -rf bin found
--- a/cmd/hollyyoke-rehearse/main.go
+++ b/cmd/hollyyoke-rehearse/main.go
@@ -1,102 +1,346 @@
-// Command hollyyoke-rehearse replays recorded traffic, a HAR file or an access
-// log, to a dispatcher on a loopback address and reports what became of it.
-// This file owns the command line. It must never end with 0 if a rule broke.
+// Command hollyyoke-rehearse turns access logs and HAR files into canonical
+// recordings and replays them: to a dispatcher with stand-ins around it, all of
+// which it starts itself, or to one that runs already. This file owns the
+// command line. It must never end with 0 if a rule broke.
 package main
 
 import (
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strings"
 	"time"
 
-	"hollyyoke.example/hollyyoke/internal/rehearsal"
+	"github.com/alecthomas/kong"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/recording"
 )
 
-// Exit codes: a rule was broken; the rehearsal could not be held, or not whole.
+// Exit codes: kept; a rule or --strict broken; it could not be held.
 const (
+	exitKept   = 0
 	exitBroken = 1
-	exitUsage  = 2
+	exitNot    = 2
 )
 
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
-
-func run(args []string, out, errs io.Writer) int {
-	flags := flag.NewFlagSet("hollyyoke-rehearse", flag.ContinueOnError)
-	flags.SetOutput(errs)
-	in := flags.String("in", "", "the recording: a HAR 1.2 `file`, or an access log in the Common or Combined format")
-	rulesPath := flags.String("rules", "", "the `file` of rules that map entries to classes")
-	to := flags.String("to", "", "the dispatcher, `host:port` on a loopback address")
-	front := flags.String("front", "platform", "the front to speak to: platform or faktory")
-	password := flags.String("password", "", "of the Faktory front")
-	limit := flags.Int("limit", 10_000, "entries at most")
-	span := flags.Duration("span", 10*time.Minute, "length of the recording at most")
-	asJSON := flags.Bool("json", false, "print the report as JSON")
-	if err := flags.Parse(args); err != nil {
-		return exitUsage
-	}
-	report, err := rehearse(*in, *rulesPath, *front, *limit, *span, rehearsal.Options{To: *to, Password: *password}, errs)
+// broken is an error that means exit code 1.
+type broken struct{ why string }
+
+func (b broken) Error() string { return b.why }
+
+// env is what commands work with.
+type env struct {
+	out, errs io.Writer
+	in        io.Reader
+	log       *slog.Logger
+	terminal  bool // someone watches errs
+}
+
+type cli struct {
+	LogFormat string `enum:"text,json" default:"text" help:"Form of the log on standard error: text or json."`
+
+	Import  importCmd  `cmd:"" help:"Make a canonical recording of access logs and HAR files."`
+	Inspect inspectCmd `cmd:"" help:"Check a recording to its end and tell what is in it."`
+	Slice   sliceCmd   `cmd:"" help:"Cut a window of time out of a recording."`
+	Merge   mergeCmd   `cmd:"" help:"Put recordings together."`
+	Scale   scaleCmd   `cmd:"" help:"Change a recording's rate or speed."`
+	Run     runCmd     `cmd:"" help:"Start the daemon and stand-ins, replay a recording, check the books, report."`
+	Replay  replayCmd  `cmd:"" help:"Replay a recording to a daemon that runs already; what must not run twice is withheld."`
+	Formats formatsCmd `cmd:"" help:"List the formats that import reads."`
+	Version versionCmd `cmd:"" help:"Tell the version."`
+}
+
+func main() {
+	debug.SetMemoryLimit(48 << 20) // an import keeps below 64 MB whatever it reads; a run lifts this
+	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
+
+// earlier turns the command line of earlier versions, which had no commands and
+// single dashes, into today's.
+func earlier(args []string) []string {
+	if len(args) == 0 || !strings.HasPrefix(args[0], "-") {
+		return args
+	}
+	known := []string{"in", "rules", "to", "front", "password", "limit", "span", "json"}
+	out := []string{"replay"}
+	for _, a := range args {
+		name, _, _ := strings.Cut(strings.TrimLeft(a, "-"), "=")
+		if strings.HasPrefix(a, "-") && !strings.HasPrefix(a, "--") && slices.Contains(known, name) {
+			a = "-" + a
+		}
+		out = append(out, a)
+	}
+	for _, a := range out[1:] {
+		if strings.HasPrefix(a, "--in") || strings.HasPrefix(a, "--rules") || strings.HasPrefix(a, "--to") {
+			return out
+		}
+	}
+	return args
+}
+
+func run(args []string, in io.Reader, out, errs io.Writer) (code int) {
+	var c cli
+	exit := -1
+	parser, err := kong.New(&c, kong.Name("hollyyoke-rehearse"), kong.Writers(out, errs), kong.Exit(func(code int) { exit = code }),
+		kong.Description("Rehearses recorded traffic against the dispatcher, with stand-ins for everything around it."),
+		kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		panic(err) // the declarations above are wrong
+	}
+	k, err := parser.Parse(earlier(args))
+	if exit >= 0 { // help was asked for
+		return exit
+	}
 	if err != nil {
 		fmt.Fprintln(errs, "hollyyoke-rehearse:", err)
-		return exitUsage
+		return exitNot
 	}
-	if *asJSON {
-		raw, _ := json.MarshalIndent(report, "", "  ") // numbers and strings always marshal
-		fmt.Fprintln(out, string(raw))
+	e := &env{out: out, errs: errs, in: in}
+	if c.LogFormat == "json" {
+		e.log = slog.New(slog.NewJSONHandler(errs, nil))
 	} else {
-		report.Write(out)
+		e.log = slog.New(slog.NewTextHandler(errs, nil))
 	}
+	if f, ok := errs.(*os.File); ok {
+		info, err := f.Stat()
+		e.terminal = err == nil && info.Mode()&os.ModeCharDevice != 0
+	}
+	err = k.Run(e)
+	var b broken
 	switch {
-	case report.Broken():
-		fmt.Fprintln(errs, "hollyyoke-rehearse: a rule was broken: not each entry has one final answer in time")
+	case err == nil:
+		return exitKept
+	case errors.As(err, &b):
+		fmt.Fprintln(errs, "hollyyoke-rehearse:", err)
 		return exitBroken
-	case report.Unsent() > 0:
-		fmt.Fprintf(errs, "hollyyoke-rehearse: %d entries could not be sent\n", report.Unsent())
-		return exitUsage
 	}
-	return 0
+	fmt.Fprintln(errs, "hollyyoke-rehearse:", err)
+	return exitNot
 }
 
-func rehearse(in, rulesPath, front string, limit int, span time.Duration, o rehearsal.Options, errs io.Writer) (*rehearsal.Report, error) {
-	switch {
-	case in == "":
-		return nil, errors.New("-in: missing")
-	case rulesPath == "":
-		return nil, errors.New("-rules: missing")
-	case front != "platform" && front != "faktory":
-		return nil, fmt.Errorf("-front: %q is neither platform nor faktory", front)
-	case limit < 1 || limit > 65_536:
-		return nil, fmt.Errorf("-limit: %d is not between 1 and 65536", limit)
-	case span <= 0:
-		return nil, errors.New("-span: must be positive")
-	}
-	if err := rehearsal.Loopback(o.To); err != nil {
-		return nil, fmt.Errorf("-to: %w", err)
-	}
-	o.Faktory = front == "faktory"
-	rules, err := rehearsal.ReadRules(rulesPath)
+type versionCmd struct{}
+
+func (versionCmd) Run(e *env) error {
+	version := "(devel)"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				version += " " + s.Value
+			}
+		}
+	}
+	fmt.Fprintf(e.out, "hollyyoke-rehearse %s, recordings of version %d\n", version, recording.Version)
+	return nil
+}
+
+type formatsCmd struct{}
+
+func (formatsCmd) Run(e *env) error {
+	for _, line := range recording.Formats {
+		fmt.Fprintln(e.out, line)
+	}
+	return nil
+}
+
+// create writes a file beside its place and puts it there only when it is
+// whole, so that nobody finds half a recording.
+func create(path string, write func(io.Writer) error) (err error) {
+	f, err := os.CreateTemp(filepath.Dir(path), "."+filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			f.Close()
+			os.Remove(f.Name())
+		}
+	}()
+	if err = write(f); err != nil {
+		return err
+	}
+	if err = errors.Join(f.Chmod(0o644), f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
+
+// openRecording opens a recording; close gives back what it holds.
+func openRecording(path string) (r *recording.Reader, closeAll func(), err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	if r, err = recording.NewReader(f); err != nil {
+		f.Close()
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return r, func() { r.Close(); f.Close() }, nil
+}
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+type inspectCmd struct {
+	JSON bool   `name:"json" help:"As JSON."`
+	File string `arg:"" help:"The recording."`
+}
+
+// contents is what inspect tells.
+type contents struct {
+	Version  uint32                    `json:"version"`
+	Entries  uint64                    `json:"entries"`
+	Start    time.Time                 `json:"start"`
+	SpanS    float64                   `json:"span_s"`
+	PeakRate int                       `json:"peak_per_s"`
+	Classes  map[string]*classContents `json:"classes"`
+	Keys     int                       `json:"keys"` // different ones, of the first million
+	Header   any                       `json:"header"`
+}
+
+type classContents struct {
+	Entries   int     `json:"entries"`
+	Retryable bool    `json:"retryable"`
+	WorkS     float64 `json:"work_s"` // slots times durations
+	Drawn     int     `json:"durations_drawn"`
+	MadeUp    int     `json:"keys_made_up"`
+}
+
+func (c *inspectCmd) Run(e *env) error {
+	r, done, err := openRecording(c.File)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", rulesPath, err)
+		return err
 	}
-	file, err := os.Open(in)
+	defer done()
+	got := contents{Version: r.Header.Version, Start: time.UnixMicro(r.Header.StartUnixUs).UTC(), Classes: map[string]*classContents{}}
+	keys := map[uint64]struct{}{}
+	second, count := time.Duration(-1), 0
+	err = r.Each(func(x *recording.Entry) error {
+		got.Entries++
+		got.SpanS = x.At.Seconds()
+		class := r.Header.Classes[x.Class]
+		cc := got.Classes[class.Name]
+		if cc == nil {
+			cc = &classContents{Retryable: class.Retryable}
+			got.Classes[class.Name] = cc
+		}
+		cc.Entries++
+		cc.WorkS += x.Slots * x.Duration.Seconds()
+		if x.Repairs&recording.DrawnDuration != 0 {
+			cc.Drawn++
+		}
+		if x.Repairs&recording.MadeUpKey != 0 {
+			cc.MadeUp++
+		}
+		if len(keys) < 1_000_000 {
+			keys[x.Key] = struct{}{}
+		}
+		if s := x.At.Truncate(time.Second); s != second {
+			second, count = s, 0
+		}
+		count++
+		got.PeakRate = max(got.PeakRate, count)
+		return nil
+	})
 	if err != nil {
-		return nil, err
+		return fmt.Errorf("%s: %w", c.File, err)
 	}
-	defer file.Close()
-	entries, bad, cut, err := rehearsal.Read(file, rehearsal.Limits{Entries: limit, Span: span})
-	for _, b := range bad {
-		fmt.Fprintf(errs, "%s: %s\n", in, b)
+	got.Keys = len(keys)
+	if c.JSON {
+		got.Header = r.Header
+		return writeJSON(e.out, got)
 	}
+	fmt.Fprintf(e.out, "%d entries from %s on, over %.1f s, at most %d in a second, %d keys\n", got.Entries,
+		got.Start.Format(time.RFC3339), got.SpanS, got.PeakRate, got.Keys)
+	for _, class := range r.Header.Classes {
+		if cc := got.Classes[class.Name]; cc != nil {
+			repeat := "replayed to proven stand-ins alone"
+			if cc.Retryable {
+				repeat = "retryable"
+			}
+			fmt.Fprintf(e.out, "class %s: %d entries, %.1f s of work, %s; %d durations drawn, %d keys made up\n", class.Name, cc.Entries,
+				cc.WorkS, repeat, cc.Drawn, cc.MadeUp)
+		}
+	}
+	h := r.Header
+	fmt.Fprintf(e.out, "imported: read %d, accepted %d, malformed %d, unmapped %d, ignored %d, repaired %d; seed %d\n", h.Counts.GetRead(),
+		h.Counts.GetAccepted(), h.Counts.GetMalformed(), h.Counts.GetUnmapped(), h.Counts.GetIgnored(), h.Counts.GetRepaired(), h.Seed)
+	for _, s := range h.Sources {
+		fmt.Fprintf(e.out, "source %s (%s, stamps mark the %s): sha256 %x\n", s.Name, s.Format, s.Stamp, s.Sha256)
+		switch {
+		case s.Estimated:
+			fmt.Fprintf(e.out, "  clock offset %+.3f s, estimated from %d requests, half of them within %.3f s\n", float64(s.OffsetUs)/1e6, s.Pairs,
+				float64(s.SpreadUs)/1e6)
+		case s.OffsetUs != 0:
+			fmt.Fprintf(e.out, "  clock offset %+.3f s, given\n", float64(s.OffsetUs)/1e6)
+		}
+		if s.Cut != "" {
+			fmt.Fprintf(e.out, "  cut: %s\n", s.Cut)
+		}
+	}
+	for _, line := range h.History {
+		fmt.Fprintf(e.out, "then: %s\n", line)
+	}
+	return nil
+}
+
+type sliceCmd struct {
+	From   time.Duration `help:"Start of the window, from the recording's start on." default:"0"`
+	To     time.Duration `help:"End of the window; 0: the recording's end." default:"0"`
+	Output string        `short:"o" required:"" help:"The new recording."`
+	File   string        `arg:"" help:"The recording."`
+}
+
+func (c *sliceCmd) Run(e *env) error {
+	r, done, err := openRecording(c.File)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", in, err)
+		return err
 	}
-	if cut {
-		fmt.Fprintf(errs, "%s: longer than -limit and -span allow; the first %d entries are replayed\n", in, len(entries))
+	defer done()
+	return create(c.Output, func(w io.Writer) error { return recording.Slice(r, w, c.From, c.To) })
+}
+
+type mergeCmd struct {
+	Align  bool     `help:"Let all start at once, not by their clocks."`
+	Output string   `short:"o" required:"" help:"The new recording."`
+	Files  []string `arg:"" help:"The recordings."`
+}
+
+func (c *mergeCmd) Run(e *env) error {
+	var in []*recording.Reader
+	for _, path := range c.Files {
+		r, done, err := openRecording(path)
+		if err != nil {
+			return err
+		}
+		defer done()
+		in = append(in, r)
 	}
-	if len(entries) == 0 {
-		return nil, fmt.Errorf("%s: no entry to replay", in)
+	return create(c.Output, func(w io.Writer) error { return recording.Merge(in, w, c.Align) })
+}
+
+type scaleCmd struct {
+	Rate   float64 `help:"Times as many entries: below 1 some are left out, above 1 copies are added." default:"1"`
+	Speed  float64 `help:"Times as fast." default:"1"`
+	Seed   uint64  `help:"Of what is left out or added." default:"1"`
+	Output string  `short:"o" required:"" help:"The new recording."`
+	File   string  `arg:"" help:"The recording."`
+}
+
+func (c *scaleCmd) Run(e *env) error {
+	r, done, err := openRecording(c.File)
+	if err != nil {
+		return err
 	}
-	return rehearsal.Replay(entries, &rules, o)
+	defer done()
+	return create(c.Output, func(w io.Writer) error { return recording.Scale(r, w, c.Rate, c.Speed, c.Seed) })
 }
--- /dev/null
+++ b/internal/rehearsal/replay/replay.go
@@ -0,0 +1,440 @@
+// Package replay sends a recording to a dispatcher, open loop: each entry at
+// its recorded moment whatever becomes of those before. Latency is counted from
+// that moment. It owns the sending side's connections and what is booked of
+// each entry. It must never let a send wait for an answer or for a connection,
+// nor send a job that may run once only without a proof that a stand-in gets it.
+package replay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/recording"
+)
+
+// Options says where and how a recording is sent.
+type Options struct {
+	To       string  // host:port on a loopback address
+	Faktory  bool    // by the Faktory front; else by the platform's
+	Password string  // of the Faktory front
+	Seed     uint64  // of the ids; the same seed sends the same ids
+	Speed    float64 // of the time; default 1
+
+	// Proven tells at each send whether a job that must not run twice may be
+	// sent. nil: none is, and nothing overrides that.
+	Proven func() bool
+	// Announce is told of each job before it is sent; may be nil.
+	Announce func(id, class string, retryable bool, path string, e *recording.Entry)
+	// Progress is told how many entries are through; may be nil.
+	Progress func(n int)
+}
+
+// Verdict is what became of an entry that was sent.
+type Verdict uint8
+
+// The verdicts. Lost: no final answer before the client gave up.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+	Lost
+	Unsent
+	verdicts
+)
+
+// Tally tells what became of the entries of a class.
+type Tally struct {
+	Sent     int `json:"sent"`
+	Served   int `json:"served"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	Lost     int `json:"lost"`     // no final answer before the client gave up
+	Twice    int `json:"twice"`    // more than one answer
+	Withheld int `json:"withheld"` // may run once only, and no proof that a stand-in would get it
+	Unsent   int `json:"unsent"`   // no connection could be had
+	Resent   int `json:"resent"`   // once more on a new connection, as the kept one was closing
+
+	// Latency of the served, µs: from the intended moment, and from the actual one.
+	Intended Quantiles `json:"latency_us"`
+	Actual   Quantiles `json:"latency_from_send_us"`
+
+	intended, actual *hdrhistogram.Histogram
+}
+
+// Quantiles of a histogram, µs.
+type Quantiles struct {
+	P50  int64 `json:"p50"`
+	P90  int64 `json:"p90"`
+	P99  int64 `json:"p99"`
+	P999 int64 `json:"p999"`
+	Max  int64 `json:"max"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.ValueAtQuantile(99.9), h.Max()}
+}
+
+// Second tells of one second of the run.
+type Second struct {
+	Recorded int   `json:"recorded"` // arrivals that the recording has in it, without those withheld
+	Replayed int   `json:"replayed"` // that were sent in it
+	Served   int   `json:"served"`   // by when the answer came
+	Refused  int   `json:"refused"`
+	Failed   int   `json:"failed"`
+	Lost     int   `json:"lost"`
+	P99Us    int64 `json:"p99_us"` // of the served that were due in it
+
+	latency []int64
+}
+
+// Result tells of a replay.
+type Result struct {
+	Classes  map[string]*Tally `json:"classes"`
+	Fidelity Fidelity          `json:"fidelity"`
+	Seconds  []*Second         `json:"seconds"`
+	Refusals map[string]int    `json:"refusals"` // what was refused, by the dispatcher's words
+	Failures map[string]int    `json:"failures"`
+	Stray    int               `json:"stray"`  // answers to nothing at all
+	Booked   string            `json:"booked"` // a hash of the set of ids that were sent
+	Span     float64           `json:"span_s"`
+
+	ServedIDs []string `json:"-"`
+}
+
+// Broken tells whether a rule was broken: each entry sent has one final answer, in time.
+func (r *Result) Broken() bool {
+	for _, t := range r.Classes {
+		if t.Lost > 0 || t.Twice > 0 {
+			return true
+		}
+	}
+	return r.Stray > 0
+}
+
+// Count adds up over the classes.
+func (r *Result) Count(of func(*Tally) int) (n int) {
+	for _, t := range r.Classes {
+		n += of(t)
+	}
+	return n
+}
+
+const (
+	slack     = 50 * time.Millisecond // that every time limit is longer on sockets
+	dialTime  = 2 * time.Second
+	ahead     = 4096 // entries that are read before their time
+	mostBody  = 60 << 10
+	mostIdle  = 4096
+	coldStart = 300 * time.Millisecond // before the first entry, for the first connections
+	warm      = 48                     // connections that are opened before it
+	settle    = 200 * time.Millisecond // in which a second answer would still be seen
+	mostWords = 32
+)
+
+// shot is an entry on its way.
+type shot struct {
+	recording.Entry
+	id     string
+	path   string
+	class  string
+	tally  *Tally
+	due    time.Duration // since the start
+	sent   time.Duration
+	again  bool
+	ending atomic.Bool // it has its fate
+}
+
+type replay struct {
+	Options
+	start time.Time
+
+	mu     sync.Mutex // idle, and all that is booked
+	idle   []*link
+	result *Result
+	series *series
+	ids    uint64
+	left   sync.WaitGroup
+	done   int
+}
+
+// Run sends a recording and returns what became of it. It takes as long as the
+// recording, and the longest wait of its last clients. A canceled context ends
+// the sending.
+func Run(ctx context.Context, r *recording.Reader, o Options) (*Result, error) {
+	if err := Loopback(o.To); err != nil {
+		return nil, err
+	}
+	if o.Speed == 0 {
+		o.Speed = 1
+	}
+	if !(o.Speed >= 0.001 && o.Speed <= 1000) {
+		return nil, fmt.Errorf("speed: %g is not between 0.001 and 1000", o.Speed)
+	}
+	p := &replay{Options: o, series: newSeries()}
+	p.result = &Result{Classes: map[string]*Tally{}, Refusals: map[string]int{}, Failures: map[string]int{}}
+	for _, c := range r.Header.Classes {
+		p.result.Classes[c.Name] = &Tally{intended: hdrhistogram.New(1, 3_600_000_000, 3), actual: hdrhistogram.New(1, 3_600_000_000, 3)}
+	}
+	shots := make(chan *shot, ahead)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var readErr error
+	go func() { // unpacking is not to delay a send
+		defer close(shots)
+		n := 0
+		readErr = r.Each(func(e *recording.Entry) error {
+			class := r.Header.Classes[e.Class]
+			s := &shot{Entry: *e, class: class.Name, tally: p.result.Classes[class.Name], due: time.Duration(float64(e.At) / o.Speed)}
+			s.id = ID(o.Seed, n)
+			if s.path = "/" + class.Name; e.Key != 0 {
+				s.path += "/" + e.KeyText()
+			}
+			n++
+			select {
+			case shots <- s:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+	}()
+	p.warm()
+	p.start = time.Now().Add(coldStart)
+	p.send(shots, func(s *shot) bool { return r.Header.Classes[s.Class].Retryable })
+	cancelled := readErr != nil && errors.Is(readErr, context.Canceled)
+	if readErr != nil && !cancelled {
+		p.left.Wait()
+		return nil, readErr
+	}
+	p.left.Wait()
+	time.Sleep(settle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle {
+		l.conn.Close()
+	}
+	p.finish()
+	if cancelled {
+		return p.result, context.Canceled
+	}
+	return p.result, nil
+}
+
+// ID is the n-th id of a seed, in the form that clients use: 16 hexadecimal digits.
+func ID(seed uint64, n int) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("hollyyoke rehearsal %d %d", seed, n)))
+}
+
+// Loopback checks that an address is a loopback one.
+func Loopback(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("%q is no host:port", addr)
+	}
+	if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+		return fmt.Errorf("%s is not a loopback address", host)
+	}
+	return nil
+}
+
+// send is the one sender: it waits for each entry's moment and for nothing else.
+func (p *replay) send(shots <-chan *shot, retryable func(*shot) bool) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for s := range shots {
+		sleepUntil(p.start.Add(s.due))
+		may := retryable(s)
+		if !may && (p.Proven == nil || !p.Proven()) {
+			p.mu.Lock()
+			s.tally.Withheld++
+			p.mu.Unlock()
+			continue
+		}
+		if p.Announce != nil {
+			p.Announce(s.id, s.class, may, s.path, &s.Entry)
+		}
+		p.mu.Lock()
+		s.tally.Sent++
+		p.ids ^= xxhash.Sum64String(s.id)
+		var l *link
+		if n := len(p.idle); n > 0 {
+			l, p.idle = p.idle[n-1], p.idle[:n-1]
+		}
+		p.mu.Unlock()
+		p.left.Add(1)
+		if l != nil {
+			l.fire(s)
+		} else {
+			go p.open(s)
+		}
+	}
+}
+
+// sleepUntil sleeps as exactly as the system can; Go's own timers may be a
+// millisecond late on an idle machine.
+func sleepUntil(t time.Time) {
+	const spin = 60 * time.Microsecond
+	for {
+		left := time.Until(t)
+		switch {
+		case left <= 0:
+			return
+		case left > spin:
+			ts := unix.NsecToTimespec(int64(left - spin))
+			unix.Nanosleep(&ts, nil)
+		default:
+			runtime.Gosched()
+		}
+	}
+}
+
+// warm opens some connections before the first entry.
+func (p *replay) warm() {
+	var open sync.WaitGroup
+	for range warm {
+		open.Add(1)
+		go func() {
+			defer open.Done()
+			if l, err := p.dial(); err == nil {
+				p.rest(l)
+				go l.read()
+			}
+		}()
+	}
+	open.Wait()
+}
+
+func (p *replay) dial() (*link, error) {
+	conn, err := net.DialTimeout("tcp", p.To, dialTime)
+	if err != nil {
+		return nil, err
+	}
+	l := newLink(p, conn)
+	if p.Faktory {
+		conn.SetDeadline(time.Now().Add(dialTime))
+		if err := l.greet(p.Password); err != nil {
+			conn.Close()
+			return nil, err
+		}
+		conn.SetDeadline(time.Time{})
+	}
+	return l, nil
+}
+
+// open sends on a new connection.
+func (p *replay) open(s *shot) {
+	l, err := p.dial()
+	if err != nil {
+		p.mu.Lock()
+		s.tally.Sent--
+		p.ids ^= xxhash.Sum64String(s.id)
+		p.mu.Unlock()
+		p.over(s, Unsent, err.Error())
+		return
+	}
+	l.fire(s)
+	go l.read()
+}
+
+func (p *replay) rest(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= mostIdle {
+		l.conn.Close()
+		return
+	}
+	p.idle = append(p.idle, l)
+}
+
+// forget takes a connection that has ended out of the idle ones.
+func (p *replay) forget(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, other := range p.idle {
+		if other == l {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// over books an entry's fate, once.
+func (p *replay) over(s *shot, v Verdict, why string) {
+	if s.ending.Swap(true) {
+		return
+	}
+	now := time.Since(p.start)
+	p.mu.Lock()
+	t := s.tally
+	second := p.series.second(now)
+	switch v {
+	case Served:
+		t.Served++
+		second.Served++
+		t.intended.RecordValue(max((now - s.due).Microseconds(), 1))
+		t.actual.RecordValue(max((now - s.sent).Microseconds(), 1))
+		due := p.series.second(s.due)
+		due.latency = append(due.latency, (now - s.due).Microseconds())
+		p.result.ServedIDs = append(p.result.ServedIDs, s.id)
+	case Refused:
+		t.Refused++
+		second.Refused++
+		word(p.result.Refusals, s.class+": "+why)
+	case Failed:
+		t.Failed++
+		second.Failed++
+		word(p.result.Failures, s.class+": "+why)
+	case Lost:
+		t.Lost++
+		second.Lost++
+		word(p.result.Failures, s.class+": "+why)
+	case Unsent:
+		t.Unsent++
+		word(p.result.Failures, s.class+": not sent")
+	}
+	if v != Unsent {
+		p.series.add(s.due, s.sent)
+	}
+	p.done++
+	n := p.done
+	p.mu.Unlock()
+	if p.Progress != nil {
+		p.Progress(n)
+	}
+	p.left.Done()
+}
+
+// word counts a reason; there are only so many.
+func word(words map[string]int, text string) {
+	text, _, _ = strings.Cut(strings.TrimSpace(text), "\n")
+	if len(text) > 120 {
+		text = text[:120]
+	}
+	if _, ok := words[text]; !ok && len(words) >= mostWords {
+		text = "others"
+	}
+	words[text]++
+}
+
+func (p *replay) finish() {
+	r := p.result
+	for _, t := range r.Classes {
+		t.Intended, t.Actual = quantiles(t.intended), quantiles(t.actual)
+	}
+	r.Booked = fmt.Sprintf("%016x", p.ids)
+	r.Seconds = p.series.finish(&r.Fidelity)
+	r.Span = float64(len(r.Seconds))
+}
+
+var errGreeting = errors.New("the greeting is none")
--- /dev/null
+++ b/internal/rehearsal/replay/replay_test.go
@@ -0,0 +1,158 @@
+package replay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/recording"
+	"hollyyoke.example/hollyyoke/internal/rehearsal/recording/recordingpb"
+)
+
+// file is a recording of entries so far apart.
+func file(t *testing.T, n int, apart time.Duration) *recording.Reader {
+	t.Helper()
+	var out bytes.Buffer
+	w, err := recording.NewWriter(&out, &recordingpb.Header{Version: recording.Version,
+		Classes: []*recordingpb.Class{{Name: "status-check", Retryable: true}, {Name: "renewal"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		if err := w.Add(&recording.Entry{At: time.Duration(i) * apart, Class: i % 2, Key: uint64(i + 1), Left: time.Second, Slots: 1, Body: i % 3}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := recording.NewReader(&out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// A stall of the other side does not slow the sending down, and what should
+// have been answered during the stall shows in the latency: of requests that
+// come evenly, those within the stall wait for what is left of it.
+func TestStallIsInTheTail(t *testing.T) {
+	const n, apart, stall = 400, 5 * time.Millisecond, 600 * time.Millisecond
+	var once sync.Once
+	var until time.Time
+	var mu sync.Mutex
+	srv := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+		io.Copy(io.Discard, in.Body)
+		once.Do(func() { mu.Lock(); until = time.Now().Add(stall); mu.Unlock() })
+		mu.Lock()
+		left := time.Until(until)
+		mu.Unlock()
+		if left > 0 {
+			time.Sleep(left)
+		}
+	}))
+	defer srv.Close()
+	r, err := Run(context.Background(), file(t, n, apart), Options{To: strings.TrimPrefix(srv.URL, "http://"), Proven: func() bool { return true }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := r.Count(func(t *Tally) int { return t.Served })
+	if served != n || r.Broken() {
+		t.Fatalf("%d of %d served: %+v", served, n, r)
+	}
+	// 120 of 400 arrive in the stall; the wait of the k-th is stall - k*apart.
+	// Half of a class's 60 wait longer than half of it: 300 ms at the 85th percentile.
+	for name, c := range r.Classes {
+		want := float64(stall.Microseconds()) * (1 - 0.5)
+		if got := float64(c.intended.ValueAtQuantile(85)); math.Abs(got-want) > 0.2*float64(stall.Microseconds()) {
+			t.Errorf("%s: 85th percentile %.0f us, the model says %.0f", name, got, want)
+		}
+		if c.Intended.Max < int64(stall.Microseconds())*9/10 {
+			t.Errorf("%s: the longest wait is %d us", name, c.Intended.Max)
+		}
+	}
+	if sent := r.Seconds[0].Replayed; sent < 150 {
+		t.Errorf("%d of 200 were sent in the first second: the stall slowed the sending down", sent)
+	}
+}
+
+// Without a proof nothing that must run once is sent; when it fails midway, nothing more.
+func TestWithheld(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) { io.Copy(io.Discard, in.Body) }))
+	defer srv.Close()
+	to := strings.TrimPrefix(srv.URL, "http://")
+	r, err := Run(context.Background(), file(t, 40, time.Millisecond), Options{To: to})
+	if c := r.Classes["renewal"]; err != nil || c.Sent != 0 || c.Withheld != 20 || r.Classes["status-check"].Served != 20 {
+		t.Errorf("%v %+v", err, c)
+	}
+	asked := 0
+	r, err = Run(context.Background(), file(t, 40, time.Millisecond), Options{To: to, Proven: func() bool { asked++; return asked <= 7 }})
+	if c := r.Classes["renewal"]; err != nil || c.Sent != 7 || c.Withheld != 13 || r.Fidelity.Compared != 27 {
+		t.Errorf("%v %+v", err, c)
+	}
+}
+
+// A kept connection that closes under a request: it is sent once more, not twice.
+func TestResentOnce(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { // answers one request, and hangs up on the next
+				defer conn.Close()
+				buf := make([]byte, 4096)
+				if n, _ := conn.Read(buf); n == 0 {
+					return
+				}
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				conn.Read(buf)
+			}()
+		}
+	}()
+	r, err := Run(context.Background(), file(t, 300, 2*time.Millisecond), Options{To: ln.Addr().String()})
+	c := r.Classes["status-check"]
+	if err != nil || c.Served != 150 || c.Lost != 0 || c.Resent == 0 {
+		t.Errorf("%v %+v", err, c)
+	}
+}
+
+func TestDistance(t *testing.T) {
+	for _, c := range []struct {
+		a, b []int64
+		want float64
+	}{{[]int64{1, 2, 3, 4}, []int64{1, 2, 3, 4}, 0}, {[]int64{1, 2}, []int64{3, 4}, 1}, {[]int64{1, 1, 2, 2}, []int64{1, 2, 2, 2}, 0.25}, {nil, nil, 0}} {
+		if got := distance(c.a, c.b); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%v %v: %g, want %g", c.a, c.b, got, c.want)
+		}
+	}
+	s := newSeries()
+	for i := range 1000 { // a tenth comes half a second late
+		at := time.Duration(i) * 10 * time.Millisecond
+		late := time.Duration(0)
+		if i%10 == 0 {
+			late = 500 * time.Millisecond
+		}
+		s.add(at, at+late)
+	}
+	var f Fidelity
+	s.finish(&f)
+	if f.LateMax < 499_000 || f.LateP50 > 10 || f.KS < 0.004 || f.MaxSecondError < 0.04 {
+		t.Errorf("%+v", f)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/standin/standin_test.go
@@ -0,0 +1,307 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// job is a job under way at a worker.
+type job struct {
+	t      *testing.T
+	answer *http.Response
+	lines  *bufio.Scanner
+	cancel context.CancelFunc
+}
+
+func hand(t *testing.T, w *Worker, id string, slots float64) *job {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	in, _ := http.NewRequestWithContext(ctx, "POST", "http://"+w.Addr+"/renewal/m1", strings.NewReader("xy"))
+	in.Header.Set("X-Correlation-Id", id)
+	in.Header.Set("X-Facts", fmt.Sprintf("slots=%g", slots))
+	answer, err := http.DefaultClient.Do(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cancel)
+	return &job{t, answer, bufio.NewScanner(answer.Body), cancel}
+}
+
+// next is the next state told; empty after the last.
+func (j *job) next() (state string, load map[string]float64) {
+	if !j.lines.Scan() {
+		return "", nil
+	}
+	var line struct {
+		State string             `json:"state"`
+		Load  map[string]float64 `json:"load"`
+	}
+	if err := json.Unmarshal(j.lines.Bytes(), &line); err != nil {
+		j.t.Fatalf("%s: %v", j.lines.Bytes(), err)
+	}
+	return line.State, line.Load
+}
+
+func worker(t *testing.T, c WorkerConfig, jobs ...Job) (*Worker, *Books) {
+	t.Helper()
+	books := &Books{}
+	for _, j := range jobs {
+		j.Path, j.Body = "/renewal/m1", 2
+		books.Announce(j)
+	}
+	c.Name, c.Reports = "s-1", true
+	w, err := StartWorker(c, books, []byte("secret"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { w.Close() })
+	return w, books
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never:", what)
+		}
+	}
+}
+
+// Jobs start strictly in order: a large one that waits holds up a small one
+// that would fit; one that never fits and one without room are turned away.
+func TestWorkerKeepsOrder(t *testing.T) {
+	const long = 300 * time.Millisecond
+	w, books := worker(t, WorkerConfig{Cores: 2, Queue: 2}, Job{ID: "a", Service: long}, Job{ID: "large", Service: time.Millisecond},
+		Job{ID: "small", Service: time.Millisecond}, Job{ID: "more"}, Job{ID: "huge"})
+	a := hand(t, w, "a", 1)
+	if s, _ := a.next(); s != "started" {
+		t.Fatal(s)
+	}
+	large, small := hand(t, w, "large", 2), hand(t, w, "small", 1)
+	waitFor(t, "two wait", func() bool { _, n := w.Free(); return n == 2 })
+	if more := hand(t, w, "more", 1); more.answer.StatusCode != 503 || more.answer.Header.Get("X-Unprocessed") != "1" ||
+		!strings.Contains(more.answer.Header.Get("X-Backend-Load"), `"queue":`) {
+		t.Errorf("a full queue: %+v", more.answer)
+	}
+	if huge := hand(t, w, "huge", 3); huge.answer.StatusCode != 503 || huge.answer.Header.Get("X-Unprocessed") != "1" {
+		t.Errorf("never fits: %+v", huge.answer)
+	}
+	for _, j := range []*job{a, large, small} {
+		for s, _ := j.next(); s != "done"; s, _ = j.next() {
+			if s == "" {
+				t.Fatal("ended without done")
+			}
+		}
+	}
+	start := func(id string) time.Time { return books.jobs[id].runs[0].Start }
+	if start("small").Before(start("large")) || start("large").Before(books.jobs["a"].runs[0].End) {
+		t.Error("not in order")
+	}
+	if f := books.Check(); f.Executed != 3 || len(f.RanTwice) != 0 || len(f.Unknown) != 0 {
+		t.Errorf("%+v", f)
+	}
+}
+
+func TestWorkerDrainsAndStalls(t *testing.T) {
+	w, books := worker(t, WorkerConfig{Cores: 1, Report: time.Millisecond}, Job{ID: "a", Service: 50 * time.Millisecond}, Job{ID: "b", Service: time.Millisecond},
+		Job{ID: "c", Service: time.Hour}, Job{ID: "d"})
+	a := hand(t, w, "a", 1)
+	a.next()
+	b := hand(t, w, "b", 1)
+	waitFor(t, "b waits", func() bool { _, n := w.Free(); return n == 1 })
+	w.Drain()
+	if s, _ := b.next(); s != "returned" {
+		t.Errorf("what waited: %q", s)
+	}
+	if s, load := a.next(); s != "done" || load["x0"] != 0 {
+		t.Errorf("what ran: %q %v", s, load)
+	}
+	if c := hand(t, w, "c", 1); c.answer.StatusCode != 503 {
+		t.Error("a draining worker took a job")
+	}
+	w.mu.Lock()
+	w.draining = false
+	w.mu.Unlock()
+	// It stalls: its report goes on telling the free slot it had, and nothing starts.
+	waitFor(t, "a report of a free slot", func() bool { return w.report()["x0"] == 1 })
+	const stall = 300 * time.Millisecond
+	begin := time.Now()
+	w.Stall(stall)
+	d := hand(t, w, "d", 1)
+	if w.report()["x0"] != 1 {
+		t.Error("a stalled worker's report changed")
+	}
+	if s, _ := d.next(); s != "started" || time.Since(begin) < stall-10*time.Millisecond {
+		t.Errorf("%q after %v of a stall", s, time.Since(begin))
+	}
+	// Called off: it has started, so it counts as run.
+	d.next()
+	c := hand(t, w, "c", 1)
+	c.next()
+	c.cancel()
+	waitFor(t, "the slot is free again", func() bool { free, _ := w.Free(); return free == 1 })
+	if started, done := books.Runs("c"); started != 1 || done != 0 {
+		t.Errorf("called off: started %d, done %d", started, done)
+	}
+}
+
+// Speed, coldness and slowness stretch a run; the books tell a second run.
+func TestWorkerPace(t *testing.T) {
+	w, books := worker(t, WorkerConfig{Speed: 2, Cold: 0.5, ColdFor: time.Hour}, Job{ID: "a", Service: 50 * time.Millisecond})
+	for range 2 {
+		j := hand(t, w, "a", 1)
+		for s, _ := j.next(); s != "" && s != "done"; s, _ = j.next() {
+		}
+		w.Slow(4)
+	}
+	first, second := books.jobs["a"].runs[0], books.jobs["a"].runs[1]
+	a, b := first.End.Sub(first.Start), second.End.Sub(second.Start)
+	if a < 50*time.Millisecond || b < 3*a {
+		t.Errorf("%v cold at twice the speed, %v four times slower", a, b)
+	}
+	if f := books.Check(); !slices.Equal(f.RanTwice, []string{"a"}) {
+		t.Errorf("%+v", f)
+	}
+}
+
+// What nobody announced, or was changed on the way, does not run and is told.
+func TestUnknownJobs(t *testing.T) {
+	w, books := worker(t, WorkerConfig{}, Job{ID: "a"})
+	if got := hand(t, w, "zzz", 1).answer.StatusCode; got != 400 {
+		t.Errorf("an unknown id: %d", got)
+	}
+	for id, want := range map[string]int{"": 404, "a": 400} {
+		in, _ := http.NewRequest("POST", "http://"+w.Addr+"/renewal/m2", strings.NewReader("xy"))
+		in.Header.Set("X-Correlation-Id", id)
+		answer, err := http.DefaultClient.Do(in)
+		if err != nil || answer.StatusCode != want {
+			t.Errorf("id %q on another path: %v, %v", id, answer, err)
+		}
+	}
+	if f := books.Check(); len(f.Unknown) != 2 || f.Executed != 0 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// A worker proves itself; a wrong secret, another name, a relay and silence do not.
+func TestChallenge(t *testing.T) {
+	w, _ := worker(t, WorkerConfig{})
+	ctx := context.Background()
+	if err := Challenge(ctx, w.Addr, "s-1", []byte("secret")); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			in, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", w.Addr)
+			if err != nil {
+				return
+			}
+			go io.Copy(out, in)
+			go func() { io.Copy(in, out); in.Close() }()
+		}
+	}()
+	for what, err := range map[string]error{
+		"another secret":  Challenge(ctx, w.Addr, "s-1", []byte("other")),
+		"another name":    Challenge(ctx, w.Addr, "s-2", []byte("secret")),
+		"a relay":         Challenge(ctx, ln.Addr().String(), "s-1", []byte("secret")),
+		"not on loopback": Challenge(ctx, "192.0.2.1:80", "s-1", []byte("secret")),
+	} {
+		if err == nil {
+			t.Errorf("%s proves itself", what)
+		}
+	}
+	var g Gate
+	listed := []Host{{Host: "s-1", Dial: w.Addr, Health: "ready"}}
+	if g.Open() || g.Prove(ctx, listed, []byte("secret")) != nil || !g.Open() {
+		t.Error("the gate does not open on a proof alone")
+	}
+	g.Shut()
+	if g.Prove(ctx, append(listed, Host{Host: "s-1", Dial: ln.Addr().String(), Health: "draining"}), []byte("secret")) == nil || g.Open() {
+		t.Error("the gate opens although one worker fails")
+	}
+	if g.Prove(ctx, listed, []byte("secret")) == nil || g.Open() {
+		t.Error("the gate opens again after it failed")
+	}
+	var empty Gate
+	if empty.Prove(ctx, nil, nil) == nil || empty.Open() {
+		t.Error("an empty list is proven")
+	}
+}
+
+func TestDiscovery(t *testing.T) {
+	told := 0
+	d, err := StartDiscovery(func() { told++ })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.Set(Host{Host: "a", Dial: "127.0.0.1:1", Health: "ready"}, Host{Host: "b", Dial: "127.0.0.1:2", Health: "ready"})
+	get := func(query string) *http.Response {
+		answer, err := http.Get("http://" + d.Addr + "/v1/servers" + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return answer
+	}
+	var l listing
+	if err := json.NewDecoder(get("").Body).Decode(&l); err != nil || !l.Whole || l.Seq != 1 || len(l.Hosts) != 2 || l.Hosts[0].Share != 1 {
+		t.Errorf("%v %+v", err, l)
+	}
+	watch := bufio.NewScanner(get("?watch=1&after=1").Body)
+	line := func() (l listing) {
+		for watch.Scan() {
+			if len(bytes.TrimSpace(watch.Bytes())) > 0 {
+				json.Unmarshal(watch.Bytes(), &l)
+				return l
+			}
+		}
+		return l
+	}
+	if l := line(); l.Whole || len(l.Hosts) != 0 {
+		t.Errorf("first line: %+v", l)
+	}
+	d.Set(Host{Host: "a", Health: "gone"}, Host{Host: "c", Dial: "127.0.0.1:3", Health: "draining"})
+	if l := line(); l.Seq != 2 || l.Whole || len(l.Hosts) != 2 {
+		t.Errorf("a change: %+v", l)
+	}
+	if got := d.List(); len(got) != 2 || got[0].Host != "b" || told != 2 {
+		t.Errorf("%+v, told %d", got, told)
+	}
+	d.Set(Host{Host: "a", Dial: "127.0.0.1:9", Health: "ready"})
+	if l := line(); len(l.Hosts) != 1 || l.Hosts[0].Dial != "127.0.0.1:9" {
+		t.Errorf("back again: %+v", l)
+	}
+	// Calls are handled in turn, and one that waits too long gets 503.
+	d.turn <- struct{}{}
+	d.most = 20 * time.Millisecond
+	if got := get("").StatusCode; got != 503 {
+		t.Errorf("busy: %d", got)
+	}
+	<-d.turn
+	d.Down(true)
+	if watch.Scan() && len(watch.Bytes()) > 0 {
+		t.Errorf("a watch goes on while discovery is down: %q", watch.Text())
+	}
+	if got := get("").StatusCode; got != 503 {
+		t.Errorf("down: %d", got)
+	}
+}
