--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 # Formatting, vet, the bounds on the policy file, and all tests under the race detector.
 test: lint
 	go test -race -count=1 ./...
+	go test -count=1 -run Million ./internal/admit
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt'd: $$unformatted" >&2; exit 1; fi
@@ -16,10 +17,16 @@
 	if [ "$$lines" -gt 740 ]; then echo "dispatcher.go: 740 non-blank lines at most" >&2; exit 1; fi
 	@awk '{ gsub(/\t/, "    ") } length > 110 { print FILENAME ":" FNR ": line over 110 characters"; bad = 1 } END { exit bad }' dispatcher.go
 	go vet ./...
+	@bad=$$(go list -f '{{join .Imports "\n"}}' ./internal/admit | grep -E '^(net|net/http|os|os/.*|syscall|io)$$|hollyyoke'); \
+	if [ -n "$$bad" ]; then echo "internal/admit decides and does no I/O, but imports $$bad" >&2; exit 1; fi
+	@bad=$$(go list -deps ./cmd/hollyyoke-serve | grep -E 'internal/rehearsal|alecthomas/kong|gonum|protobuf|klauspost|HdrHistogram'); \
+	if [ -n "$$bad" ]; then echo "the daemon must not link $$bad" >&2; exit 1; fi
+	@bad=$$(go list -deps ./internal/rehearsal/standin ./internal/rehearsal/hostile | grep -E 'internal/(platform|faktory|core|net)$$'); \
+	if [ -n "$$bad" ]; then echo "stand-ins must not share code with the fronts, but import $$bad" >&2; exit 1; fi
 
 # The daemon with the Faktory front on loopback, nothing else needed.
 run: build
-	exec bin/hollyyoke -config deploy/faktory-config.json -faktory deploy/faktory.toml
+	exec bin/hollyyoke --config deploy/faktory-config.json --faktory deploy/faktory.toml
 
 # A rehearsal from a raw log, with everything it needs started here:
 # make rehearse IN=access.log RULES=rules.toml REPORT=found/report
@@ -33,3 +40,33 @@
 
 clean:
 	rm -rf bin found
+
+# ---- Long measurements, not part of the tests.
+.PHONY: measure-import measure-fidelity measure-flood measure-admit
+FOUND = found/measured
+
+# 2 GB of Combined lines made up on the spot, imported on one core: speed and resident memory.
+measure-import: build
+	mkdir -p $(FOUND)
+	bin/hollyyoke-rehearse generate --rate 5000 --for 2600s > $(FOUND)/big.log
+	ls -l $(FOUND)/big.log
+	GOMAXPROCS=1 bash -c 'time bin/hollyyoke-rehearse import --rules $(RULES) -o $(FOUND)/big.rec $(FOUND)/big.log'
+	rm -f $(FOUND)/big.log $(FOUND)/big.rec
+	go test -run '^$$' -bench 'Combined|HAR' -cpu 1 -count 5 ./internal/rehearsal/recording
+
+# How true a replay is: three rates, three shapes, a minute each.
+measure-fidelity: build
+	mkdir -p $(FOUND)
+	for shape in steady rush morning; do for rate in 100 1000 5000; do \
+	  bin/hollyyoke-rehearse generate --shape $$shape --rate $$rate --mean-ms 10 --precise > $(FOUND)/a.log 2>/dev/null; \
+	  bin/hollyyoke-rehearse import --rules $(RULES) --format 'nginx:$$msec $$remote_addr "$$request" $$status $$request_time' \
+	    -o $(FOUND)/a.rec $(FOUND)/a.log > /dev/null; \
+	  echo "== $$shape, $$rate a second"; bin/hollyyoke-rehearse run --recording $(FOUND)/a.rec 2> /dev/null || true; done; done
+
+# Known clients beside 5,000 hostile ones, with admission on and off, and alone.
+measure-flood: build
+	bin/hollyyoke-rehearse flood --alone
+
+# What a decision costs, with a million addresses remembered.
+measure-admit:
+	go test -run '^$$' -bench . -count 5 ./internal/admit ./internal/net
--- /dev/null
+++ b/cmd/hollyyoke-rehearse/flood.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/hostile"
+	"hollyyoke.example/hollyyoke/internal/rehearsal/recording"
+	"hollyyoke.example/hollyyoke/internal/rehearsal/recording/recordingpb"
+	"hollyyoke.example/hollyyoke/internal/rehearsal/replay"
+	"hollyyoke.example/hollyyoke/internal/rehearsal/report"
+	"hollyyoke.example/hollyyoke/internal/rehearsal/standin"
+)
+
+// This file owns flood: known clients' requests beside hostile ones, with
+// admission on and off in one run. It judges nothing but the rules; what is
+// good enough is for its reader.
+
+type floodCmd struct {
+	Operator string        `default:"deploy/operator.toml" help:"The daemon's operator file, whose known prefixes must hold 127.9.0.0/24."`
+	Hostile  int           `default:"5000" help:"Hostile clients at a time."`
+	Sources  int           `default:"250" help:"Addresses that they come from."`
+	Sockets  int           `default:"1024" help:"Descriptors that the daemon has."`
+	Clients  int           `default:"20" help:"Addresses of known clients."`
+	Rate     float64       `default:"80" help:"Their requests a second."`
+	For      time.Duration `default:"15s" help:"How long each part takes."`
+	Seed     uint64        `default:"1"`
+	Alone    bool          `help:"Also without any hostile client."`
+	Daemon   string        `help:"The daemon's program; not given: hollyyoke beside this one."`
+	JSON     bool          `name:"json" help:"Print as JSON."`
+}
+
+// part is one part of the run.
+type part struct {
+	Name     string          `json:"name"`
+	Sent     int             `json:"sent"`
+	Served   int             `json:"served"`
+	Answered int             `json:"answered"`
+	Wanted   int             `json:"within_wanted"`
+	P50Ms    float64         `json:"p50_ms"`
+	P99Ms    float64         `json:"p99_ms"`
+	MaxMs    float64         `json:"max_ms"`
+	CPUms    float64         `json:"daemon_cpu_ms_per_s"`
+	Hostile  hostile.Counts  `json:"hostile"`
+	Kept     bool            `json:"rules_kept"`
+	Verdict  string          `json:"verdict"`
+	Door     json.RawMessage `json:"connections,omitempty"`
+
+	Refusals, Failures map[string]int
+	seconds            []*replay.Second
+	lost               int
+}
+
+func (p *part) share(n int) float64 { return 100 * float64(n) / float64(max(p.Sent, 1)) }
+
+// knownLoad writes a recording of evenly random arrivals: three status-checks of
+// 30 ms, then a renewal of 40 ms.
+func knownLoad(w io.Writer, c *floodCmd) error {
+	out, err := recording.NewWriter(w, &recordingpb.Header{Version: recording.Version, Classes: []*recordingpb.Class{
+		{Name: "status-check", Retryable: true}, {Name: "renewal"}}})
+	if err != nil {
+		return err
+	}
+	n := int(c.Rate * c.For.Seconds())
+	for i := range n {
+		e := recording.Entry{At: time.Second + time.Duration(float64(i)/c.Rate*float64(time.Second)), Key: uint64(i%997 + 1), Left: 5 * time.Second,
+			Duration: 30 * time.Millisecond, Effort: 30 * time.Millisecond, Slots: 1}
+		if i%4 == 3 {
+			e.Class, e.Left, e.Duration, e.Effort = 1, 8*time.Second, 40*time.Millisecond, 40*time.Millisecond
+		}
+		if err := out.Add(&e); err != nil {
+			return err
+		}
+	}
+	return out.Close()
+}
+
+// hold holds one part.
+func (c *floodCmd) hold(name, operator string, clients int, during func(*standin.Fleet)) (p part, err error) {
+	p.Name = name
+	daemon, err := daemonPath(c.Daemon)
+	if err != nil {
+		return p, err
+	}
+	dir, err := os.MkdirTemp("", "hollyyoke-flood")
+	if err != nil {
+		return p, err
+	}
+	defer os.RemoveAll(dir)
+	var file bytes.Buffer
+	if err := knownLoad(&file, c); err != nil {
+		return p, err
+	}
+	r, err := recording.NewReader(&file)
+	if err != nil {
+		return p, err
+	}
+	defer r.Close()
+	if operator != "" {
+		if operator, err = filepath.Abs(operator); err != nil {
+			return p, err
+		}
+	}
+	f, err := standin.Start(standin.FleetConfig{Daemon: daemon, Dir: dir, Workers: 9, Seed: c.Seed, Sockets: c.Sockets, Operator: operator,
+		Classes: []standin.ClassConfig{{Name: "status-check", Retryable: true, Left: 5 * time.Second}, {Name: "renewal", Left: 8 * time.Second}}})
+	if err != nil {
+		return p, err
+	}
+	defer f.Close()
+	from := []netip.Addr{netip.MustParseAddr("127.9.0.1")}
+	for len(from) < c.Clients {
+		from = append(from, from[len(from)-1].Next())
+	}
+	flood := make(chan hostile.Counts, 1)
+	if clients > 0 {
+		go func() {
+			n, _ := hostile.Run(context.Background(), hostile.Config{To: f.Addr, Seed: c.Seed, Clients: clients, Sources: c.Sources, For: c.For + 2*time.Second})
+			flood <- n
+		}()
+	} else {
+		flood <- hostile.Counts{}
+	}
+	if during != nil {
+		go during(f)
+	}
+	began, cpu := time.Now(), f.CPU()
+	result, err := replay.Run(context.Background(), r, replay.Options{To: f.Addr, Seed: c.Seed, Proven: f.Gate.Open, From: from,
+		Wanted: map[string]time.Duration{"status-check": 250 * time.Millisecond, "renewal": 200 * time.Millisecond},
+		Announce: func(id, class string, retryable bool, path string, x *recording.Entry) {
+			f.Books.Announce(standin.Job{ID: id, Class: class, Retryable: retryable, Path: path, Service: x.Duration, Slots: x.Slots})
+		}})
+	if err != nil {
+		return p, err
+	}
+	p.CPUms = float64((f.CPU() - cpu).Milliseconds()) / time.Since(began).Seconds()
+	if operator != "" {
+		if answer, err := http.Get("http://" + f.Door() + "/control/connections"); err == nil {
+			p.Door, _ = io.ReadAll(io.LimitReader(answer.Body, 64<<10))
+			answer.Body.Close()
+		}
+	}
+	p.Hostile = <-flood
+	rep := report.Report{Result: result}
+	rep.Judge(&f.Books)
+	p.Kept, p.Verdict = rep.RanTwice+rep.NeverRan == 0 && len(rep.Stands.Unknown) == 0, rep.Verdict
+	p.Refusals, p.Failures, p.seconds = result.Refusals, result.Failures, result.Seconds
+	count := func(of func(*replay.Tally) int) int { return result.Count(of) }
+	p.Sent = count(func(t *replay.Tally) int { return t.Sent + t.Unsent })
+	p.Served = count(func(t *replay.Tally) int { return t.Served })
+	p.Answered = count(func(t *replay.Tally) int { return t.Served + t.Refused + t.Failed })
+	p.lost = count(func(t *replay.Tally) int { return t.Lost + t.Twice })
+	p.Wanted = count(func(t *replay.Tally) int { return t.Wanted })
+	s := result.Classes["status-check"]
+	p.P50Ms, p.P99Ms, p.MaxMs = float64(s.Intended.P50)/1000, float64(s.Intended.P99)/1000, float64(s.Intended.Max)/1000
+	return p, nil
+}
+
+func (c *floodCmd) Run(e *env) error {
+	debug.SetMemoryLimit(math.MaxInt64)
+	descriptors()
+	var parts []part
+	for _, x := range []struct {
+		name, operator string
+		clients        int
+	}{{"alone", c.Operator, 0}, {"admission on", c.Operator, c.Hostile}, {"admission off", "", c.Hostile}} {
+		if x.clients == 0 && !c.Alone {
+			continue
+		}
+		p, err := c.hold(x.name, x.operator, x.clients, nil)
+		if err != nil {
+			return err
+		}
+		parts = append(parts, p)
+	}
+	if c.JSON {
+		return writeJSON(e.out, parts)
+	}
+	fmt.Fprintf(e.out, "%-14s %6s %9s %9s %9s %8s %8s %8s %9s %10s %10s\n", "known clients", "sent", "answered", "served", "wanted", "p50 ms", "p99 ms", "max ms",
+		"CPU ms/s", "hostile", "refused")
+	kept := true
+	for _, p := range parts {
+		fmt.Fprintf(e.out, "%-14s %6d %8.2f%% %8.2f%% %8.2f%% %8.1f %8.1f %8.1f %9.0f %10d %10d\n", p.Name, p.Sent, p.share(p.Answered), p.share(p.Served),
+			p.share(p.Wanted), p.P50Ms, p.P99Ms, p.MaxMs, p.CPUms, p.Hostile.Attempted, p.Hostile.Ended+p.Hostile.Failed)
+		list := func(what string, words map[string]int) {
+			for why, n := range words {
+				fmt.Fprintf(e.out, "  %s: %d  %s\n", what, n, why)
+			}
+		}
+		list("refused", p.Refusals)
+		list("failed or lost", p.Failures)
+		kept = kept && p.Kept
+		if !p.Kept {
+			fmt.Fprintln(e.out, "  "+p.Verdict)
+		}
+	}
+	if !kept {
+		return broken{"a rule was broken"}
+	}
+	return nil
+}
--- a/cmd/hollyyoke-rehearse/main.go
+++ b/cmd/hollyyoke-rehearse/main.go
@@ -45,15 +45,16 @@
 type cli struct {
 	LogFormat string `enum:"text,json" default:"text" help:"Form of the log on standard error: text or json."`
 
-	Import  importCmd  `cmd:"" help:"Make a canonical recording of access logs and HAR files."`
-	Inspect inspectCmd `cmd:"" help:"Check a recording to its end and tell what is in it."`
-	Slice   sliceCmd   `cmd:"" help:"Cut a window of time out of a recording."`
-	Merge   mergeCmd   `cmd:"" help:"Put recordings together."`
-	Scale   scaleCmd   `cmd:"" help:"Change a recording's rate or speed."`
-	Run     runCmd     `cmd:"" help:"Start the daemon and stand-ins, replay a recording, check the books, report."`
-	Replay  replayCmd  `cmd:"" help:"Replay a recording to a daemon that runs already; what must not run twice is withheld."`
-	Formats formatsCmd `cmd:"" help:"List the formats that import reads."`
-	Version versionCmd `cmd:"" help:"Tell the version."`
+	Import   importCmd   `cmd:"" help:"Make a canonical recording of access logs and HAR files."`
+	Inspect  inspectCmd  `cmd:"" help:"Check a recording to its end and tell what is in it."`
+	Slice    sliceCmd    `cmd:"" help:"Cut a window of time out of a recording."`
+	Merge    mergeCmd    `cmd:"" help:"Put recordings together."`
+	Scale    scaleCmd    `cmd:"" help:"Change a recording's rate or speed."`
+	Run      runCmd      `cmd:"" help:"Start the daemon and stand-ins, replay a recording, check the books, report."`
+	Replay   replayCmd   `cmd:"" help:"Replay a recording to a daemon that runs already; what must not run twice is withheld."`
+	Generate generateCmd `cmd:"" help:"Write a made-up log of a known shape, for measurements."`
+	Formats  formatsCmd  `cmd:"" help:"List the formats that import reads."`
+	Version  versionCmd  `cmd:"" help:"Tell the version."`
 }
 
 func main() {
@@ -140,6 +141,25 @@
 	return nil
 }
 
+type generateCmd struct {
+	Shape   string        `enum:"steady,rush,morning" default:"steady" help:"steady, rush or morning."`
+	Rate    float64       `default:"100" help:"Entries a second, on average."`
+	For     time.Duration `default:"60s" help:"How long."`
+	MeanMs  float64       `default:"30" help:"Mean duration, ms."`
+	Members int           `default:"100000" help:"Different members."`
+	Seed    uint64        `default:"1"`
+	Precise bool          `help:"Stamps of milliseconds, to be imported with the format told on standard error."`
+}
+
+func (c *generateCmd) Run(e *env) error {
+	n, err := recording.Generate(e.out, recording.Made{Shape: c.Shape, Rate: c.Rate, For: c.For, MeanMs: c.MeanMs, Members: c.Members,
+		Seed: c.Seed, Precise: c.Precise})
+	if err == nil && c.Precise {
+		e.log.Info("a log was made up", "lines", n, "format", recording.MadeFormat)
+	}
+	return err
+}
+
 type formatsCmd struct{}
 
 func (formatsCmd) Run(e *env) error {
--- /dev/null
+++ b/cmd/hollyyoke-serve/main.go
@@ -0,0 +1,25 @@
+// Command hollyyoke-serve is the dispatcher's process, and nothing else: hollyyoke
+// becomes it. This file owns its start. It must never link the command line's
+// library, or anything of the kit.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"hollyyoke.example/hollyyoke/internal/node"
+)
+
+func main() {
+	var f node.Files
+	flag.StringVar(&f.Config, "config", "", "configuration `file`; BALANCER_CONFIG where not given")
+	flag.StringVar(&f.Faktory, "faktory", "", "operator's `file` of the Faktory front")
+	flag.StringVar(&f.Operator, "operator", "", "operator's `file`")
+	form := flag.String("log-format", "text", "text or json")
+	flag.Parse()
+	if err := node.Serve(f, os.Getenv, node.Logger(os.Stderr, *form)); err != nil {
+		fmt.Fprintln(os.Stderr, "hollyyoke:", err)
+		os.Exit(1)
+	}
+}
--- a/cmd/hollyyoke/main.go
+++ b/cmd/hollyyoke/main.go
@@ -1,270 +1,111 @@
-// Command hollyyoke is the dispatcher: it takes jobs from clients over sockets
-// and has backends run them, as the module decides. This file owns the
-// process: what it is told at its start and on SIGHUP, and its limits. It must
-// never exit while an answer is owed, but on a second interrupt or a bad start,
-// nor let any part of a file that is not whole through.
+// Command hollyyoke is the dispatcher's command line: serve, check, version. This
+// file owns it. Serving is hollyyoke-serve's, which this process becomes where it
+// lies beside it: the command line's library would take two megabytes for as
+// long as the dispatcher runs. It must never start a second process.
 package main
 
 import (
 	"cmp"
-	"encoding/json"
-	"errors"
-	"flag"
 	"fmt"
-	"hash/fnv"
 	"io"
-	stdnet "net"
 	"os"
 	"os/signal"
-	"runtime"
+	"path/filepath"
 	"runtime/debug"
-	"strconv"
+	"slices"
+	"strings"
 	"syscall"
 
-	"hollyyoke.example/hollyyoke"
-	"hollyyoke.example/hollyyoke/internal/control"
-	"hollyyoke.example/hollyyoke/internal/core"
-	"hollyyoke.example/hollyyoke/internal/faktory"
-	"hollyyoke.example/hollyyoke/internal/net"
-	"hollyyoke.example/hollyyoke/internal/platform"
-	"hollyyoke.example/hollyyoke/internal/settings"
+	"github.com/alecthomas/kong"
+
+	"hollyyoke.example/hollyyoke/internal/node"
 )
 
 func main() {
-	runtime.GOMAXPROCS(1) // one goroutine owns all state, and the core is shared with others
-	if err := run(os.Args[1:], os.Getenv, os.Stderr); err != nil {
+	if err := command(os.Args[1:], os.Getenv, os.Stdout, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "hollyyoke:", err)
 		os.Exit(1)
 	}
 }
 
-// config is what the dispatcher is told: the file, with the environment before
-// it. After a reload the file's discovery comes before the environment's, which
-// still names the one that the program was started with.
-type config struct {
-	Name      string          `json:"name"`
-	Listen    string          `json:"listen"`
-	Discovery string          `json:"discovery"`
-	Admin     string          `json:"admin_addr"`
-	Seed      any             `json:"seed"`
-	Limits    limits          `json:"limits"`
-	Known     json.RawMessage `json:"known"`
-	Settings  json.RawMessage `json:"settings"`
-}
+// cli is the command line. Each option may be spelled with one dash, as earlier
+// versions had them.
+type cli struct {
+	Faktory   string `placeholder:"FILE" help:"Operator's file of the Faktory front; HOLLYYOKE_FAKTORY where not given; off without."`
+	Operator  string `placeholder:"FILE" help:"Operator's file, a table for each subsystem; HOLLYYOKE_OPERATOR where not given; off without."`
+	LogFormat string `enum:"text,json" default:"text" help:"Form of the log on standard error: text or json."`
 
-type limits struct {
-	MemoryMB float64 `json:"memory_mb"`
-	Sockets  float64 `json:"sockets"`
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run the dispatcher (the default)."`
+	Check   checkCmd   `cmd:"" help:"Check a configuration and tell what it says, without starting anything."`
+	Version versionCmd `cmd:"" help:"Tell the version."`
 }
 
-func readConfig(path string, env func(string) string, again bool) (c config, s hollyyoke.Settings, err error) {
-	if path = cmp.Or(path, env("BALANCER_CONFIG")); path == "" {
-		return c, s, errors.New("config: neither -config nor BALANCER_CONFIG names a file")
-	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return c, s, fmt.Errorf("config: %w", err)
-	}
-	if err := json.Unmarshal(raw, &c); err != nil {
-		var wrong *json.UnmarshalTypeError
-		if errors.As(err, &wrong) && wrong.Field != "" {
-			return c, s, fmt.Errorf("config: %s: a %s cannot stand here", wrong.Field, wrong.Value)
-		}
-		return c, s, fmt.Errorf("config: %w", err)
-	}
-	c.Name = cmp.Or(env("BALANCER_NAME"), c.Name, "hollyyoke")
-	c.Listen = cmp.Or(env("BALANCER_LISTEN"), c.Listen)
-	c.Admin = cmp.Or(env("BALANCER_ADMIN_ADDR"), c.Admin)
-	if !again || c.Discovery == "" {
-		c.Discovery = cmp.Or(env("BALANCER_DISCOVERY"), c.Discovery)
-	}
-	if c.Discovery != "" {
-		if _, _, err := stdnet.SplitHostPort(c.Discovery); err != nil {
-			return c, s, fmt.Errorf("config: discovery: %w", err)
-		}
-	}
-	if len(c.Settings) == 0 {
-		return c, s, errors.New("config: settings: missing")
-	}
-	if s, err = settings.Read(c.Settings); err != nil {
-		return c, s, fmt.Errorf("config: settings: %w", err)
-	}
-	for i, class := range s.Classes {
-		if class.Name == "" {
-			return c, s, fmt.Errorf("config: settings: classes[%d].name: missing", i)
-		}
-	}
-	return c, s, nil
-}
-
-// seed turns what the config says into a number: hexadecimal digits, else any text.
-func (c *config) seed() uint64 {
-	text := fmt.Sprint(c.Seed)
-	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
-		return n
-	}
-	h := fnv.New64a()
-	io.WriteString(h, text)
-	return h.Sum64()
+type serveCmd struct {
+	Config string `placeholder:"FILE" help:"Configuration, as JSON; BALANCER_CONFIG where not given."`
 }
 
-// descriptors is the smaller of what the config and the system allow.
-func (c *config) descriptors() int {
-	n := 1024
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < 1<<20 {
-		n = int(limit.Cur)
-	}
-	if c.Limits.Sockets >= 1 {
-		n = min(n, int(c.Limits.Sockets))
-	}
-	return n
+type checkCmd struct {
+	File string `arg:"" optional:"" help:"Configuration, as JSON; BALANCER_CONFIG where not given."`
 }
 
-// bufferShare is the part of the memory allowed that buffers may take up; they
-// lie outside the heap, which has as much again.
-const bufferShare = 0.3
+type versionCmd struct{}
 
-// clients is how many of them are left where the operators' door has its own.
-func (c *config) clients() int {
-	if c.Admin == "" {
-		return c.descriptors()
-	}
-	return c.descriptors() - control.Calls - 1 // the listener too
-}
-
-// buffers is how many bytes the buffers may take up.
-func (c *config) buffers() int {
-	if c.Limits.MemoryMB < 1 {
-		return 64 << 20
-	}
-	return int(c.Limits.MemoryMB * bufferShare * (1 << 20))
-}
+// options in their spellings with one dash.
+var options = []string{"config", "faktory", "operator", "log-format", "help"}
 
-// listener is where clients come: the socket that the platform keeps and that
-// BALANCER_FD numbers, or one of our own.
-func listener(env func(string) string, addr string) (stdnet.Listener, error) {
-	text := env("BALANCER_FD")
-	if text == "" {
-		ln, err := stdnet.Listen("tcp", addr)
-		if err != nil {
-			return nil, fmt.Errorf("config: listen: %w", err)
+// command carries out a command line. The process's exit code is 0 unless an error is returned.
+func command(args []string, env func(string) string, out, errs io.Writer) error {
+	args = slices.Clone(args)
+	for i, a := range args {
+		name, _, _ := strings.Cut(strings.TrimLeft(a, "-"), "=")
+		if strings.HasPrefix(a, "-") && !strings.HasPrefix(a, "--") && slices.Contains(options, name) {
+			args[i] = "-" + a
 		}
-		return ln, nil
-	}
-	fd, err := strconv.Atoi(text)
-	if err == nil && fd < 0 {
-		err = errors.New("a descriptor is not negative")
-	}
-	var ln stdnet.Listener
-	if err == nil {
-		ln, err = net.Inherit(fd)
 	}
+	var c cli
+	helped := false
+	parser, err := kong.New(&c, kong.Name("hollyyoke"), kong.Writers(out, errs), kong.Exit(func(int) { helped = true }),
+		kong.Description("The dispatcher: takes jobs from clients and has workers run them."))
 	if err != nil {
-		return nil, fmt.Errorf("BALANCER_FD: %q: %w", text, err)
-	}
-	return ln, nil
-}
-
-func run(args []string, env func(string) string, log io.Writer) error {
-	flags := flag.NewFlagSet("hollyyoke", flag.ContinueOnError)
-	configPath := flags.String("config", "", "configuration `file`; BALANCER_CONFIG where not given")
-	faktoryPath := flags.String("faktory", env("HOLLYYOKE_FAKTORY"), "operator's `file` of the Faktory front; off where not given")
-	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	// From the first moment on: guards against a SIGHUP during the start, which ended the program.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	c, s, err := readConfig(*configPath, env, false)
-	if err != nil {
+	k, err := parser.Parse(args)
+	if helped || err != nil {
 		return err
 	}
-	told := s // as the file words them: the Faktory front adds to them
-	var second faktory.Config
-	if *faktoryPath != "" {
-		if second, err = faktory.ReadConfig(*faktoryPath, &s); err == nil {
-			err = faktory.Prepare(&s)
+	files := node.Files{Faktory: cmp.Or(c.Faktory, env("HOLLYYOKE_FAKTORY")), Operator: cmp.Or(c.Operator, env("HOLLYYOKE_OPERATOR"))}
+	switch k.Command() {
+	case "version":
+		version := "(devel)"
+		if info, ok := debug.ReadBuildInfo(); ok {
+			version = info.Main.Version
 		}
-		if err != nil {
-			return fmt.Errorf("%s: %w", *faktoryPath, err)
+		fmt.Fprintln(out, "hollyyoke", version)
+		return nil
+	case "check", "check <file>":
+		files.Config = c.Check.File
+		return node.Check(files, env, out)
+	}
+	files.Config = c.Serve.Config
+	if path := beside(); path != "" {
+		args := []string{path, "-config", files.Config, "-faktory", files.Faktory, "-operator", files.Operator, "-log-format", c.LogFormat}
+		signal.Ignore(syscall.SIGHUP) // until the other image listens for it
+		if err := syscall.Exec(path, args, os.Environ()); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
 		}
 	}
-	if c.Listen == "" && *faktoryPath == "" {
-		return errors.New("config: listen: missing")
-	}
-	if mb := c.Limits.MemoryMB; mb >= 1 {
-		debug.SetMemoryLimit(int64(mb * (0.6 - bufferShare) * (1 << 20)))
-	}
-	loop := core.NewLoop()
-	d, err := core.New(loop, s, c.seed())
-	if err != nil {
-		return fmt.Errorf("config: %w", err)
-	}
-	d.Log = func(text string) { fmt.Fprintf(log, "%s: %s\n", c.Name, text) }
-	engine, err := net.NewEngine(loop, c.clients())
+	return node.Serve(files, env, node.Logger(errs, c.LogFormat))
+}
+
+// beside is the lean image of the daemon, if it lies beside this program.
+func beside() string {
+	self, err := os.Executable()
 	if err != nil {
-		return err
+		return ""
 	}
-	backends := platform.NewBackends(d, engine, c.Discovery)
-	if err := backends.CheckList(c.Known); err != nil {
-		return err
-	}
-	n := &node{core: d, engine: engine, backends: backends, config: c, told: told}
-	n.sessions = net.Accepted(c.clients())
-	if *faktoryPath != "" && c.Listen != "" {
-		n.sessions /= 2 // half for either front
-	}
-	if c.Listen != "" {
-		n.fronts.platform = platform.NewFront(d, engine, c.buffers(), func() bool {
-			return d.Backends() > 0 || backends.Listed()
-		})
-		if n.listener, err = listener(env, c.Listen); err != nil {
-			return err
-		}
-		d.Log("listening on " + n.listener.Addr().String())
-	}
-	former := n.former(env)
-	if former != nil && *faktoryPath != "" {
-		return fmt.Errorf("%s: the Faktory front cannot be handed over, neither its address nor its jids: "+
-			"end the running process first", *faktoryPath)
-	}
-	if *faktoryPath != "" {
-		if n.fronts.faktory, err = faktory.Open(d, engine, second, n.sessions); err != nil {
-			return fmt.Errorf("%s: %w", *faktoryPath, err)
-		}
-	}
-	if c.Admin != "" {
-		door := control.New(d, engine, backends, control.Desk{Ready: n.ready, Service: n.service})
-		addr, err := door.Listen(c.Admin)
-		if err != nil {
-			return fmt.Errorf("config: admin_addr: %w", err)
-		}
-		d.Log("operators' door at " + addr)
+	path := filepath.Join(filepath.Dir(self), "hollyyoke-serve")
+	if info, err := os.Stat(path); err != nil || !info.Mode().IsRegular() || info.Mode()&0o111 == 0 {
+		return ""
 	}
-	n.start(former)
-
-	go func() { // those that come while one is read are one
-		for range hangups {
-			next, now, err := readConfig(*configPath, env, true)
-			loop.Post(func() { n.reload(next, now, err) })
-		}
-	}()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		loop.Post(n.stop)
-		for sig := range signals {
-			if sig == syscall.SIGINT { // someone at a terminal insists; a second SIGTERM changes nothing
-				os.Exit(1)
-			}
-		}
-	}()
-	loop.Run()
-	sum := d.Counts()
-	d.Log(fmt.Sprintf("stopped: taken %d, served %d, refused %d, failed %d, hung up %d, fetches %d",
-		sum.Taken, sum.Served, sum.Refused, sum.Failed, sum.HungUp, sum.Fetches))
-	return nil
+	return path
 }
--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -33,7 +33,7 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "hollyyoke")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", dir, ".", "../hollyyoke-serve").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
 		os.Exit(1)
 	}
@@ -701,7 +701,7 @@
 	if resp, err := w.client.Get("http://" + w.listen + "/healthz"); err != nil || resp.StatusCode != 503 {
 		t.Errorf("healthz after SIGTERM: %v, %v", resp, err)
 	}
-	time.Sleep(arrivalWindow + 200*time.Millisecond) // past the window, a job is still owed
+	time.Sleep(600*time.Millisecond + 200*time.Millisecond) // past the window, a job is still owed
 	close(release)
 	if status := <-slow; status != 200 {
 		t.Errorf("what was in work: %d", status)
--- a/cmd/hollyyoke/node_test.go
+++ b/cmd/hollyyoke/node_test.go
@@ -73,7 +73,7 @@
 	const mark = "operators' door at "
 	w.says(mark)
 	_, addr, _ := strings.Cut(w.log.String(), mark)
-	addr, _, _ = strings.Cut(addr, "\n")
+	addr, _, _ = strings.Cut(addr, `"`)
 	req, _ := http.NewRequest(method, "http://"+addr+path, nil)
 	resp, err := (&http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
@@ -328,8 +328,8 @@
 	if status, _ := next.door("PUT", "/control/in-service"); status != 200 {
 		t.Errorf("in service: %d", status)
 	}
-	old.says("n0: in service") // the two are one dispatcher
-	next.cmd.Process.Kill()    // and if the successor dies, the first one goes on
+	old.says(`"in service"`) // the two are one dispatcher
+	next.cmd.Process.Kill()  // and if the successor dies, the first one goes on
 	old.says("the successor has gone")
 	old.until("health", func() bool { return old.health() == 200 })
 	if status, _, _ := old.post("renewal", "after", "x", 0); status != 200 {
@@ -451,7 +451,7 @@
 	w.start()
 	w.door("GET", "/control/ready")
 	_, addr, _ := strings.Cut(w.log.String(), "operators' door at ")
-	addr, _, _ = strings.Cut(addr, "\n")
+	addr, _, _ = strings.Cut(addr, `"`)
 	for i := range 60 {
 		w.session()
 		conn, err := net.Dial("tcp", addr)
--- /dev/null
+++ b/internal/admit/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package admit
+
+const raced = true
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,10 +7,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
 	"slices"
 	"time"
 
+	"hollyyoke.example/hollyyoke/internal/admit"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/entry"
 	"hollyyoke.example/hollyyoke/internal/net"
 	"hollyyoke.example/hollyyoke/internal/platform"
 )
@@ -28,6 +33,7 @@
 type Desk struct {
 	Ready   func() bool          // whether this process takes clients
 	Service func(out bool) error // out of service or back in; an error is a no, worded for the caller
+	Entry   *entry.Entry         // who decides on connections; nil: nobody
 }
 
 // Door is the operators' door. It belongs to the loop's goroutine.
@@ -167,6 +173,12 @@
 		method, act = "PUT", func() { k.service(true) }
 	case "/control/in-service":
 		method, act = "PUT", func() { k.service(false) }
+	case "/control/connections":
+		act = k.connections
+	case "/control/connections/bar":
+		method, act = "PUT", func() { k.bar(c.Query, true) }
+	case "/control/connections/unbar":
+		method, act = "PUT", func() { k.bar(c.Query, false) }
 	default:
 		k.answer(404, "no such call\n", "")
 		return
@@ -178,6 +190,76 @@
 	act()
 }
 
+const undecided = "connections are not decided on: no operator's file says so\n"
+
+// connections tells who is there and who was refused.
+func (k *call) connections() {
+	e := k.door.desk.Entry
+	if e == nil {
+		k.answer(409, undecided, "")
+		return
+	}
+	used, floor, total := e.Budget.Use()
+	d := struct {
+		admit.View
+		Descriptors map[string]map[string]int `json:"descriptors"`
+		Total       int                       `json:"descriptors_total"`
+	}{e.Admit.View(k.door.core.Loop.Now()), map[string]map[string]int{}, total}
+	for kind := range admit.Kinds {
+		d.Descriptors[kind.String()] = map[string]int{"used": used[kind], "floor": floor[kind]}
+	}
+	text, err := json.Marshal(d)
+	if err != nil {
+		k.answer(500, err.Error()+"\n", "")
+		return
+	}
+	k.answer(200, string(text)+"\n", "Content-Type: application/json\r\n")
+}
+
+const longestBar = 7 * 24 * time.Hour
+
+// bar keeps a prefix out for a time, or lets it in again. Its sessions on which
+// nothing is owed end.
+func (k *call) bar(query string, out bool) {
+	e := k.door.desk.Entry
+	if e == nil {
+		k.answer(409, undecided, "")
+		return
+	}
+	values, err := url.ParseQuery(query)
+	text := values.Get("prefix")
+	prefix, bad := netip.ParsePrefix(text)
+	if addr, one := netip.ParseAddr(text); one == nil {
+		prefix, bad = netip.PrefixFrom(addr, addr.BitLen()), nil
+	}
+	if err != nil || bad != nil {
+		k.answer(400, "prefix: not an address or a prefix such as 10.1.2.0/24\n", "")
+		return
+	}
+	if !out {
+		if !e.Admit.Unbar(prefix) {
+			k.answer(409, prefix.Masked().String()+" is not barred\n", "")
+			return
+		}
+		k.door.core.Log("let in again: " + prefix.Masked().String())
+		k.answer(200, "let in again\n", "")
+		return
+	}
+	span, err := time.ParseDuration(values.Get("for"))
+	if err != nil || span <= 0 || span > longestBar {
+		k.answer(400, "for: not a time such as 15m, up to 168h\n", "")
+		return
+	}
+	now := k.door.core.Loop.Now()
+	if err := e.Admit.Bar(now, prefix, now+span); err != nil {
+		k.answer(409, err.Error()+"\n", "")
+		return
+	}
+	ended := e.Expel(prefix.Masked())
+	k.door.core.Log(fmt.Sprintf("barred for %v: %s, %d sessions ended", span, prefix.Masked(), ended))
+	k.answer(200, fmt.Sprintf("barred, %d sessions ended\n", ended), "")
+}
+
 func (k *call) service(out bool) {
 	if err := k.door.desk.Service(out); err != nil {
 		k.answer(409, err.Error()+"\n", "")
--- a/internal/faktory/faktory_test.go
+++ b/internal/faktory/faktory_test.go
@@ -63,7 +63,7 @@
 			addr = a
 		}
 	}
-	if _, err := Open(c, engine, config, 200); err != nil {
+	if _, err := Open(c, engine, config, 200, nil); err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan struct{})
--- a/internal/faktory/fwp.go
+++ b/internal/faktory/fwp.go
@@ -23,6 +23,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/entry"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
@@ -47,7 +48,7 @@
 
 // ReadConfig reads the operator's file; every error names the field.
 func ReadConfig(path string, s *hollyyoke.Settings) (c Config, err error) {
-	c.Source.Lanes = 8
+	c = Default()
 	meta, err := toml.DecodeFile(path, &c)
 	if err != nil {
 		// A parse error of the library takes several lines; its first says it.
@@ -57,16 +58,27 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return c, fmt.Errorf("%s: unknown key", unknown[0])
 	}
+	return c, c.Check(s)
+}
+
+// Default is a configuration before its file or table is read.
+func Default() (c Config) {
+	c.Source.Lanes = 8
+	return c
+}
+
+// Check checks a configuration and fills in what it leaves out; every error names the field.
+func (c *Config) Check(s *hollyyoke.Settings) error {
 	if c.Listen == "" && c.Source.Address == "" {
-		return c, errors.New("listen: missing, and source.address too, so there is nothing to do")
+		return errors.New("listen: missing, and source.address too, so there is nothing to do")
 	}
 	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"source.address", c.Source.Address}} {
 		if _, _, err := stdnet.SplitHostPort(a.addr); a.addr != "" && err != nil {
-			return c, fmt.Errorf("%s: %q is no host:port", a.field, a.addr)
+			return fmt.Errorf("%s: %q is no host:port", a.field, a.addr)
 		}
 	}
 	if c.Source.Lanes < 1 || c.Source.Lanes > mostLanes {
-		return c, fmt.Errorf("source.lanes: %d is not between 1 and %d", c.Source.Lanes, mostLanes)
+		return fmt.Errorf("source.lanes: %d is not between 1 and %d", c.Source.Lanes, mostLanes)
 	}
 	if len(c.Source.Queues) == 0 {
 		for _, class := range s.Classes {
@@ -75,10 +87,10 @@
 	}
 	for i, q := range c.Source.Queues {
 		if q == "" || strings.ContainsAny(q, " \r\n") {
-			return c, fmt.Errorf("source.queues[%d]: %q is no queue name", i, q)
+			return fmt.Errorf("source.queues[%d]: %q is no queue name", i, q)
 		}
 	}
-	return c, nil
+	return nil
 }
 
 const mostClasses = 8
@@ -113,11 +125,15 @@
 	Source *Source
 }
 
-// Open starts the roles that the operator's file names.
-func Open(c *core.Core, e *net.Engine, config Config, most int) (f Front, err error) {
+// Open starts the roles that the operator's file names. in, which may be nil,
+// decides who may connect.
+func Open(c *core.Core, e *net.Engine, config Config, most int, in *entry.Entry) (f Front, err error) {
 	jids := newMemory()
 	if config.Listen != "" {
 		f.Server = NewServer(c, e, config.Password, jids)
+		if in != nil {
+			f.Server.Use(in)
+		}
 		addr, err := f.Server.Listen(config.Listen, most)
 		if err != nil {
 			return f, fmt.Errorf("listen: %w", err)
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -7,12 +7,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	stdnet "net"
 	"slices"
 	"strings"
 	"time"
 
 	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/admit"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/entry"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
@@ -30,6 +33,7 @@
 	classes  map[string]int
 	base     int // the number of kinds that are not masks of classes
 	sessions core.Table[session]
+	entry    *entry.Entry
 	workers  map[string]*worker // by name, which is the wid with a prefix
 	fetches  map[uint64]*delivery
 	jids     *memory
@@ -42,10 +46,13 @@
 type session struct {
 	srv    *Server
 	token  uint64
+	id     admit.ID
 	conn   *net.Conn
 	in     *net.Buffer
+	header bool // a trusted front's, whose PROXY header is awaited
 	salt   string
 	greets bool // HELLO has been taken
+	served bool // the job that is over was served
 	worker *worker
 	push   uint64 // the req whose answer is owed to a PUSH; 0: none, or not named yet
 	jid    string // of that PUSH
@@ -95,6 +102,7 @@
 	s := &Server{
 		core: c, engine: e, password: password, classes: names(c), base: len(c.Settings.KindNames),
 		workers: map[string]*worker{}, fetches: map[uint64]*delivery{}, jids: jids, began: c.Loop.Now(),
+		entry: entry.Plain(c.Loop, 1),
 	}
 	c.Listen(s)
 	return s
@@ -108,8 +116,21 @@
 	return classes
 }
 
+// Use makes the server ask an entry who may come in. It must come before Listen.
+func (s *Server) Use(e *entry.Entry) { s.entry = e }
+
+const frontNumber = 1 // of this front's tokens, at the entry
+
 // Listen starts accepting producers and workers, most at a time.
 func (s *Server) Listen(addr string, most int) (string, error) {
+	s.entry.Join(frontNumber, s)
+	if s.entry.Guards() {
+		ln, err := stdnet.Listen("tcp", addr)
+		if err != nil {
+			return "", err
+		}
+		return s.engine.ServeGuarded(ln, false, s.accept).String(), nil
+	}
 	a, err := s.engine.Listen(addr, most, false, s.accept, s.shed)
 	if err != nil {
 		return "", err
@@ -120,8 +141,18 @@
 func (s *Server) accept(c *net.Conn) net.Owner {
 	n := &session{srv: s, conn: c}
 	n.token = s.sessions.Put(n)
+	n.id = s.entry.Come(frontNumber, n.token, c.Pass)
 	n.due.Fire = n.expire
 	s.core.Loop.Set(&n.due, s.core.Loop.Now()+helloTime)
+	if n.header = s.entry.Admit.Standing(n.id) == admit.Front; !n.header {
+		n.greet()
+	}
+	return n
+}
+
+// greet says the server's first word.
+func (n *session) greet() {
+	s := n.srv
 	g := greeting{V: 2}
 	if s.password != "" {
 		var salt [8]byte
@@ -131,17 +162,25 @@
 	}
 	raw, _ := json.Marshal(g)
 	n.say(greetingLine + string(raw))
-	return n
 }
 
 // shed ends sessions that have nothing out, since there are too many.
 func (s *Server) shed() {
-	s.sessions.All(func(_ uint64, n *session) {
-		if !n.busy && n.greets && n.worker == nil {
-			n.forget()
-			n.conn.Close()
+	const some = 16
+	for range some {
+		if _, ok := s.entry.Shed(admit.ForUnknown, false, nil); !ok {
+			return
 		}
-	})
+	}
+}
+
+// Shed closes a session that the entry has chosen. A worker's is none: what it
+// holds is a backend's.
+func (s *Server) Shed(token uint64) {
+	if n := s.sessions.Get(token); n != nil && !n.busy && n.worker == nil {
+		n.forget()
+		n.conn.Close()
+	}
 }
 
 // Sessions is the number of sessions open.
@@ -176,6 +215,10 @@
 func (n *session) ready() {
 	n.busy = false
 	loop := n.srv.core.Loop
+	if n.worker == nil {
+		n.srv.entry.Admit.Rest(loop.Now(), n.id, n.served)
+		n.served = false
+	}
 	loop.Set(&n.due, loop.Now()+silence)
 	if n.in != nil {
 		loop.Post(n.read) // a command that came early; not from inside the core
@@ -192,6 +235,7 @@
 		return
 	}
 	n.gone = true
+	n.srv.entry.Admit.Closed(n.id)
 	n.srv.sessions.Drop(n.token)
 	n.srv.core.Loop.Clear(&n.due)
 	n.srv.engine.Pool.Put(n.in)
@@ -230,14 +274,46 @@
 			if !n.busy {
 				n.say("-ERR MALFORMED command " + errLong.Error())
 			}
+			n.srv.entry.Admit.Abuse(n.srv.core.Loop.Now(), n.id, admit.Greedy)
 			n.Closed(nil, nil) // even while an answer is owed: whoever floods has gone
 			n.conn.End()
 			return
 		}
 	}
+	if n.header && !n.introduce() {
+		return
+	}
 	n.read()
 }
 
+// introduce reads a trusted front's header, which tells whose session it is.
+func (n *session) introduce() bool {
+	e := n.srv.entry
+	addr, used, err := entry.Header(n.in.Bytes())
+	if err == nil && used == 0 {
+		return false
+	}
+	why := admit.BadHeader
+	if err == nil {
+		if why = admit.Fine; addr.IsValid() {
+			why = e.Admit.Identify(n.srv.core.Loop.Now(), n.id, addr)
+		}
+	}
+	if why != admit.Fine {
+		e.Tell(why, addr)
+		n.forget()
+		n.conn.Close()
+		return false
+	}
+	n.header = false
+	if n.in.Cut(used); len(n.in.Bytes()) == 0 {
+		n.srv.engine.Pool.Put(n.in)
+		n.in = nil
+	}
+	n.greet()
+	return true
+}
+
 func (n *session) read() {
 	for n.in != nil && !n.busy && !n.gone {
 		line, used, err := parseLine(n.in.Bytes())
@@ -314,6 +390,9 @@
 		n.greets = true
 		if h.Wid != "" {
 			n.worker = n.srv.join(h)
+			n.srv.entry.Admit.Take(n.srv.core.Loop.Now(), n.id)
+		} else {
+			n.srv.entry.Admit.Rest(n.srv.core.Loop.Now(), n.id, false)
 		}
 		n.say("+OK")
 		return
@@ -343,6 +422,7 @@
 	job.Release = release
 	srv.jids.begin(job.ID, now)
 	n.busy, n.push, n.jid, n.class = true, 0, job.ID, job.Class
+	srv.entry.Admit.Take(now, n.id)
 	srv.core.Loop.Clear(&n.due)
 	req := srv.core.Take(srv, n.token, job)
 	if n.busy {
@@ -374,6 +454,7 @@
 	n.push, n.jid = 0, ""
 	switch a.Verdict {
 	case core.Served:
+		n.served = true
 		n.say("+OK")
 	case core.Refused:
 		n.say(refusedLine(a.RetryAfter))
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -8,7 +8,9 @@
 import (
 	"errors"
 	"io"
+	"math"
 	stdnet "net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -141,9 +143,11 @@
 	Handle uint64 // its slot; 0 until it is open and after it is closed
 	Owner  Owner
 	Opened time.Duration
+	Pass   uint64 // what the guard gave it; 0: it was not asked
 
 	engine    *Engine
-	nb        *nbio.Conn
+	peer      netip.Addr
+	nb        *nbio.Conn // nil where the system had no descriptor for it
 	open      func()
 	gate      *gate
 	asked     int64 // bytes given to Write
@@ -158,11 +162,31 @@
 	stalled bool       // there may be more to read
 }
 
+// Guard decides on connections as they are accepted. Its methods are called off
+// the loop's goroutine, and must not wait for it, but for Wait.
+type Guard interface {
+	Arrive(conn stdnet.Conn) (pass uint64, in, wait bool) // not in and not to wait: it has closed the connection
+	Wait(conn stdnet.Conn) (pass uint64, in bool)         // on a goroutine of its own
+	Left(pass uint64)                                     // one that came in ended before it had an owner
+	Give()                                                // a descriptor of one that came in is free
+	Starved()                                             // the system has no descriptor left
+}
+
+// Guard sets the guard of ServeGuarded, and bounds dials by take and give in
+// place of a share of their own. It must come first.
+func (e *Engine) Guard(g Guard, take func() bool, give func()) {
+	e.guard = g
+	e.dials.full, e.dials.most = math.MaxInt32, math.MaxInt32
+	e.dials.take, e.dials.give = take, give
+}
+
 // Engine runs all connections of the program on nbio.
 type Engine struct {
 	Loop *core.Loop
 	Pool Pool
 
+	guard Guard
+
 	nb        *nbio.Engine
 	conns     core.Table[Conn]
 	dials     gate       // connections that we open
@@ -218,6 +242,9 @@
 	shut bool
 
 	window int // buffers that may be on their way from one connection to its owner
+
+	take func() bool // beyond the bound; may be nil, as give
+	give func()
 }
 
 // wideWindow lets a peer's last words through, which come in pieces, before its
@@ -239,7 +266,7 @@
 func (g *gate) try() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.open >= g.most {
+	if g.open >= g.most || g.take != nil && !g.take() {
 		return false
 	}
 	g.open++
@@ -265,9 +292,19 @@
 	g.mu.Lock()
 	g.open--
 	g.mu.Unlock()
+	if g.give != nil {
+		g.give()
+	}
 	g.cond.Signal()
 }
 
+// enter counts one that was decided on elsewhere.
+func (g *gate) enter() {
+	g.mu.Lock()
+	g.open++
+	g.mu.Unlock()
+}
+
 func (g *gate) close() {
 	g.mu.Lock()
 	g.shut = true
@@ -441,6 +478,9 @@
 	return int(acceptedShare * float64(max(descriptors-spareDescriptors, 8)))
 }
 
+// Usable is how many of the descriptors allowed are for connections.
+func Usable(descriptors int) int { return max(descriptors-spareDescriptors, 8) }
+
 // Resize makes the engine keep to another number of descriptors in all, while
 // another process of the same dispatcher has the rest. Bounds move in step, but
 // for fixed ones; what is open above them stays.
@@ -546,19 +586,85 @@
 				time.Sleep(20 * time.Millisecond)
 				continue
 			}
-			e.add(conn, &g, own)
+			e.add(conn, &g, 0, own)
 		}
 	}()
 	return a
 }
 
+// ServeGuarded accepts connections from a listener, as many as the guard lets in.
+func (e *Engine) ServeGuarded(ln stdnet.Listener, narrow bool, own func(c *Conn) Owner) *Acceptor {
+	g := newGate(math.MaxInt32, wideWindow)
+	if narrow {
+		g.window = 1
+	}
+	g.cond.L, g.give = &g.mu, e.guard.Give
+	a := &Acceptor{ln: ln, gate: &g, fixed: true}
+	e.mu.Lock()
+	e.listeners = append(e.listeners, a)
+	e.mu.Unlock()
+	go e.guarded(a, own)
+	return a
+}
+
+// guarded accepts as fast as the system gives connections, so that none waits
+// behind those that will be refused: in the kernel's queue all are alike.
+func (e *Engine) guarded(a *Acceptor, own func(*Conn) Owner) {
+	// With no descriptor left, this one is given up for a moment to refuse with.
+	spare, _ := os.Open(os.DevNull)
+	defer func() { spare.Close() }()
+	come := func(conn stdnet.Conn, pass uint64) {
+		a.gate.enter()
+		e.add(conn, a.gate, pass, own)
+	}
+	for {
+		conn, err := a.ln.Accept()
+		switch {
+		case err == nil:
+			if spare == nil { // this one's descriptor is the first that could be had
+				conn.Close()
+				spare, _ = os.Open(os.DevNull)
+				continue
+			}
+			pass, in, wait := e.guard.Arrive(conn)
+			switch {
+			case in:
+				come(conn, pass)
+			case wait:
+				go func() {
+					if pass, in := e.guard.Wait(conn); in {
+						come(conn, pass)
+					}
+				}()
+			}
+		case errors.Is(err, stdnet.ErrClosed):
+			return
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+			e.guard.Starved()
+			if spare != nil {
+				spare.Close()
+				if conn, err := a.ln.Accept(); err == nil {
+					conn.Close()
+				}
+			}
+			if spare, _ = os.Open(os.DevNull); spare == nil {
+				time.Sleep(starvedTime) // another holder took it: guards against spinning
+			}
+		default: // a peer that has gone before it was accepted, or the like
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+const starvedTime = 5 * time.Millisecond // between looks for a descriptor
+
 // Adopt takes over a connection that was opened elsewhere.
 func (e *Engine) Adopt(conn stdnet.Conn, own func(*Conn) Owner) error {
 	if !e.dials.try() {
 		_ = conn.Close()
 		return ErrFull
 	}
-	e.add(conn, &e.dials, own)
+	e.add(conn, &e.dials, 0, own)
 	return nil
 }
 
@@ -580,7 +686,7 @@
 			e.Loop.Post(func() { done(nil, err) })
 			return
 		}
-		e.add(conn, &e.dials, func(c *Conn) Owner {
+		e.add(conn, &e.dials, 0, func(c *Conn) Owner {
 			if own == nil {
 				own = discard{e}
 			}
@@ -600,9 +706,13 @@
 // before any of its data, since both are posted in order. It must be nbio that
 // says when: a connection that it does not hold yet cannot be written to, and
 // an owner that spoke first crashed there.
-func (e *Engine) add(conn stdnet.Conn, g *gate, own func(*Conn) Owner) {
+func (e *Engine) add(conn stdnet.Conn, g *gate, pass uint64, own func(*Conn) Owner) {
 	e.fence.Lock()
-	c := &Conn{engine: e, gate: g}
+	c := &Conn{engine: e, gate: g, Pass: pass}
+	if tcp, ok := conn.RemoteAddr().(*stdnet.TCPAddr); ok {
+		addr, _ := netip.AddrFromSlice(tcp.IP)
+		c.peer = addr.Unmap()
+	}
 	e.fence.Unlock()
 	nc, err := nbio.NBConn(conn)
 	if err != nil {
@@ -634,6 +744,9 @@
 func (c *Conn) gone(err error) {
 	c.engine.Loop.Clear(&c.ending)
 	if c.Handle == 0 {
+		if c.open != nil && c.Pass != 0 { // nbio would not take it
+			c.engine.guard.Left(c.Pass)
+		}
 		return
 	}
 	c.drop()
@@ -657,6 +770,9 @@
 	return err == nil
 }
 
+// Peer is the address of the other end.
+func (c *Conn) Peer() netip.Addr { return c.peer }
+
 // Mark is the position behind the last byte given to Write.
 func (c *Conn) Mark() int64 { return c.asked }
 
--- a/cmd/hollyyoke/node.go
+++ b/internal/node/node.go
@@ -1,4 +1,7 @@
-package main
+// Package node is the dispatcher as one process: it reads what it is told, joins
+// fronts, core and carriers, and knows the states of the running dispatcher. It
+// must never decide where a job goes, nor who may connect.
+package node
 
 import (
 	"cmp"
@@ -15,10 +18,12 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/entry"
 	"hollyyoke.example/hollyyoke/internal/faktory"
 	"hollyyoke.example/hollyyoke/internal/handover"
 	"hollyyoke.example/hollyyoke/internal/net"
 	"hollyyoke.example/hollyyoke/internal/platform"
+	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
 // This file owns the states of the running dispatcher: in service, drained,
@@ -49,6 +54,7 @@
 	engine   *net.Engine
 	backends *platform.Backends
 	fronts   fronts
+	entry    *entry.Entry       // who decides on connections; nil: nobody
 	config   config             // in force
 	told     hollyyoke.Settings // as the file words them
 	listener stdnet.Listener
@@ -209,6 +215,9 @@
 // keep makes this process keep to a part of the limits.
 func (n *node) keep(descriptors int, memory int64) {
 	n.engine.Resize(descriptors - (n.config.descriptors() - n.config.clients()))
+	if n.entry != nil {
+		n.entry.Resize(float64(descriptors) / float64(n.config.descriptors()))
+	}
 	if n.config.Limits.MemoryMB < 1 {
 		return
 	}
@@ -418,7 +427,7 @@
 // reload takes over from a file read anew what can change while the program
 // runs: where discovery is. A file of which any part is wrong changes nothing;
 // what needs a restart is named in the log.
-func (n *node) reload(next config, now hollyyoke.Settings, err error) {
+func (n *node) reload(next config, now hollyyoke.Settings, table settings.Connections, err error) {
 	d, b, c := n.core, n.backends, n.config
 	if err == nil {
 		err = b.CheckList(next.Known)
@@ -428,10 +437,22 @@
 			err = fmt.Errorf("config: %w", err)
 		}
 	}
+	var g entry.Config
+	if err == nil && n.entry != nil {
+		if g, err = guard(&table, n.config.clients()); err == nil && !table.On {
+			err = errors.New("connections.on: only a restart turns it off")
+		}
+		if err == nil {
+			err = n.entry.Set(g, net.Usable(n.config.clients()))
+		}
+	}
 	if err != nil {
 		d.Log(fmt.Sprintf("reload: %v; what was in force stays", err))
 		return
 	}
+	if n.entry != nil {
+		d.Log("reload: bounds on connections are as the operator's file says")
+	}
 	var restart []string
 	for name, changed := range map[string]bool{
 		"name": next.Name != c.Name, "listen": next.Listen != c.Listen, "admin_addr": next.Admin != c.Admin, "limits": next.Limits != c.Limits,
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -187,6 +187,9 @@
 	return l
 }
 
+// Idle closes all idle connections, which cost descriptors that others need more.
+func (s *Backends) Idle() { s.shed() }
+
 // shed closes all idle connections, since no descriptor is free for a new one.
 func (s *Backends) shed() {
 	for _, b := range s.hosts {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"errors"
 	stdnet "net"
+	"net/netip"
 	"strconv"
 	"time"
 
+	"hollyyoke.example/hollyyoke/internal/admit"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/entry"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
@@ -24,10 +27,11 @@
 	sessions core.Table[session]
 	out      []byte
 	ready    func() bool
-	memory   int    // bytes that buffers may take up before half-read requests are given up
+	memory   int // bytes that buffers may take up before half-read requests are given up
+	entry    *entry.Entry
+	turns    admit.Turns // sessions whose bytes wait for their address's turn
+	turning  bool
 	reader   uint64 // the session that is read
-	silent   int    // sessions that have not sent a byte
-	most     int    // sessions at a time
 	stopping bool
 	closing  bool // the arrival window has passed: sessions end between requests
 	away     bool // out of service, for a drain
@@ -37,6 +41,7 @@
 	acceptor *net.Acceptor
 	drain    core.Deadline // the drain's next step
 	pressed  bool          // new sessions wait, and none could be closed for them
+	spared   bool          // a proven one was spared for a moment
 	press    core.Deadline
 	quiet    core.Deadline
 }
@@ -45,41 +50,39 @@
 type session struct {
 	front  *Front
 	token  uint64
+	id     admit.ID
+	peer   netip.Addr // whose turn its bytes wait for
+	header bool       // a trusted front's, whose PROXY header is awaited
+	queued bool       // its bytes wait for their turn
+	read0  int64      // bytes written when the write stall began
+	stall  core.Deadline
+	by     time.Duration // when the request at hand must be whole
 	conn   *net.Conn
 	in     *net.Buffer   // where the request at hand begins
 	next   *net.Buffer   // what found no room behind it
 	since  time.Duration // when the first byte of the request at hand came
 	req    uint64        // the req that is out, 0 before the core has named it
-	stage  stage
-	busy   bool // an answer is owed
-	gone   bool // the client has closed
-	last   bool // the session ends with the answer at hand
-	told   bool // 100 Continue has been sent
-	paused bool // no more is read for now
-	posted bool // a turn is on its way
-	scan   scan // how far the body at hand has been looked at
+	spoken bool          // a byte has come
+	proven bool          // a job of it has been served
+	busy   bool          // an answer is owed
+	gone   bool          // the client has closed
+	last   bool          // the session ends with the answer at hand
+	told   bool          // 100 Continue has been sent
+	served bool          // the answer at hand is a job's that was served
+	over   admit.Reason  // a cap that its half-read request breaks
+	paused bool          // no more is read for now
+	posted bool          // a turn is on its way
+	scan   scan          // how far the body at hand has been looked at
 	idleAt time.Duration
 	idle   core.Deadline
 }
 
-// stage is what a session has shown of itself. Usual clients open sessions,
-// also before they need them, and use them for job after job.
-type stage uint8
-
-const (
-	silent stage = iota // not a byte has come
-	asking              // it has sent something, but no job of it has been served
-	proven              // a job of it has been served
-)
-
 const (
 	firstTime   = 2800 * time.Millisecond // from the accept on: whoever has begun has sent a whole request, or is bad
 	requestTime = 2 * time.Second         // for a request to arrive whole, once it has begun, however its bytes trickle
 	lateTime    = time.Second             // the same, where a session was silent at first
 	idleTime    = 5 * time.Minute         // a proven or a silent session is kept so long between requests
 	askingTime  = 5 * time.Second         // any other
-	silentTime  = 2500 * time.Millisecond // where too many are silent, the oldest are kept so long
-	graceTime   = time.Second             // a session that has just come is not shed, for its request is on the way
 	pressTime   = 50 * time.Millisecond   // between looks for sessions to shed
 	turnWork    = 16                      // requests that a session may have read in one turn
 
@@ -96,14 +99,18 @@
 // NewFront returns a front that accepts on addr once Listen is called. Its
 // buffers, with those of others, should not take up more than memory bytes.
 func NewFront(c *core.Core, e *net.Engine, memory int, ready func() bool) *Front {
-	f := &Front{core: c, engine: e, classes: map[string]int{}, memory: memory, ready: ready}
-	f.press.Fire, f.quiet.Fire, f.drain.Fire = f.shed, f.hush, f.drainOn
+	f := &Front{core: c, engine: e, classes: map[string]int{}, memory: memory, ready: ready,
+		entry: entry.Plain(c.Loop, 1)}
+	f.press.Fire, f.quiet.Fire, f.drain.Fire = f.pressOn, f.hush, f.drainOn
 	for i, class := range c.Settings.Classes {
 		f.classes[class.Name] = i
 	}
 	return f
 }
 
+// Use makes the front ask an entry who may come in. It must come before Listen or Serve.
+func (f *Front) Use(e *entry.Entry) { f.entry = e }
+
 // Listen starts accepting client sessions, most at a time, and returns the address.
 func (f *Front) Listen(addr string, most int) (string, error) {
 	ln, err := stdnet.Listen("tcp", addr)
@@ -116,93 +123,84 @@
 
 // Serve starts accepting client sessions from a listener, most at a time.
 func (f *Front) Serve(ln stdnet.Listener, most int) {
-	f.most = most
+	if !f.entry.Guards() {
+		f.entry.Admit.Resize(most)
+	}
+	f.entry.Join(frontNumber, f)
+	if f.entry.Guards() {
+		f.acceptor = f.engine.ServeGuarded(ln, true, f.accept)
+		return
+	}
 	f.acceptor = f.engine.Serve(ln, most, true, f.accept, f.shed)
 }
 
+const frontNumber = 0 // of this front's tokens, at the entry
+
 func (f *Front) accept(c *net.Conn) net.Owner {
 	s := &session{front: f, conn: c, idleAt: c.Opened}
-	s.idle.Fire = s.expire
+	s.idle.Fire, s.stall.Fire = s.expire, s.stalled
 	s.token = f.sessions.Put(s)
-	f.pressed = false
-	f.silent++
-	s.wait()
+	s.id = f.entry.Come(frontNumber, s.token, c.Pass)
+	f.pressed, f.spared = false, false
+	if f.entry.Guards() {
+		s.peer = c.Peer()
+		s.header = f.entry.Admit.Standing(s.id) == admit.Front
+	}
+	f.core.Loop.Set(&s.idle, f.core.Loop.Now()+idleTime)
 	f.hush()
 	return s
 }
 
+// Shed closes a session that the entry has chosen.
+func (f *Front) Shed(token uint64) {
+	if s := f.sessions.Get(token); s != nil && !s.busy && !s.gone {
+		s.drop()
+	}
+}
+
 // hush closes silent sessions where they are too many to be usual clients' that
 // opened early: those first that have been silent longest, and none that has
 // just come, since a close that crosses a session's first request costs it.
 func (f *Front) hush() {
-	for f.silent > f.most/2 {
-		s := f.pick(func(s *session) int {
-			if s.stage != silent || f.core.Loop.Now()-s.conn.Opened < silentTime {
-				return 0
-			}
-			return 1
-		})
-		if s == nil {
+	for f.entry.Admit.Crowds() {
+		if _, ok := f.entry.Shed(admit.ForSilence, false, nil); !ok {
 			f.core.Loop.Set(&f.quiet, f.core.Loop.Now()+pressTime)
 			return
 		}
-		s.drop()
 	}
 }
 
-// pick returns the session of the highest rank above 0, the longest unused of several.
-func (f *Front) pick(rank func(*session) int) (best *session) {
-	most := 0
-	f.sessions.All(func(_ uint64, s *session) {
-		if s.busy || s.gone {
-			return
-		}
-		if r := rank(s); r > most || r > 0 && r == most && s.idleAt < best.idleAt {
-			best, most = s, r
-		}
-	})
-	return best
-}
-
 // shed makes room for new sessions, and goes on until one of those that wait
 // has come in. It closes sessions at once, lest they linger holding their
-// descriptors: first those that have shown nothing but talk, then those that
-// have long been silent, then those that have proven themselves and rest, and
-// at last half-read requests. One that has just come is spared, for its request
-// is on the way. If there is none to close, the next answers end their sessions.
+// descriptors. If there is none to close, the next answers end their sessions.
 func (f *Front) shed() {
 	const some = 8
-	now := f.core.Loop.Now()
 	room := f.shared // the other process has room: nobody who may be a usual client goes for it
 	for i := range some {
-		s := f.pick(func(s *session) int {
-			switch young := now-s.conn.Opened < graceTime; {
-			case s.in != nil && now-s.since > graceTime:
-				return 1
-			case s.in != nil:
-				return 0
-			case s.stage == proven && room:
-				return 0
-			case s.stage == proven:
-				return 2
-			case s.stage == asking:
-				return 4
-			case !young:
-				return 3
-			}
-			return 0
-		})
-		if s == nil {
+		token, stage, ok := f.entry.Next(admit.ForUnknown, room)
+		if !ok {
 			f.pressed = i == 0 && !room
 			break
 		}
-		if s.stage == proven && i > 0 { // there is room already
+		if stage == admit.Proven && i > 0 { // there is room already
 			break
 		}
-		s.drop()
+		if stage == admit.Proven && !f.spared { // those that have just come may show by then that they only talk
+			f.spared = true
+			f.core.Loop.Set(&f.press, f.core.Loop.Now()+pressTime)
+			return
+		}
+		f.entry.Drop(token)
 	}
 	if f.pressed {
-		f.core.Loop.Set(&f.press, now+pressTime)
+		f.core.Loop.Set(&f.press, f.core.Loop.Now()+pressTime)
+	}
+}
+
+// pressOn looks again, if those that waited still wait.
+func (f *Front) pressOn() {
+	if f.pressed || f.spared {
+		f.shed()
 	}
 }
 
@@ -249,7 +247,7 @@
 func (f *Front) endResting(young time.Duration) {
 	now := f.core.Loop.Now()
 	f.sessions.All(func(_ uint64, s *session) {
-		if s.between() && (s.stage != silent || now-s.conn.Opened >= young) && s.conn.Quiet() {
+		if s.between() && (s.spoken || now-s.conn.Opened >= young) && s.conn.Quiet() {
 			s.end()
 		}
 	})
@@ -293,12 +291,13 @@
 func (f *Front) Sessions() int { return f.sessions.Len() }
 
 // wait sets how long the session may rest.
-func (s *session) wait() {
+func (s *session) wait(served bool) {
 	span := idleTime
-	if s.stage == asking {
+	if s.proven = s.proven || served; !s.proven {
 		span = askingTime
 	}
 	s.idleAt = s.front.core.Loop.Now()
+	s.front.entry.Admit.Rest(s.idleAt, s.id, served)
 	s.front.core.Loop.Set(&s.idle, s.idleAt+span)
 }
 
@@ -307,19 +306,19 @@
 func (s *session) begin() {
 	now := s.front.core.Loop.Now()
 	s.since = now
-	due := now + requestTime
-	if s.stage == silent {
-		s.speak(asking)
-		due = min(due, max(s.conn.Opened+firstTime, now+lateTime))
+	s.by = now + requestTime
+	if !s.spoken {
+		s.spoken = true
+		s.by = min(s.by, max(s.conn.Opened+firstTime, now+lateTime))
+	}
+	due := s.by
+	if slow, again := s.front.entry.Admit.TooSlow(now, now, 0); !slow && again > 0 {
+		due = min(due, again)
 	}
 	s.front.core.Loop.Set(&s.idle, due)
-}
-
-func (s *session) speak(to stage) {
-	if s.stage == silent {
-		s.front.silent--
+	if why := s.front.entry.Admit.Begin(now, s.id); why != admit.Fine {
+		s.over = why
 	}
-	s.stage = max(s.stage, to)
 }
 
 // expire ends a session that has waited too long for a request, or for the rest of one.
@@ -327,12 +326,48 @@
 	switch {
 	case s.busy:
 	case s.in != nil:
+		now := s.front.core.Loop.Now()
+		if now < s.by { // the least rate
+			slow, again := s.front.entry.Admit.TooSlow(now, s.since, len(s.in.Bytes()))
+			if !slow {
+				s.front.core.Loop.Set(&s.idle, min(s.by, max(again, now+time.Millisecond)))
+				return
+			}
+			s.abuse(admit.Slow)
+		}
 		s.reject(errSlow)
 	default:
 		s.end()
 	}
 }
 
+// abuse books what a peer has done.
+func (s *session) abuse(why admit.Reason) {
+	if s.front.entry.Guards() {
+		s.front.entry.Admit.Abuse(s.front.core.Loop.Now(), s.id, why)
+		s.front.entry.Tell(why, s.peer)
+	}
+}
+
+// stalled looks whether answers are read. One on which an answer is owed stays.
+func (s *session) stalled() {
+	switch {
+	case s.gone || s.conn.Waiting() == 0:
+	case s.busy || s.conn.Written() > s.read0:
+		s.watchStall()
+	default:
+		s.abuse(admit.Stalled)
+		s.drop()
+	}
+}
+
+func (s *session) watchStall() {
+	if span := s.front.entry.WriteStall(); span > 0 && s.conn.Waiting() > 0 {
+		s.read0 = s.conn.Written()
+		s.front.core.Loop.Set(&s.stall, s.front.core.Loop.Now()+span)
+	}
+}
+
 // end ends a session on which nothing is owed.
 func (s *session) end() {
 	s.forget()
@@ -342,10 +377,11 @@
 // forget gives back all that a session holds.
 func (s *session) forget() {
 	if !s.gone {
-		s.speak(asking)
+		s.front.entry.Admit.Closed(s.id)
 	}
 	s.front.sessions.Drop(s.token)
 	s.front.core.Loop.Clear(&s.idle)
+	s.front.core.Loop.Clear(&s.stall)
 	s.front.engine.Pool.Put(s.in)
 	s.front.engine.Pool.Put(s.next)
 	s.in, s.next, s.gone = nil, nil, true
@@ -366,6 +402,10 @@
 		s.front.engine.Pool.Put(b)
 		return
 	}
+	if s.header {
+		s.front.introduce(s, b)
+		return
+	}
 	if s.in == nil && !s.busy {
 		s.begin()
 	}
@@ -379,24 +419,110 @@
 		s.front.engine.Pool.Put(b)
 		s.last = true
 	}
+	if f := s.front; f.entry.Guards() {
+		if !s.busy && s.in != nil && s.over == admit.Fine {
+			s.over = f.entry.Admit.Holds(s.id, len(s.in.Bytes()))
+		}
+		if f.entry.Level() > 0 || f.turns.Len() > 0 {
+			f.queue(s)
+			return
+		}
+	}
 	s.read()
 	s.front.relieve()
 }
 
+// queue puts a session's bytes behind those of its address. Guards the turn of
+// one with a single session against one with a thousand.
+func (f *Front) queue(s *session) {
+	if !s.queued {
+		s.queued = true
+		f.turns.Add(s.peer, s.token)
+	}
+	if !f.turning {
+		f.turning = true
+		f.core.Loop.Post(f.turn)
+	}
+}
+
+// turn reads some sessions, each address in its turn, and lets the rest of the loop go on.
+func (f *Front) turn() {
+	const some = 8
+	f.turning = false
+	for range some {
+		token, ok := f.turns.Next()
+		if !ok {
+			return
+		}
+		if s := f.sessions.Get(token); s != nil && s.queued && !s.gone {
+			s.queued = false
+			s.read()
+		}
+	}
+	f.relieve()
+	if f.turns.Len() > 0 && !f.turning {
+		f.turning = true
+		f.core.Loop.Post(f.turn)
+	}
+}
+
+// introduce reads a trusted front's header, which tells whose session it is.
+func (f *Front) introduce(s *session, b *net.Buffer) {
+	if s.in == nil {
+		s.in = b
+	} else {
+		ok := s.in.Add(b.Bytes())
+		if f.engine.Pool.Put(b); !ok {
+			s.drop()
+			return
+		}
+	}
+	addr, used, err := entry.Header(s.in.Bytes())
+	if err != nil {
+		f.entry.Admit.Note(admit.BadHeader)
+		f.entry.Tell(admit.BadHeader, s.peer)
+		s.drop()
+		return
+	}
+	if used == 0 {
+		f.core.Loop.Set(&s.idle, s.conn.Opened+firstTime)
+		return
+	}
+	s.header = false
+	if addr.IsValid() {
+		if why := f.entry.Admit.Identify(f.core.Loop.Now(), s.id, addr); why != admit.Fine {
+			f.entry.Tell(why, addr)
+			s.drop()
+			return
+		}
+		s.peer = addr
+	}
+	rest := s.in
+	s.in = nil
+	if rest.Cut(used); len(rest.Bytes()) == 0 {
+		f.engine.Pool.Put(rest)
+		return
+	}
+	s.Data(s.conn, rest)
+}
+
 // relieve gives up half-read requests while buffers take up too much memory,
 // the oldest first. Guards the memory limit, which ends the program.
 func (f *Front) relieve() {
 	for f.full() {
-		s := f.pick(func(s *session) int {
-			if s.in == nil || s.posted || s.token == f.reader {
-				return 0
+		var chosen *session
+		_, _, ok := f.entry.Admit.Victim(f.core.Loop.Now(), admit.ForMemory, false, func(token uint64) bool {
+			s := f.sessions.Get(token)
+			if s == nil || s.in == nil || s.posted || s.token == f.reader {
+				return true
 			}
-			return 1
+			chosen = s
+			return false
 		})
-		if s == nil {
+		if !ok {
 			return
 		}
-		s.reject(errMemory)
+		chosen.reject(errMemory)
 	}
 }
 
@@ -424,9 +550,17 @@
 func (s *session) read() {
 	s.front.reader = s.token
 	defer func() { s.front.reader = 0 }()
+	if s.over != admit.Fine && !s.busy && s.in != nil { // more half-read requests, or bytes of them, than its address may have
+		s.front.entry.Tell(s.over, s.peer)
+		s.reject(errCaps)
+		return
+	}
 	for work := 0; s.in != nil && !s.busy && !s.gone; work++ {
 		if work == turnWork {
 			s.turn()
+			if s.front.entry.Guards() {
+				s.front.entry.Admit.Note(admit.Greedy)
+			}
 			break
 		}
 		var m message
@@ -581,6 +715,7 @@
 	job.Release = func() { pool.Put(held) }
 	s.busy, s.req = true, 0
 	s.front.core.Loop.Clear(&s.idle)
+	s.front.entry.Admit.Take(s.front.core.Loop.Now(), s.id)
 	req := s.front.core.Take(s.front, s.token, job)
 	if s.busy {
 		s.req = req
@@ -605,7 +740,7 @@
 	s.last = s.last || f.closing
 	switch a.Verdict {
 	case core.Served:
-		s.speak(proven)
+		s.served = true
 		s.write(200, a.Result, 0, "")
 	case core.Refused:
 		s.write(503, nil, a.RetryAfter, "")
@@ -629,8 +764,13 @@
 	case s.conn.Waiting() > mostWaiting: // guards against a client that asks and never reads
 		s.drop()
 	case s.in != nil:
+		s.wait(s.served)
 		s.begin()
 	default:
-		s.wait()
+		s.wait(s.served)
+	}
+	s.served = false
+	if !s.gone {
+		s.watchStall()
 	}
 }
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -28,6 +28,7 @@
 	errBody      = errors.New("body too long")
 	errSlow      = errors.New("the request did not come in time")
 	errMemory    = errors.New("too many requests are half sent")
+	errCaps      = errors.New("too many requests of this address are half sent")
 )
 
 // field is one header field; its parts lie in the buffer that was parsed.
@@ -420,14 +421,14 @@
 		return 431
 	case errors.Is(err, errSlow):
 		return 408
-	case errors.Is(err, errMemory):
+	case errors.Is(err, errMemory), errors.Is(err, errCaps):
 		return 503
 	}
 	return 400
 }
 
 // Call is one whole request as another front needs it.
-type Call struct{ Method, Path string }
+type Call struct{ Method, Path, Query string }
 
 // CallReader reads one call, however its bytes come.
 type CallReader struct{ sc scan }
@@ -440,8 +441,8 @@
 	if !ok || err != nil {
 		return Call{}, false, err
 	}
-	path, _, _ := bytes.Cut(m.b, []byte("?"))
-	return Call{string(m.a), string(path)}, true, nil
+	path, query, _ := bytes.Cut(m.b, []byte("?"))
+	return Call{string(m.a), string(path), string(query)}, true, nil
 }
 
 // AppendAnswer appends a whole answer to out. retryAfter is told if it is positive.
--- a/internal/rehearsal/replay/replay.go
+++ b/internal/rehearsal/replay/replay.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"runtime"
 	"strings"
 	"sync"
@@ -31,6 +32,11 @@
 	Seed     uint64  // of the ids; the same seed sends the same ids
 	Speed    float64 // of the time; default 1
 
+	// Wanted is how soon a class's answers are wanted, by its name; counted only.
+	Wanted map[string]time.Duration
+	// From are loopback addresses that connections are opened from, in turn; none: any.
+	From []netip.Addr
+
 	// Proven tells at each send whether a job that must not run twice may be
 	// sent. nil: none is, and nothing overrides that.
 	Proven func() bool
@@ -59,11 +65,12 @@
 	Served   int `json:"served"`
 	Refused  int `json:"refused"`
 	Failed   int `json:"failed"`
-	Lost     int `json:"lost"`     // no final answer before the client gave up
-	Twice    int `json:"twice"`    // more than one answer
-	Withheld int `json:"withheld"` // may run once only, and no proof that a stand-in would get it
-	Unsent   int `json:"unsent"`   // no connection could be had
-	Resent   int `json:"resent"`   // once more on a new connection, as the kept one was closing
+	Lost     int `json:"lost"`          // no final answer before the client gave up
+	Twice    int `json:"twice"`         // more than one answer
+	Withheld int `json:"withheld"`      // may run once only, and no proof that a stand-in would get it
+	Unsent   int `json:"unsent"`        // no connection could be had
+	Wanted   int `json:"within_wanted"` // served within Options.Wanted of the intended moment
+	Resent   int `json:"resent"`        // once more on a new connection, as the kept one was closing
 
 	// Latency of the served, µs: from the intended moment, and from the actual one.
 	Intended Quantiles `json:"latency_us"`
@@ -150,14 +157,16 @@
 	class  string
 	tally  *Tally
 	due    time.Duration // since the start
-	sent   time.Duration
+	fired  time.Duration // when its turn came: it was written then, or a connection was begun for it
+	sent   time.Duration // when it was written
 	again  bool
 	ending atomic.Bool // it has its fate
 }
 
 type replay struct {
 	Options
-	start time.Time
+	start  time.Time
+	opened atomic.Int64 // connections
 
 	mu     sync.Mutex // idle, and all that is booked
 	idle   []*link
@@ -254,6 +263,7 @@
 	defer runtime.UnlockOSThread()
 	for s := range shots {
 		sleepUntil(p.start.Add(s.due))
+		s.fired = time.Since(p.start)
 		may := retryable(s)
 		if !may && (p.Proven == nil || !p.Proven()) {
 			p.mu.Lock()
@@ -316,7 +326,11 @@
 }
 
 func (p *replay) dial() (*link, error) {
-	conn, err := net.DialTimeout("tcp", p.To, dialTime)
+	d := net.Dialer{Timeout: dialTime}
+	if n := len(p.From); n > 0 {
+		d.LocalAddr = &net.TCPAddr{IP: p.From[int(p.opened.Add(1))%n].AsSlice()}
+	}
+	conn, err := d.Dial("tcp", p.To)
 	if err != nil {
 		return nil, err
 	}
@@ -382,6 +396,9 @@
 	case Served:
 		t.Served++
 		second.Served++
+		if w := p.Wanted[s.class]; w == 0 || now-s.due <= w {
+			t.Wanted++
+		}
 		t.intended.RecordValue(max((now - s.due).Microseconds(), 1))
 		t.actual.RecordValue(max((now - s.sent).Microseconds(), 1))
 		due := p.series.second(s.due)
@@ -404,8 +421,9 @@
 		word(p.result.Failures, s.class+": not sent")
 	}
 	if v != Unsent {
-		p.series.add(s.due, s.sent)
+		p.series.wrote(s.due, s.sent)
 	}
+	p.series.add(s.due, s.fired)
 	p.done++
 	n := p.done
 	p.mu.Unlock()
--- a/internal/rehearsal/replay/series.go
+++ b/internal/rehearsal/replay/series.go
@@ -17,9 +17,10 @@
 	MaxSecondError float64  `json:"max_second_error"` // the worst second's difference in count, as a share of its count or of 50, whichever is more
 	KS             float64  `json:"ks"`               // Kolmogorov-Smirnov distance of the arrival times
 	KSGaps         float64  `json:"ks_gaps"`          // and of the times between two arrivals
-	LateP50        int64    `json:"late_p50_us"`      // how long after its moment an entry's first byte was written
+	LateP50        int64    `json:"late_p50_us"`      // how long after its moment an entry was written, or a connection begun for it
 	LateP99        int64    `json:"late_p99_us"`
 	LateMax        int64    `json:"late_max_us"`
+	WrittenP99     int64    `json:"written_late_p99_us"` // until its first byte was written: with the dispatcher's own time to let a connection in
 	Gaps           []GapRow `json:"gaps"`
 	Compared       int      `json:"compared"` // entries; later ones beyond some four million are not
 }
@@ -40,9 +41,16 @@
 	seconds   []*Second
 	due, sent []int64 // µs
 	late      *hdrhistogram.Histogram
+	written   *hdrhistogram.Histogram
 }
 
-func newSeries() *series { return &series{late: hdrhistogram.New(1, 3_600_000_000, 3)} }
+func newSeries() *series {
+	return &series{late: hdrhistogram.New(1, 3_600_000_000, 3), written: hdrhistogram.New(1, 3_600_000_000, 3)}
+}
+
+func (s *series) wrote(due, at time.Duration) {
+	s.written.RecordValue(max((at - due).Microseconds(), 0))
+}
 
 func (s *series) second(at time.Duration) *Second {
 	n := max(int(at/time.Second), 0)
@@ -70,6 +78,7 @@
 		}
 	}
 	f.LateP50, f.LateP99, f.LateMax = s.late.ValueAtQuantile(50), s.late.ValueAtQuantile(99), s.late.Max()
+	f.WrittenP99 = s.written.ValueAtQuantile(99)
 	f.Compared = len(s.due)
 	slices.Sort(s.due)
 	slices.Sort(s.sent)
--- a/internal/rehearsal/report/report.go
+++ b/internal/rehearsal/report/report.go
@@ -130,8 +130,8 @@
 			t.Twice, t.Withheld, ms(t.Intended.P50), ms(t.Intended.P99), ms(t.Intended.Max))
 	}
 	f := r.Fidelity
-	fmt.Fprintf(w, "fidelity: worst second off by %.2f%%, KS of arrivals %.4f, of gaps %.4f; late p50 %.2f ms, p99 %.2f ms, max %.2f ms\n",
-		100*f.MaxSecondError, f.KS, f.KSGaps, ms(f.LateP50), ms(f.LateP99), ms(f.LateMax))
+	fmt.Fprintf(w, "fidelity: worst second off by %.2f%%, KS of arrivals %.4f, of gaps %.4f; late p50 %.2f ms, p99 %.2f ms, max %.2f ms; written p99 %.2f ms\n",
+		100*f.MaxSecondError, f.KS, f.KSGaps, ms(f.LateP50), ms(f.LateP99), ms(f.LateMax), ms(f.WrittenP99))
 	list(w, "refused", r.Refusals)
 	list(w, "failed or lost", r.Failures)
 	if n := r.Count(func(t *replay.Tally) int { return t.Unsent }); n > 0 {
--- a/internal/rehearsal/standin/fleet.go
+++ b/internal/rehearsal/standin/fleet.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,6 +42,8 @@
 	Faktory bool // start the Faktory front too
 	Sockets int  // descriptors that the daemon is told it has; default 4096
 	Noise   float64
+
+	Operator string // the daemon's operator file; empty: none
 }
 
 // Fleet is what runs.
@@ -110,9 +113,10 @@
 	f = &Fleet{FleetConfig: c, secret: make([]byte, 32), ended: make(chan struct{})}
 	rand.Read(f.secret)
 	f.ctx, f.cancel = context.WithCancel(context.Background())
+	started := f
 	defer func() {
 		if err != nil {
-			f.Close()
+			started.Close()
 		}
 	}()
 	if f.Discovery, err = StartDiscovery(f.Gate.Shut); err != nil {
@@ -204,7 +208,7 @@
 	}
 	return json.Marshal(object{
 		"name": "rehearsal", "listen": listen, "discovery": f.Discovery.Addr, "seed": fmt.Sprintf("%016x", f.Seed),
-		"limits": object{"memory_mb": 192, "sockets": f.Sockets},
+		"limits": object{"memory_mb": 192, "sockets": f.Sockets}, "admin_addr": "127.0.0.1:0",
 		"settings": object{"areas": sites, "kinds": []string{"standard", "small"}, "my_zone": 0, "peers_total": 1, "tick_us": 2000,
 			"worth_by": "work", "classes": classes,
 			"limits": object{"cancel": true, "connect_timeout_us": 250_000, "conn_idle_us": 10_000_000, "max_attempts": 3,
@@ -248,6 +252,9 @@
 		}
 		args = append(args, "--faktory", second)
 	}
+	if f.Operator != "" {
+		args = append(args, "--operator", f.Operator)
+	}
 	f.daemon = exec.Command(f.FleetConfig.Daemon, args...)
 	// Nothing of the environment is passed on: it might name workers that are not ours.
 	f.daemon.Env = []string{"BALANCER_FD=3", "TMPDIR=" + f.Dir}
@@ -281,6 +288,29 @@
 	}
 }
 
+// Door is the address of the daemon's operators' door.
+func (f *Fleet) Door() string {
+	_, rest, _ := strings.Cut(f.Log.String(), "operators' door at ")
+	addr, _, _ := strings.Cut(rest, "\"")
+	return addr
+}
+
+// CPU is the processor time that the daemon has used so far.
+func (f *Fleet) CPU() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", f.PID()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond // the system's clock ticks, 100 a second
+}
+
 // second finds the Faktory front's address in the daemon's log.
 func (f *Fleet) second() bool {
 	_, rest, ok := strings.Cut(f.Log.String(), "faktory: listening on ")
