Durable jobs begun: the state machine with an exhaustive explorer, and a store on bbolt

Need: a renewal that was paid for is neither lost nor run twice over crashes; nothing is kept on a disk today.

Change: internal/jobs (pure: events and a time in, effects out; leases with fences, starts granted, doubts settled by operators), internal/store (one bbolt file, many changes to one fsync, checksums, schema, Verify).

--- a/internal/faktory/fwp.go
+++ b/internal/faktory/fwp.go
@@ -244,51 +244,6 @@
 	return r, used + n + 2, nil
 }
 
-// ParseAnswer parses the answer to a PUSH at the start of b, as a producer sees
-// it, or the greeting before; used 0 without an error: it is not all there yet.
-func ParseAnswer(b []byte) (line string, used int, err error) {
-	r, used, err := parseReply(b)
-	if err != nil || used == 0 {
-		return "", 0, err
-	}
-	return string(r.kind) + string(r.text), used, nil
-}
-
-// Verdict reads the answer to a PUSH.
-func Verdict(line string) core.Verdict {
-	switch {
-	case strings.HasPrefix(line, "+OK"):
-		return core.Served
-	case strings.HasPrefix(line, "-ERR REFUSED"):
-		return core.Refused
-	}
-	return core.Failed
-}
-
-// Greet words a producer's HELLO; password is needed if the greeting has a salt.
-func Greet(greetingText, password string) (string, error) {
-	text, ok := strings.CutPrefix(greetingText, "+HI ")
-	var g greeting
-	if !ok || json.Unmarshal([]byte(text), &g) != nil || g.V != 2 || g.Iterations > mostIterations {
-		return "", errProtocol
-	}
-	h := hello{Hostname: "rehearsal", V: 2}
-	if g.Salt != "" {
-		h.Hash = hashPassword(password, g.Salt, max(g.Iterations, 1))
-	}
-	raw, err := json.Marshal(h)
-	return "HELLO " + string(raw) + "\r\n", err
-}
-
-// Push words a PUSH for a job.
-func Push(jid, class, key string, body []byte, left time.Duration) (string, error) {
-	raw, err := json.Marshal(map[string]any{
-		"jid": jid, "queue": class, "jobtype": class, "args": []string{string(body)},
-		"custom": map[string]any{"key": key, "time_left_ms": left.Milliseconds()},
-	})
-	return "PUSH " + string(raw) + "\r\n", err
-}
-
 // appendBulk appends a bulk string.
 func appendBulk(out, text []byte) []byte {
 	out = append(out, '$')
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,411 @@
+// Package jobs decides what becomes of durable jobs: when they may be handed
+// out, what a lease is worth, and what may be done with one whose worker fell
+// silent. It is a state machine: events and a time go in, effects come out, and
+// nothing happens until the caller carries them out. It does no I/O, starts no
+// goroutine and reads no clock. It must never hand out a job that must not run
+// twice once it may have started, but on proof that it did not, nor acknowledge
+// one that is not stored.
+package jobs
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// This file owns the states and their transitions. Which worker gets a job, and
+// whether one is refused, the decision module says; the store is the caller's.
+
+// State is where a job stands.
+type State uint8
+
+// The states. Leased: handed out, or about to be; from the moment its lease is
+// stored it may have started.
+const (
+	Accepted  State = iota // taken on; its producer is told once it is stored
+	Scheduled              // for later
+	Ready
+	Leased
+	Started // its worker has said so
+	Waiting // for its next attempt, after a failure
+	Done
+	Dead // its attempts are used up
+	Discarded
+	InDoubt // it may have run, and nobody can tell: an operator settles it
+	states
+)
+
+var stateNames = [states]string{"accepted", "scheduled", "ready", "leased", "started", "waiting", "done", "dead", "discarded", "in doubt"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Over tells whether nothing more will happen by itself.
+func (s State) Over() bool { return s == Done || s == Dead || s == Discarded || s == InDoubt }
+
+// Job is one, as it is stored. Times are Unix times.
+type Job struct {
+	ID       string
+	Class    string
+	Once     bool // it must not run twice
+	Payload  []byte
+	State    State
+	Fence    uint64        // of its newest lease; higher ones make lower ones void
+	Worker   string        // who holds, or held, that lease
+	Fences   bool          // that worker honours fences: it will not start under a void one
+	Until    time.Duration // the lease's end, or when it is due
+	Attempts int
+	Why      string // it failed, or is in doubt
+	Version  uint64 // of what is stored: one more with each change
+}
+
+// Config says how long and how often.
+type Config struct {
+	Lease    time.Duration // without a heartbeat; default 60 s
+	Grace    time.Duration // after a recovery, for workers to come back with what they hold; default 60 s
+	Attempts int           // of a job that may be repeated; default 5
+	Backoff  time.Duration // before the second attempt, doubled for each more; default 1 s
+
+	broken bool // for tests of the checkers: fences are not looked at
+}
+
+// EffectKind is what the caller is to do.
+type EffectKind uint8
+
+// The effects.
+const (
+	Store  EffectKind = iota // Job, durably; then call Stored with its Version
+	Answer                   // the producer: taken on (Why empty), or not
+	Hand                     // Job to its Worker, under its Fence
+	Grant                    // the worker that asked to start a job: it may, under the Job's Fence
+	Reply                    // the worker that closed a job: Why empty is yes
+)
+
+// Effect is one thing to do. The order of effects is the order to do them in.
+type Effect struct {
+	Kind EffectKind
+	Job  Job // as of now; a copy
+	Why  string
+}
+
+// Machine is all jobs. It belongs to one goroutine.
+type Machine struct {
+	c       Config
+	jobs    map[string]*entry
+	fence   uint64
+	out     []Effect
+	recover time.Duration // until then after a recovery, nothing that was leased is judged
+}
+
+// entry is a job, with what waits for its being stored.
+type entry struct {
+	Job
+	stored uint64       // version
+	then   []afterStore // in order of version
+}
+
+type afterStore struct {
+	version uint64
+	effect  Effect
+}
+
+// New returns an empty machine.
+func New(c Config) *Machine {
+	c.Lease, c.Grace = cmp.Or(c.Lease, time.Minute), cmp.Or(c.Grace, time.Minute)
+	c.Attempts, c.Backoff = cmp.Or(c.Attempts, 5), cmp.Or(c.Backoff, time.Second)
+	return &Machine{c: c, jobs: map[string]*entry{}}
+}
+
+// take gives the effects so far to the caller.
+func (m *Machine) take() []Effect {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// change stores a job anew; then, which may be nil, follows once it is stored.
+func (m *Machine) change(e *entry, then *Effect) {
+	e.Version++
+	m.out = append(m.out, Effect{Kind: Store, Job: e.Job})
+	if then != nil {
+		then.Job = e.Job
+		e.then = append(e.then, afterStore{e.Version, *then})
+	}
+}
+
+// Push takes a job on. The producer is answered once it is stored; a job of an
+// id that is known already is not taken on again, and its producer hears yes.
+func (m *Machine) Push(now time.Duration, j Job, at time.Duration) []Effect {
+	if e := m.jobs[j.ID]; e != nil {
+		answer := Effect{Kind: Answer, Job: e.Job}
+		if e.stored == 0 { // with the first one's answer
+			e.then = append(e.then, afterStore{1, answer})
+		} else {
+			m.out = append(m.out, answer)
+		}
+		return m.take()
+	}
+	j.State, j.Fence, j.Worker, j.Attempts, j.Version, j.Until = Accepted, 0, "", 0, 0, 0
+	if at > now {
+		j.Until = at
+	}
+	e := &entry{Job: j}
+	m.jobs[j.ID] = e
+	m.change(e, &Effect{Kind: Answer})
+	return m.take()
+}
+
+// Stored tells that a version of a job is on the disk.
+func (m *Machine) Stored(now time.Duration, id string, version uint64) []Effect {
+	e := m.jobs[id]
+	if e == nil {
+		return nil
+	}
+	e.stored = max(e.stored, version)
+	if e.State == Accepted {
+		if e.State = Ready; e.Until > now { // derived: a recovery finds the same
+			e.State = Scheduled
+		}
+	}
+	for len(e.then) > 0 && e.then[0].version <= e.stored {
+		effect := e.then[0].effect
+		e.then = e.then[1:]
+		if effect.Kind == Hand && (e.State != Leased || e.Fence != effect.Job.Fence) {
+			continue // its lease is void by now, and nobody has got it
+		}
+		m.out = append(m.out, effect)
+	}
+	return m.take()
+}
+
+// NotStored tells that a version cannot be stored: a job that was being taken on
+// is refused, and a lease that was about to be given is not.
+func (m *Machine) NotStored(id string, version uint64, why string) []Effect {
+	e := m.jobs[id]
+	if e == nil || version != e.Version {
+		return nil
+	}
+	switch e.State {
+	case Accepted:
+		delete(m.jobs, id)
+		m.out = append(m.out, Effect{Kind: Answer, Job: e.Job, Why: "not kept: " + why})
+	case Leased: // it has not been handed out: the hand waits for the store
+		e.then = slices.DeleteFunc(e.then, func(a afterStore) bool { return a.effect.Kind == Hand })
+		e.State, e.Worker = Ready, ""
+		e.Attempts--
+	}
+	return m.take()
+}
+
+// Ready lists the ids of jobs that may be handed out, in the order of their ids.
+func (m *Machine) Ready() (ids []string) {
+	for id, e := range m.jobs {
+		if e.State == Ready {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Assign leases a ready job to the worker that the decision module has chosen.
+// It is handed out once the lease is stored: a crash must find who may run it.
+func (m *Machine) Assign(now time.Duration, id, worker string, fences bool) []Effect {
+	e := m.jobs[id]
+	if e == nil || e.State != Ready {
+		return nil
+	}
+	m.fence++
+	e.State, e.Worker, e.Fences, e.Fence, e.Until = Leased, worker, fences, m.fence, now+m.c.Lease
+	e.Attempts++
+	m.change(e, &Effect{Kind: Hand})
+	return m.take()
+}
+
+// holds tells whether a worker's word about a lease counts.
+func (m *Machine) holds(e *entry, fence uint64) bool {
+	return e != nil && (e.State == Leased || e.State == Started) && (e.Fence == fence || m.c.broken)
+}
+
+// Begin tells that a worker starts a job. One that honours fences asks first, and
+// starts only on the Grant, which comes once the start is stored; asked again, it
+// is granted again. no: its lease is void.
+func (m *Machine) Begin(now time.Duration, id string, fence uint64) (effects []Effect, no bool) {
+	e := m.jobs[id]
+	if !m.holds(e, fence) || e.State == Leased && e.stored < e.Version && !m.c.broken {
+		return nil, true
+	}
+	e.Until = now + m.c.Lease
+	granted := Effect{Kind: Grant}
+	granted.Job.Fence = fence
+	switch {
+	case e.State == Leased:
+		e.State = Started
+		m.change(e, &granted)
+	case e.stored < e.Version: // with the first one's grant
+		granted.Job = e.Job
+		e.then = append(e.then, afterStore{e.Version, granted})
+	default:
+		granted.Job = e.Job
+		m.out = append(m.out, granted)
+	}
+	return m.take(), false
+}
+
+// Beat renews a worker's leases.
+func (m *Machine) Beat(now time.Duration, worker string) {
+	for _, e := range m.jobs {
+		if e.Worker == worker && (e.State == Leased || e.State == Started) {
+			e.Until = now + m.c.Lease
+		}
+	}
+}
+
+// Ack tells that a job is done. Under a void fence it counts too, where the job
+// is in doubt or waits to be run again and has not been handed out since: it is
+// the proof that it ran.
+func (m *Machine) Ack(now time.Duration, id string, fence uint64) []Effect {
+	e := m.jobs[id]
+	switch {
+	case e == nil:
+		m.out = append(m.out, Effect{Kind: Reply, Why: "no such job"})
+	case e.State == Done:
+		m.out = append(m.out, Effect{Kind: Reply, Job: e.Job})
+	case m.holds(e, fence), e.Fence == fence && (e.State == InDoubt || e.State == Waiting || e.State == Ready):
+		e.State, e.Why = Done, ""
+		m.change(e, &Effect{Kind: Reply})
+	default:
+		m.out = append(m.out, Effect{Kind: Reply, Job: e.Job, Why: "the lease is void"})
+	}
+	return m.take()
+}
+
+// Fail tells that a job failed. started false is the worker's word that it never
+// began, which frees any job; else one that must not run twice is dead, as it ran.
+func (m *Machine) Fail(now time.Duration, id string, fence uint64, why string, started bool) []Effect {
+	e := m.jobs[id]
+	switch {
+	case e == nil:
+		m.out = append(m.out, Effect{Kind: Reply, Why: "no such job"})
+	case m.holds(e, fence), e.Fence == fence && e.State == InDoubt:
+		switch {
+		case !started && e.State != Started:
+			e.State, e.Worker = Ready, ""
+			e.Attempts--
+		case e.Once:
+			e.State, e.Why = Dead, why
+		default:
+			m.again(now, e, why)
+		}
+		m.change(e, &Effect{Kind: Reply})
+	default:
+		m.out = append(m.out, Effect{Kind: Reply, Job: e.Job, Why: "the lease is void"})
+	}
+	return m.take()
+}
+
+// again lets a job that may be repeated wait for its next attempt, or die.
+func (m *Machine) again(now time.Duration, e *entry, why string) {
+	e.Why = why
+	if e.Attempts >= m.c.Attempts {
+		e.State = Dead
+		return
+	}
+	e.State, e.Until = Waiting, now+m.c.Backoff<<min(e.Attempts-1, 20)
+}
+
+// Tick acts on what is due: schedules, retries, and leases that have run out.
+func (m *Machine) Tick(now time.Duration) []Effect {
+	for _, id := range m.order() {
+		e := m.jobs[id]
+		if e.Until > now {
+			continue
+		}
+		switch e.State {
+		case Scheduled, Waiting:
+			e.State = Ready // derived: it is not stored
+		case Leased, Started:
+			if now >= m.recover && !(e.State == Leased && e.stored < e.Version) {
+				m.expire(now, e)
+			}
+		}
+	}
+	return m.take()
+}
+
+func (m *Machine) order() []string {
+	ids := make([]string, 0, len(m.jobs))
+	for id := range m.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// expire judges a lease that nobody renews. One that must not run twice is freed
+// only where its worker honours fences and has not told of a start: then the
+// next, higher fence keeps it from starting.
+func (m *Machine) expire(now time.Duration, e *entry) {
+	switch {
+	case !e.Once:
+		m.again(now, e, "the lease ran out")
+	case e.Fences && e.State == Leased:
+		e.State, e.Why = Ready, "the lease ran out; its worker honours fences"
+	default:
+		e.State, e.Why = InDoubt, fmt.Sprintf("the lease of worker %s ran out and the job may have run", e.Worker)
+	}
+	m.change(e, nil)
+}
+
+// Recover starts from what is on the disk, which each job has once. Leases go on
+// for a grace time, in which workers come back with what they hold.
+func (m *Machine) Recover(now time.Duration, stored []Job) {
+	m.recover = now + m.c.Grace
+	for _, j := range stored {
+		e := &entry{Job: j, stored: j.Version}
+		switch e.State {
+		case Accepted, Scheduled, Waiting:
+			if e.State = Ready; e.Until > now {
+				e.State = map[State]State{Accepted: Scheduled, Scheduled: Scheduled, Waiting: Waiting}[j.State]
+			}
+		case Leased, Started:
+			e.Until = max(e.Until, m.recover)
+		}
+		m.fence = max(m.fence, j.Fence)
+		m.jobs[j.ID] = e
+	}
+	// Fences that were given and not stored must not be given again to others.
+	m.fence += 1 << 20
+}
+
+// Settle ends a job in doubt by an operator's word: it ran, or it did not and is
+// to run. An error says why not.
+func (m *Machine) Settle(id string, ran bool, reason string) ([]Effect, error) {
+	e := m.jobs[id]
+	switch {
+	case e == nil:
+		return nil, fmt.Errorf("no job %s", id)
+	case e.State != InDoubt:
+		return nil, fmt.Errorf("job %s is %s, not in doubt", id, e.State)
+	case reason == "":
+		return nil, fmt.Errorf("job %s: a reason is needed", id)
+	}
+	if e.Why = "settled: " + reason; ran {
+		e.State = Done
+	} else {
+		e.State = Ready
+	}
+	m.change(e, nil)
+	return m.take(), nil
+}
+
+// Get is a job as it stands; false: it is not known.
+func (m *Machine) Get(id string) (Job, bool) {
+	if e := m.jobs[id]; e != nil {
+		return e.Job, true
+	}
+	return Job{}, false
+}
+
+// Len is how many jobs are known.
+func (m *Machine) Len() int { return len(m.jobs) }
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,364 @@
+package jobs
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// An exhaustive explorer: two workers, two jobs that must not run twice, a disk
+// that takes its time, messages that are lost or late, leases that run out, and
+// crashes with and without what the disk had not confirmed. Every interleaving
+// to a depth is tried; states met before with as many steps left are not tried again.
+
+type message struct {
+	kind   string // hand, begin, grant, ack
+	worker int
+	id     string
+	fence  uint64
+}
+
+type world struct {
+	m        *Machine
+	disk     map[string]Job
+	pending  []Job
+	air      []message
+	held     [2]map[string]uint64 // by worker: jobs that it was handed and has not run yet, with their fences
+	ran      map[string]int
+	answered map[string]bool
+	now      time.Duration
+	crashes  int
+	expiries int
+	losses   int
+	ids      []string
+}
+
+var fencing = [2]bool{true, true}
+
+func (w *world) clone() *world {
+	c := *w
+	mm := *w.m
+	mm.jobs = map[string]*entry{}
+	for id, e := range w.m.jobs {
+		x := *e
+		x.then = slices.Clone(e.then)
+		mm.jobs[id] = &x
+	}
+	mm.out = nil
+	c.m = &mm
+	c.disk, c.ran, c.answered = maps.Clone(w.disk), maps.Clone(w.ran), maps.Clone(w.answered)
+	c.pending, c.air = slices.Clone(w.pending), slices.Clone(w.air)
+	for i := range c.held {
+		c.held[i] = maps.Clone(w.held[i])
+	}
+	return &c
+}
+
+// key tells states apart.
+func (w *world) key() string {
+	var b strings.Builder
+	fmt.Fprint(&b, w.now, w.crashes, w.expiries, w.losses, w.m.recover, w.m.fence)
+	for _, id := range w.m.order() {
+		e := w.m.jobs[id]
+		fmt.Fprint(&b, e.Job, e.stored, len(e.then))
+	}
+	air := slices.Clone(w.air)
+	slices.SortFunc(air, func(a, b message) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+	fmt.Fprint(&b, w.disk, w.pending, air, w.held, w.ran, w.answered)
+	return b.String()
+}
+
+func (w *world) do(effects []Effect) {
+	for _, e := range effects {
+		worker := 0
+		if e.Job.Worker == "w1" {
+			worker = 1
+		}
+		switch e.Kind {
+		case Store:
+			w.pending = append(w.pending, e.Job)
+		case Answer:
+			w.answered[e.Job.ID] = w.answered[e.Job.ID] || e.Why == ""
+		case Hand:
+			w.air = append(w.air, message{"hand", worker, e.Job.ID, e.Job.Fence})
+		case Grant:
+			w.air = append(w.air, message{"grant", worker, e.Job.ID, e.Job.Fence})
+		}
+	}
+}
+
+func (w *world) deliver(m message) {
+	switch m.kind {
+	case "hand":
+		if fencing[m.worker] {
+			w.air = append(w.air, message{"begin", m.worker, m.id, m.fence})
+		} else {
+			w.held[m.worker][m.id] = m.fence
+		}
+	case "grant":
+		w.held[m.worker][m.id] = m.fence
+	case "begin":
+		effects, no := w.m.Begin(w.now, m.id, m.fence)
+		if w.do(effects); !no && w.m.c.broken && len(effects) == 0 {
+			w.air = append(w.air, message{"grant", m.worker, m.id, m.fence})
+		} else if !no && w.m.c.broken { // a grant goes to who asked
+			for i := range w.air {
+				if w.air[i].kind == "grant" && w.air[i].id == m.id {
+					w.air[i].worker = m.worker
+				}
+			}
+		}
+	case "ack":
+		w.do(w.m.Ack(w.now, m.id, m.fence))
+	}
+}
+
+// steps are all that may happen next.
+func (w *world) steps() (out []func(*world)) {
+	for _, id := range w.ids {
+		if _, known := w.m.Get(id); !known && w.crashes == 2 || !known && !w.answered[id] {
+			out = append(out, func(w *world) { w.do(w.m.Push(w.now, Job{ID: id, Once: true}, 0)) })
+		}
+	}
+	if len(w.pending) > 0 {
+		out = append(out, func(w *world) {
+			j := w.pending[0]
+			w.pending = w.pending[1:]
+			w.disk[j.ID] = j
+			w.do(w.m.Stored(w.now, j.ID, j.Version))
+		})
+	}
+	for _, id := range w.m.Ready() {
+		for worker := range 2 {
+			out = append(out, func(w *world) { w.do(w.m.Assign(w.now, id, fmt.Sprint("w", worker), fencing[worker])) })
+		}
+	}
+	for i, m := range w.air {
+		out = append(out, func(w *world) {
+			w.air = slices.Delete(slices.Clone(w.air), i, i+1)
+			w.deliver(m)
+		})
+		if w.losses > 0 {
+			out = append(out, func(w *world) {
+				w.losses--
+				w.air = slices.Delete(slices.Clone(w.air), i, i+1)
+			})
+		}
+	}
+	for worker := range w.held {
+		for _, id := range slices.Sorted(maps.Keys(w.held[worker])) {
+			out = append(out, func(w *world) {
+				fence := w.held[worker][id]
+				delete(w.held[worker], id)
+				w.ran[id]++
+				w.air = append(w.air, message{"ack", worker, id, fence})
+			})
+		}
+	}
+	if w.expiries > 0 {
+		out = append(out, func(w *world) {
+			w.expiries--
+			w.now += w.m.c.Lease + w.m.c.Grace + 1
+			w.do(w.m.Tick(w.now))
+		})
+	}
+	if w.crashes > 0 {
+		for _, kept := range []bool{false, true} {
+			out = append(out, func(w *world) {
+				w.crashes--
+				if kept { // the writes were whole, but nobody had heard
+					for _, j := range w.pending {
+						w.disk[j.ID] = j
+					}
+				}
+				w.pending, w.air = nil, slices.DeleteFunc(slices.Clone(w.air), func(m message) bool { return m.kind == "begin" || m.kind == "ack" })
+				c := w.m.c
+				w.m = New(c)
+				w.m.c.broken = c.broken
+				w.m.Recover(w.now, slices.Collect(maps.Values(w.disk)))
+			})
+		}
+	}
+	return out
+}
+
+// wrong is the rule that a state breaks; empty: none.
+func (w *world) wrong() string {
+	for id, n := range w.ran {
+		if n > 1 {
+			return fmt.Sprintf("job %s ran %d times", id, n)
+		}
+	}
+	for id := range w.answered {
+		if _, known := w.m.Get(id); w.answered[id] && !known {
+			return fmt.Sprintf("job %s was taken on and is lost", id)
+		}
+	}
+	for _, e := range w.m.jobs {
+		if e.State == Done && w.ran[e.ID] == 0 {
+			return fmt.Sprintf("job %s is done and never ran", e.ID)
+		}
+		if e.State == InDoubt && fencing[0] && fencing[1] && e.stored > 0 && !strings.Contains(e.Why, "may have run") {
+			return fmt.Sprintf("job %s is in doubt without a reason", e.ID)
+		}
+	}
+	return ""
+}
+
+func explore(w *world, depth int) (visited int, bad string) {
+	seen := map[string]int{}
+	var walk func(w *world, left int) string
+	walk = func(w *world, left int) string {
+		key := w.key()
+		if was, ok := seen[key]; ok && was >= left {
+			return ""
+		}
+		seen[key] = left
+		if why := w.wrong(); why != "" {
+			return why
+		}
+		if left == 0 {
+			return ""
+		}
+		for _, step := range w.steps() {
+			next := w.clone()
+			step(next)
+			if why := walk(next, left-1); why != "" {
+				return why
+			}
+		}
+		return ""
+	}
+	bad = walk(w, depth)
+	return len(seen), bad
+}
+
+func newWorld(c Config) *world {
+	return &world{m: New(c), disk: map[string]Job{}, held: [2]map[string]uint64{{}, {}}, ran: map[string]int{}, answered: map[string]bool{},
+		crashes: 1, expiries: 2, losses: 1, ids: []string{"a", "b"}}
+}
+
+// No interleaving runs a job twice or loses one, with workers that honour fences
+// and with ones that do not; with fences not looked at, one is found.
+func TestExplore(t *testing.T) {
+	defer func() { fencing = [2]bool{true, true} }()
+	for _, f := range [][2]bool{{true, true}, {false, false}, {true, false}} {
+		fencing = f
+		visited, bad := explore(newWorld(Config{}), 10)
+		if bad != "" {
+			t.Errorf("workers honour fences %v: %s", f, bad)
+		}
+		t.Logf("workers honour fences %v: %d states to depth 10", f, visited)
+		if visited < 1000 {
+			t.Error("too few states to tell anything")
+		}
+	}
+	// From a lease that has been handed out on, one job, deeper: a late start
+	// against the next lease. With fences not looked at it is found.
+	fencing = [2]bool{true, true}
+	for _, broken := range []bool{false, true} {
+		w := newWorld(Config{broken: broken})
+		w.ids, w.expiries, w.losses = []string{"a"}, 1, 0
+		w.do(w.m.Push(0, Job{ID: "a", Once: true}, 0))
+		write := func() {
+			j := w.pending[0]
+			w.pending = nil
+			w.disk[j.ID] = j
+			w.do(w.m.Stored(0, j.ID, j.Version))
+		}
+		write()
+		w.do(w.m.Assign(0, "a", "w0", true))
+		write()
+		hand := w.air[0]
+		w.air = nil
+		w.deliver(hand)
+		if broken {
+			w.crashes = 0
+		}
+		visited, bad := explore(w, 13)
+		t.Logf("from a lease on, fences looked at %v: %d states to depth 13, %q", !broken, visited, bad)
+		if broken != strings.Contains(bad, "ran 2 times") || !broken && bad != "" {
+			t.Errorf("fences looked at %v: %q", !broken, bad)
+		}
+	}
+}
+
+// script carries out lines of "verb args" and shows what came of it.
+func TestScripts(t *testing.T) {
+	const s = time.Second
+	m := New(Config{Lease: 10 * s, Grace: 5 * s, Attempts: 2})
+	show := func(effects []Effect) string {
+		var out []string
+		for _, e := range effects {
+			out = append(out, strings.TrimSpace([...]string{"store", "answer", "hand", "grant", "reply"}[e.Kind]+" "+e.Job.ID+" "+e.Job.State.String()+" "+cmp.Or(e.Why, e.Job.Why)))
+		}
+		return strings.Join(out, "; ")
+	}
+	state := func(id string) string { j, _ := m.Get(id); return j.State.String() }
+	check := func(what, got, want string) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: %q, want %q", what, got, want)
+		}
+	}
+	check("push", show(m.Push(0, Job{ID: "r", Once: true}, 0)), "store r accepted")
+	check("pushed again before it is stored", show(m.Push(0, Job{ID: "r", Once: true}, 0)), "")
+	check("stored: both hear", show(m.Stored(0, "r", 1)), "answer r accepted; answer r accepted")
+	check("assign", show(m.Assign(0, "r", "w0", false)), "store r leased")
+	check("its lease is stored", show(m.Stored(0, "r", 2)), "hand r leased")
+	check("nothing is due", show(m.Tick(9*s)), "")
+	m.Beat(9*s, "w0")
+	check("renewed", show(m.Tick(15*s)), "")
+	check("it runs out, and may have run", show(m.Tick(20*s)), "store r in doubt the lease of worker w0 ran out and the job may have run")
+	check("a late ACK is the proof", show(m.Ack(21*s, "r", 1)), "store r done")
+	check("and is answered once stored", show(m.Stored(21*s, "r", 4)), "reply r done")
+	check("said again", show(m.Ack(22*s, "r", 1)), "reply r done")
+
+	m.Push(0, Job{ID: "c"}, 0) // one that may be repeated
+	m.Stored(0, "c", 1)
+	m.Assign(0, "c", "w1", false)
+	m.Stored(0, "c", 2)
+	check("it runs out", show(m.Tick(30*s)), "store c waiting the lease ran out")
+	m.Tick(32 * s)
+	check("after the backoff", state("c"), "ready")
+	m.Assign(32*s, "c", "w0", false)
+	m.Stored(32*s, "c", 4)
+	check("the first one's ACK is void", show(m.Ack(33*s, "c", 2)), "reply c leased the lease is void")
+	check("the second fails", show(m.Fail(33*s, "c", 3, "no card", true)), "store c dead no card")
+
+	m.Push(0, Job{ID: "n", Once: true}, 0)
+	m.Stored(0, "n", 1)
+	m.Assign(40*s, "n", "w0", false)
+	check("its lease cannot be stored", show(m.NotStored("n", 2, "disk full"))+state("n"), "ready")
+	m.Assign(41*s, "n", "w0", false)
+	m.Stored(41*s, "n", 3)
+	check("never started, by its worker's word", show(m.Fail(42*s, "n", 5, "full", false)), "store n ready")
+	check("a push that cannot be stored", show(m.Push(0, Job{ID: "x"}, 0))+"; "+show(m.NotStored("x", 1, "disk full")), "store x accepted; answer x accepted not kept: disk full")
+	check("later", show(m.Push(50*s, Job{ID: "l"}, 60*s))+" "+show(m.Stored(50*s, "l", 1))+" "+state("l"), "store l accepted answer l accepted scheduled")
+	m.Tick(60 * s)
+	check("due", state("l"), "ready")
+
+	// A crash: what was leased waits for its worker, then is judged.
+	m.Assign(61*s, "l", "w0", false)
+	m.Stored(61*s, "l", 2)
+	disk := []Job{}
+	for _, id := range []string{"r", "c", "l"} {
+		j, _ := m.Get(id)
+		disk = append(disk, j)
+	}
+	disk[2].Once = true
+	m = New(Config{Lease: 10 * s, Grace: 30 * s})
+	m.Recover(62*s, disk)
+	check("done stays done", state("r")+" "+state("c")+" "+state("l"), "done dead leased")
+	check("in the grace time", show(m.Tick(90*s)), "")
+	check("after it", show(m.Tick(93*s)), "store l in doubt the lease of worker w0 ran out and the job may have run")
+	if _, err := m.Settle("l", true, ""); err == nil {
+		t.Error("settled without a reason")
+	}
+	effects, err := m.Settle("l", false, "the till shows nothing")
+	check("settled", fmt.Sprint(show(effects), err), "store l ready settled: the till shows nothing<nil>")
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -339,35 +339,6 @@
 	return true, false, nil
 }
 
-// ParseAnswer parses the answer of a dispatcher at the start of b, as a client
-// sees it; size 0 without an error: it is not all there yet.
-func ParseAnswer(b []byte) (status int, body []byte, size int, last bool, err error) {
-	var h head
-	ok, err := parseHead(b, &h, new(int))
-	if !ok {
-		return 0, nil, 0, false, err
-	}
-	status, ok = number(h.b)
-	length, chunked, err := h.framing()
-	switch {
-	case err != nil:
-		return 0, nil, 0, false, err
-	case !ok || !bytes.HasPrefix(h.a, []byte("HTTP/1.")):
-		return 0, nil, 0, false, errMalformed
-	case chunked:
-		m := message{head: h, size: h.size}
-		if ok, _, err := parseChunked(b, &m, new(scan)); !ok {
-			return 0, nil, 0, false, err
-		}
-		return status, m.body, m.size, h.has("Connection", "close"), nil
-	case length < 0:
-		return 0, nil, 0, false, errMalformed // nothing would tell its end from a break
-	case len(b) < h.size+length:
-		return 0, nil, 0, false, nil
-	}
-	return status, b[h.size : h.size+length], h.size + length, h.has("Connection", "close"), nil
-}
-
 // chunks looks at the body on from where it has stopped.
 func (sc *scan) chunks(b []byte) (done bool, err error) {
 	for !sc.chunk.done {
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,310 @@
+// Package store keeps durable jobs on a disk, in one bbolt file. It writes off
+// the loop's goroutine, many changes to one fsync, and tells what is stored in
+// the order in which it was handed over. It must never tell that something is
+// stored before the disk has it, pass over a record that is damaged, nor decide
+// what a record means.
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+)
+
+// Schema is the version of what is written. Files of earlier ones are brought
+// forward by migrations as they are opened; those of later ones are refused.
+const Schema = 1
+
+// migrations[n] brings a file from schema n to n+1.
+var migrations = map[uint64]func(*bbolt.Tx) error{}
+
+var (
+	metaName = []byte("meta")
+	jobsName = []byte("jobs")
+	schema   = []byte("schema")
+)
+
+// Options bound the store.
+type Options struct {
+	Delay time.Duration // for which a change may wait for others before its fsync; default 2 ms
+	Batch int           // changes in one fsync at most; default 1024
+	Wait  time.Duration // for another process to let go of the file; default 1 s
+}
+
+// Record is what is kept of one job: its id, and its state as the caller words it.
+type Record struct {
+	ID    string
+	Value any // marshalled as JSON; nil: forget the job
+}
+
+// Store is an open file. Its methods may be called from any goroutine.
+type Store struct {
+	db     *bbolt.DB
+	o      Options
+	mu     sync.Mutex
+	queue  []change
+	closed bool
+	wake   chan struct{}
+	done   chan struct{}
+	fail   func() error // for tests: an error that the next write meets
+}
+
+type change struct {
+	records []Record
+	told    func(error)
+}
+
+// ErrClosed tells that the store has been closed.
+var ErrClosed = errors.New("the store is closed")
+
+// Open opens or makes a file. An error tells what is wrong with it: another
+// process has it, it is damaged, or of a later schema.
+func Open(path string, o Options) (*Store, error) {
+	if o.Delay == 0 {
+		o.Delay = 2 * time.Millisecond
+	}
+	if o.Batch == 0 {
+		o.Batch = 1024
+	}
+	if o.Wait == 0 {
+		o.Wait = time.Second
+	}
+	db, err := open(path, o.Wait)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{db: db, o: o, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	if err := db.Update(s.prepare); err != nil {
+		db.Close()
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	go s.write()
+	return s, nil
+}
+
+// open opens the file; a damaged one makes the library panic in places.
+func open(path string, wait time.Duration) (db *bbolt.DB, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%s: the file is damaged: %v", path, p)
+		}
+	}()
+	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: wait, FreelistType: bbolt.FreelistMapType})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		return nil, fmt.Errorf("%s: another process has it open", path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return db, nil
+}
+
+func (s *Store) prepare(tx *bbolt.Tx) error {
+	meta, err := tx.CreateBucketIfNotExists(metaName)
+	if err != nil {
+		return err
+	}
+	if _, err := tx.CreateBucketIfNotExists(jobsName); err != nil {
+		return err
+	}
+	version := uint64(Schema)
+	if raw := meta.Get(schema); len(raw) == 8 {
+		version = binary.BigEndian.Uint64(raw)
+	}
+	if version > Schema {
+		return fmt.Errorf("its schema is %d; this program knows %d", version, Schema)
+	}
+	for ; version < Schema; version++ {
+		step := migrations[version]
+		if step == nil {
+			return fmt.Errorf("no way from schema %d on", version)
+		}
+		if err := step(tx); err != nil {
+			return fmt.Errorf("from schema %d on: %w", version, err)
+		}
+	}
+	return meta.Put(schema, binary.BigEndian.AppendUint64(nil, Schema))
+}
+
+// Put hands changes over, which are stored together or not at all. told is
+// called once, on the store's goroutine, in the order of Puts.
+func (s *Store) Put(records []Record, told func(error)) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		told(ErrClosed)
+		return
+	}
+	s.queue = append(s.queue, change{records, told})
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write stores what has been handed over, as much as there is at a time.
+func (s *Store) write() {
+	defer close(s.done)
+	for range s.wake {
+		for {
+			s.mu.Lock()
+			n := len(s.queue)
+			s.mu.Unlock()
+			if n == 0 {
+				break
+			}
+			if n < s.o.Batch && s.o.Delay > 0 && n > 1 {
+				time.Sleep(s.o.Delay) // others are coming: they share the fsync
+			}
+			s.mu.Lock()
+			n = min(len(s.queue), s.o.Batch)
+			batch := s.queue[:n:n]
+			s.queue = s.queue[n:]
+			s.mu.Unlock()
+			s.commit(batch)
+		}
+		s.mu.Lock()
+		closed := s.closed && len(s.queue) == 0
+		s.mu.Unlock()
+		if closed {
+			return
+		}
+	}
+}
+
+// commit stores a batch. If that fails it is tried one change at a time, so that
+// one that cannot be kept does not take others with it.
+func (s *Store) commit(batch []change) {
+	err := s.update(batch)
+	if err == nil || len(batch) == 1 {
+		for _, c := range batch {
+			c.told(err)
+		}
+		return
+	}
+	for i := range batch {
+		batch[i].told(s.update(batch[i : i+1]))
+	}
+}
+
+func (s *Store) update(batch []change) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("the file is damaged: %v", p)
+		}
+	}()
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		jobs := tx.Bucket(jobsName)
+		for _, c := range batch {
+			for _, r := range c.records {
+				if r.Value == nil {
+					if err := jobs.Delete([]byte(r.ID)); err != nil {
+						return err
+					}
+					continue
+				}
+				raw, err := encode(r)
+				if err != nil {
+					return err
+				}
+				if err := jobs.Put([]byte(r.ID), raw); err != nil {
+					return err
+				}
+			}
+		}
+		if s.fail != nil {
+			return s.fail()
+		}
+		return nil
+	})
+}
+
+// A record is its schema, a checksum over id and value, and the value.
+func encode(r Record) ([]byte, error) {
+	value, err := json.Marshal(r.Value)
+	if err != nil {
+		return nil, fmt.Errorf("job %s: %w", r.ID, err)
+	}
+	out := binary.AppendUvarint(nil, Schema)
+	out = binary.BigEndian.AppendUint64(out, sum(r.ID, value))
+	return append(out, value...), nil
+}
+
+func sum(id string, value []byte) uint64 {
+	h := xxhash.New()
+	h.WriteString(id)
+	h.Write([]byte{0})
+	h.Write(value)
+	return h.Sum64()
+}
+
+func decode(id string, raw []byte) ([]byte, error) {
+	_, n := binary.Uvarint(raw)
+	if n <= 0 || len(raw) < n+8 {
+		return nil, fmt.Errorf("job %q: its record is cut off", id)
+	}
+	value := raw[n+8:]
+	if binary.BigEndian.Uint64(raw[n:]) != sum(id, value) {
+		return nil, fmt.Errorf("job %q: its record is damaged: the checksum is wrong", id)
+	}
+	return value, nil
+}
+
+// Each calls each with every job's value, as JSON, in the order of ids. The
+// bytes are valid during the call. A damaged record is an error that names it.
+func (s *Store) Each(each func(id string, value []byte) error) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("the file is damaged: %v", p)
+		}
+	}()
+	return s.db.View(func(tx *bbolt.Tx) error {
+		return tx.Bucket(jobsName).ForEach(func(id, raw []byte) error {
+			value, err := decode(string(id), raw)
+			if err != nil {
+				return err
+			}
+			return each(string(id), value)
+		})
+	})
+}
+
+// Verify checks the file's own structure and every record, and tells all that is wrong.
+func (s *Store) Verify() (jobs int, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		var all []error
+		for e := range tx.Check() {
+			all = append(all, e)
+		}
+		all = append(all, tx.Bucket(jobsName).ForEach(func(id, raw []byte) error {
+			jobs++
+			if _, err := decode(string(id), raw); err != nil {
+				all = append(all, err)
+			}
+			return nil
+		}))
+		return errors.Join(all...)
+	})
+	return jobs, err
+}
+
+// Close stores what has been handed over and lets go of the file.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return ErrClosed
+	}
+	s.closed = true
+	s.mu.Unlock()
+	s.wake <- struct{}{}
+	<-s.done
+	return s.db.Close()
+}
