Test: a recording that was changed and packed anew is refused by its checksum

Breaking the code on purpose (eight ways) left one unseen: without the file's own checksum all damage was still caught by the packing's. The test changes a key and packs anew; without the checksum it fails. The other seven (reserve, entries that hold connections, ends in the proof, twins of two sources, withholding, clock steps, leases of started jobs) were seen by their tests.

--- a/internal/rehearsal/recording/import_test.go
+++ b/internal/rehearsal/recording/import_test.go
@@ -629,6 +629,25 @@
 	if err := whole(file[:len(file)/2]); !strings.Contains(err.Error(), "frame ") || !strings.Contains(err.Error(), "entries") {
 		t.Errorf("the place is not told: %v", err)
 	}
+	// A change that was packed anew, which the packing's own check does not see.
+	zip, err := zstd.NewReader(bytes.NewReader(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plain, err := io.ReadAll(zip)
+	zip.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := bytes.LastIndexByte(plain[:len(plain)-40], 0x19) // the tag of an entry's key
+	plain[at+3] ^= 1
+	var again bytes.Buffer
+	pack, _ := zstd.NewWriter(&again)
+	pack.Write(plain)
+	pack.Close()
+	if err := whole(again.Bytes()); err == nil || !strings.Contains(err.Error(), "checksum") {
+		t.Errorf("changed and packed anew: %v", err)
+	}
 	// The same content with its checksum made new, but of another version.
 	r, _ := NewReader(bytes.NewReader(file))
 	h := r.derive("later")
