Shedding calls its own two steps; no table is built for each stamp of a log

Read once more: Entry.Shed repeated Next and Drop and carried two arguments that no caller used; reading a stamp in seconds since 1970 built a map for each line; a wrapper around one library call stood alone. Behaviour is the same; tests of entry, both fronts, the door and recordings, and make lint, are green.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,13 +168,12 @@
 }
 
 // Shed closes the session that goes first for a need; false: there is none.
-func (e *Entry) Shed(need admit.Need, spareProven bool, spare func(uint64) bool) (admit.Stage, bool) {
-	t, stage, ok := e.Admit.Victim(e.loop.Now(), need, spareProven, spare)
-	if !ok {
-		return 0, false
+func (e *Entry) Shed(need admit.Need) bool {
+	token, _, ok := e.Next(need, false)
+	if ok {
+		e.Drop(token)
 	}
-	e.Drop(t)
-	return stage, true
+	return ok
 }
 
 // Expel ends the sessions of a prefix on which nothing is owed, and returns how many.
@@ -230,7 +229,7 @@
 	defer e.waiting.Add(-1)
 	addr := peer(conn)
 	for range waitSteps {
-		e.loop.Post(func() { e.Shed(admit.ForKnown, false, nil) })
+		e.loop.Post(func() { e.Shed(admit.ForKnown) })
 		time.Sleep(waitStep)
 		if e.Budget.Take(admit.Sessions) {
 			id, why := e.Admit.Arrive(e.loop.Now(), addr, 0)
@@ -323,7 +322,7 @@
 		return
 	}
 	for range someAtATime {
-		if _, ok := e.Shed(admit.ForKnown, false, nil); !ok {
+		if !e.Shed(admit.ForKnown) {
 			break
 		}
 	}
@@ -333,7 +332,7 @@
 	e.loop.Set(&e.due, now+pressTime)
 }
 
-// Levels is the pressure now.
+// Level is the pressure now.
 func (e *Entry) Level() int {
 	if e.Budget == nil {
 		return 0
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -168,7 +168,7 @@
 func (s *Server) shed() {
 	const some = 16
 	for range some {
-		if _, ok := s.entry.Shed(admit.ForUnknown, false, nil); !ok {
+		if !s.entry.Shed(admit.ForUnknown) {
 			return
 		}
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -163,7 +163,7 @@
 // just come, since a close that crosses a session's first request costs it.
 func (f *Front) hush() {
 	for f.entry.Admit.Crowds() {
-		if _, ok := f.entry.Shed(admit.ForSilence, false, nil); !ok {
+		if !f.entry.Shed(admit.ForSilence) {
 			f.core.Loop.Set(&f.quiet, f.core.Loop.Now()+pressTime)
 			return
 		}
--- a/internal/rehearsal/recording/formats.go
+++ b/internal/rehearsal/recording/formats.go
@@ -587,7 +587,12 @@
 		r.At, r.Step, r.Fold, err = parseTime(value, f.zone)
 		*seen = true
 	case fTimeSeconds, fTimeMillis, fTimeMicros:
-		scale := map[field]float64{fTimeSeconds: 1e6, fTimeMillis: 1e3, fTimeMicros: 1}[p.kind]
+		scale := 1e6
+		if p.kind == fTimeMillis {
+			scale = 1e3
+		} else if p.kind == fTimeMicros {
+			scale = 1
+		}
 		r.At, r.Step, err = epoch(value, scale)
 		*seen = true
 	case fTimePiece:
@@ -917,7 +922,7 @@
 		lines = lines[:min(len(lines)-1, 32)] // the last may be cut
 	}
 	if strings.HasPrefix(text, "{") {
-		if !fastjsonValid(strings.TrimSpace(lines[0])) || strings.HasPrefix(strings.ReplaceAll(lines[0], " ", ""), `{"log":{`) {
+		if fastjson.Validate(strings.TrimSpace(lines[0])) != nil || strings.HasPrefix(strings.ReplaceAll(lines[0], " ", ""), `{"log":{`) {
 			return Compile("har", zone)
 		}
 		switch {
@@ -970,5 +975,3 @@
 	}
 	return best, nil
 }
-
-func fastjsonValid(s string) bool { return fastjson.Validate(s) == nil }
