Cold workers carry more: first with room, no heavy job, rare jobs save longer

Cause: (1) a budget saved for a window, where a dispatcher has an eligible job each second or two: a third and more of it lapsed (coldRoom); (2) two cold workers were drawn and one taken, so a stake that was won went for nothing (lower). Few dispatchers are as before: the longer saving holds only where jobs are larger than the part. Room in the policy: a job counted as bad is marked where it is counted.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -36,6 +36,7 @@
 	herdPart    = 0.008           // of the time allowed without asking that each further one adds to it
 	mostSpread  = 0.25            // of it at the most: three calls that fail, each in its time, are no breach
 	coldGrain   = 0.31            // largest job for a cold worker, as a share of the used budget of all
+	coldSaved   = 2               // fall windows for which a cold budget may be saved
 )
 
 // begin derives the times from the settings and starts permissive.
@@ -279,13 +280,14 @@
 		j := i + d.rng.IntN(span-i)
 		w := from[j]
 		from[i], from[j] = w, from[i]
-		if d.warmth(w) >= 1 { // of the cold ones, that have room seldom, all are drawn
-			drawn++
+		weight := 2 // cold ones have room seldom: all are drawn, the first with room is taken
+		if d.warmth(w) >= 1 {
+			drawn, weight = drawn+1, 1
 		}
 		if !d.allowed(r, w) || d.busy(r, w) || !d.trustAll() && !d.healthy(r, w) || !d.coldRoom(r, w) {
 			continue
 		}
-		if found++; best == nil || d.delay(r, w) < d.delay(r, best) {
+		if found += weight; best == nil || weight > 1 || d.delay(r, w) < d.delay(r, best) {
 			best = w
 		}
 	}
@@ -305,7 +307,7 @@
 func (d *Dispatcher) startWait(w *worker) float64 {
 	wait := w.wait.get(d.now, d.horizon/4)
 	if d.s.TellsStart && w.unstarted > 0 {
-		wait = max(wait, (d.now - w.waitFrom).Seconds())
+		return max(wait, (d.now - w.waitFrom).Seconds())
 	}
 	return wait
 }
@@ -375,17 +377,18 @@
 		(r.class.Repeat != Fragile || w.fail.get(d.now, d.horizon) < suspectFrom/2)
 }
 
-// coldRoom keeps to this dispatcher's part of what all may send a cold worker, by what warm ones of its kind
-// take from here. The saved part is staked on the first job, and on any above the part for a window.
+// coldRoom keeps to this dispatcher's part of what all may send a cold worker, by what warm ones take. It is
+// staked on the first job and on any above it, and never on twice the mean: a busy one thinks all peers busy.
 func (d *Dispatcher) coldRoom(r *request, w *worker) bool {
 	if d.warmth(w) >= 1 {
 		return true
 	}
 	rate := coldSafety * d.s.FallMultiple * d.warmth(w) * d.warmShare(w.Kind)
 	part := rate * d.s.FallWindow.Seconds()
-	w.cold, w.coldAt = min(w.cold+rate*(d.now-w.coldAt).Seconds(), part), d.now
 	charge := r.charge()
-	if w.cold < 0 || charge > max(w.cold, coldGrain*part*float64(d.s.Peers)) {
+	most := max(part, min(coldSaved*part, charge))
+	w.cold, w.coldAt = min(w.cold+rate*(d.now-w.coldAt).Seconds(), most), d.now
+	if w.cold < 0 || charge > max(w.cold, min(coldGrain*part*float64(d.s.Peers), 2*r.slots*r.mean)) {
 		return false
 	}
 	if (charge > part || w.sent.at == 0) && d.rng.Float64()*charge >= w.cold {
@@ -544,8 +547,7 @@
 
 // giveUp answers a request: turned away where that promises no more than is known, else failed.
 func (d *Dispatcher) giveUp(r *request) {
-	repeatable := r.class.Repeat == Retryable || r.class.Repeat == Dedup && r.class.Group == GroupAll
-	if repeatable || !r.mayHaveRun() {
+	if c := r.class; c.Repeat == Retryable || c.Repeat == Dedup && c.Group == GroupAll || !r.mayHaveRun() {
 		// Little's law: a slot comes free within a round trip. The jitter keeps clients apart.
 		wait := seconds(d.meanTrip() * (0.5 + d.rng.Float64()))
 		d.act(Action{Kind: Refuse, Request: r.id, Delay: min(wait, max(d.s.MaxRetryAfter, 0))})
@@ -588,7 +590,7 @@
 // congested cuts the ceilings, once a round trip, by half the recent share of bad outcomes, each weighed by
 // the part of the fleet open to its job. What was sent before the last cut counts no more.
 func (d *Dispatcher) congested(r *request, sent time.Duration) {
-	if sent < d.cutAt {
+	if r.counted = true; sent < d.cutAt {
 		return
 	}
 	share := d.share(r.class)
@@ -662,7 +664,6 @@
 func (d *Dispatcher) lapse(r *request) {
 	r.late = true
 	if r.out > 1 && d.s.TellsStart && !r.counted && !r.started() {
-		r.counted = true
 		d.congested(r, r.attempts[0].sent)
 	}
 	if a := r.unstarted(); a != nil && d.s.TellsStart { // its end would tell that a job later
@@ -673,7 +674,6 @@
 		if a.idle > d.beat && d.s.StartsInOrder { // lost on a dead connection? the next job there will tell
 			d.inDoubt(r, a)
 		} else {
-			r.counted = true
 			d.congested(r, a.sent)
 		}
 	}
