A zone whose connects fail in a row is held for lost until one of it is heard of

Each of 80 dispatchers finds out about each of 30 workers by itself (judge() is about one worker), one time-out each. Now two failed connects in a row in a zone, with no word from any worker of it while others are heard of, are enough (dark); trials after 1 s, 2 s; a start there ends it at once; all zones failing together is our own line and darkens none; what runs there has its copy at once if it may. Room: learnPace stands beside started, where waits are learned; no decision in it. Two comments shorter.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -23,6 +23,7 @@
 	passOver    = 8               // waiting jobs of a class that may be passed over when they do not fit
 	nearBias    = 4               // how much of a job's time a point of cross-zone price weighs
 	homeBias    = 4               // and a point of the price of a fetch
+	zoneLost    = 2               // failed connects in a row from which a zone looks lost
 	suspectFrom = 0.4             // failure score that ejects a worker
 	strangeness = 4               // mean waits that one may have where nothing has been heard of it lately
 	ownJobs     = 2               // jobs that a worker of the own set gets in a horizon
@@ -282,7 +283,7 @@
 		if d.warmth(w) >= 1 {
 			drawn, weight = drawn+1, 1
 		}
-		if !d.allowed(r, w) || d.busy(r, w) || !d.trustAll() && !d.healthy(r, w) || !d.coldRoom(r, w) {
+		if !d.allowed(r, w) || d.busy(r, w) || !d.healthy(r, w) || !d.coldRoom(r, w) {
 			continue
 		}
 		if found += weight; best == nil || weight > 1 || d.delay(r, w) < d.delay(r, best) {
@@ -318,15 +319,13 @@
 		(c.Zones == nil || slices.Contains(c.Zones, w.Zone))
 }
 
-// awaitsTurn tells whether an earlier request with its key is not over or may still be running. The one that
-// has the turn may be tried again at once. Waiting here says nothing of the fleet, nor holds up other keys.
+// awaitsTurn tells whether an earlier request with its key is not over, or may still run where this has not.
 func (d *Dispatcher) awaitsTurn(r *request) bool {
 	t := r.turn
 	return t != nil && (t.requests[0] != r || len(r.attempts) == 0 && d.now < t.rested)
 }
 
-// affordable tells whether the budget of attempts beyond a request's first has room for one more. Counted for
-// safety, a request leaves the window a tick early, an attempt a tick late.
+// affordable tells whether the budget of attempts beyond a request's first has room, to be safe a tick less.
 func (d *Dispatcher) affordable(r *request) bool {
 	if len(r.attempts) == 0 || d.s.ExtraWindow <= 0 {
 		return true
@@ -371,10 +370,17 @@
 // trustAll: if most look bad, the trouble is not theirs, and all are used.
 func (d *Dispatcher) trustAll() bool { return 2*(d.running-d.suspects) <= len(d.fleet) }
 
-// healthy ejects suspects, but lets one job through when a trial is due, a fragile one when half has faded.
+// healthy ejects lost zones, and suspects but for a trial that is due, a fragile one when half has faded.
 func (d *Dispatcher) healthy(r *request, w *worker) bool {
-	return !w.suspect || d.now >= w.retryAt &&
-		(r.class.Repeat != Fragile || w.fail.get(d.now, d.horizon) < suspectFrom/2)
+	return !d.dark(w) && (!w.suspect || d.trustAll() || d.now >= w.retryAt &&
+		(r.class.Repeat != Fragile || w.fail.get(d.now, d.horizon) < suspectFrom/2))
+}
+
+// dark tells whether a worker's zone looks lost: connects there fail in a row, and others are heard of since.
+// Guards against a time-out for each of its workers at each dispatcher, until the list tells of it.
+func (d *Dispatcher) dark(w *worker) bool {
+	z := d.zone(w.Zone)
+	return z.failed >= zoneLost && d.now < z.retryAt && d.heard > z.since
 }
 
 // coldRoom keeps to this dispatcher's part of what all may send a cold worker, by what warm ones take. It is
@@ -405,7 +411,7 @@
 	if a == nil {
 		return
 	}
-	a.heard, a.w.heard = d.now, d.now
+	a.heard = d.heardOf(a.w)
 	if q, lost := d.overtaken(r, a); q != nil {
 		d.lostOn(lost)
 		d.giveUp(q)
@@ -457,7 +463,7 @@
 	}
 	switch ev.Outcome {
 	case Completed: // only this teaches speed: a fast error must not look like a fast worker
-		w.heard, w.unusable = d.now, 0
+		w.heard, w.unusable = d.heardOf(w), 0
 		a.taken(r.class)
 		d.learnPace(w, (d.now-max(a.sent, a.started)).Seconds()/r.work)
 		d.roundTrip += ((d.now - a.sent).Seconds() - d.roundTrip) / fewJobs
@@ -471,6 +477,9 @@
 			return
 		}
 	case Errored, RefusedConn, Severed, Overdue:
+		if ev.Outcome == RefusedConn {
+			d.unreachable(w)
+		}
 		if ev.Outcome == Severed && a.started == 0 && d.now-a.sent < d.s.ConnectTimeout && a.idle > d.beat {
 			d.lostOn(a)
 			break
@@ -507,8 +516,7 @@
 	t.until = d.now + t.backoff
 }
 
-// lostOn learns when unused connections are dropped unseen: what was sent on one was reset at once, or did
-// not start though a later job there did. The worker is not blamed; older ones are closed before use.
+// lostOn learns when unused connections are dropped unseen. The worker is not blamed; older ones are closed.
 func (d *Dispatcher) lostOn(a *attempt) {
 	if d.now < d.lostAt+4*d.horizon { // one may have another cause
 		d.idleSafe = min(d.idleSafe, a.idle/2)
@@ -523,14 +531,6 @@
 	return r.cost + hintDoubt*r.slots*max(r.mean-r.work, 0)
 }
 
-func (d *Dispatcher) learnPace(w *worker, pace float64) {
-	pace = min(max(pace*d.warmth(w), 1.0/32), 32)
-	old := cmp.Or(w.pace, pace)
-	w.pace = old + (pace-old)/5
-	kind := cmp.Or(d.kindPace[w.Kind], pace)
-	d.kindPace[w.Kind] = kind + (pace-kind)/fewJobs
-}
-
 // again finds another way for a request whose attempts have failed, as far as its class allows.
 func (d *Dispatcher) again(r *request) {
 	left := d.s.MaxAttempts - len(r.attempts)
@@ -698,7 +698,7 @@
 	if d.s.Progress > 0 && running && !a.w.suspect && d.now-max(a.heard, a.w.heard) > limit {
 		d.judge(a.w, 1, "is silent")
 	}
-	stuck := (a.w.suspect || a.started == 0 && a.idle > d.idleSafe) && d.now-a.heard > d.beat
+	stuck := (a.w.suspect || d.dark(a.w) || a.started == 0 && a.idle > d.idleSafe) && d.now-a.heard > d.beat
 	stuck = d.mute(r, a) || stuck
 	stuck = stuck || a.started == 0 && !r.late && d.s.TellsStart && d.s.Cancel && d.now-a.sent > d.beat/2
 	if stuck && d.s.SecondCopies && r.class.Repeat != Fragile && len(r.attempts) < d.s.MaxAttempts {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -670,6 +670,105 @@
 	}
 }
 
+// A lost zone's workers let connects time out, one after the other, at each of eighty dispatchers: 688 jobs of some 800
+// in the four seconds until the list told of it. Two in a row without a word from the zone are enough, while other zones
+// are heard of; one job at a time finds out whether it is back.
+func TestLostZoneIsAvoided(t *testing.T) {
+	s := testSettings()
+	s.TellsStart = true
+	for seed := range uint64(10) {
+		r := newSeededRig(t, s, 12, seed+1)
+		var entries []Entry
+		for i, w := range r.fleet {
+			entries = append(entries, Entry{Worker: w.Worker, Zone: i % 3, State: Running})
+		}
+		r.at(r.now, Event{Kind: WorkerList, List: ListComplete, Entries: entries})
+		refuse := func(w *worker) { // a job there whose connect fails
+			q := &request{id: r.next, class: &r.s.Classes[1], slots: 1, work: 1, deadline: r.now + time.Second}
+			r.next++
+			r.requests[q.id] = q
+			r.sent(q, w)
+			r.at(r.now+s.ConnectTimeout, Event{Kind: Response, Request: q.id, Worker: w.Worker, Outcome: RefusedConn,
+				Settled: true})
+			r.now += time.Millisecond
+		}
+		zone := func(n int) (of []*worker) {
+			for _, w := range r.fleet {
+				if w.Zone == n {
+					of = append(of, w)
+				}
+			}
+			return of
+		}
+		darkZones := func() (n int) {
+			for z := range 3 {
+				if r.dark(zone(z)[3]) {
+					n++
+				}
+			}
+			return n
+		}
+		refuse(zone(1)[0])
+		r.heardOf(zone(0)[0])
+		if darkZones() != 0 {
+			t.Fatal("one failed connect darkens a zone")
+		}
+		refuse(zone(1)[1])
+		r.heardOf(zone(0)[0])
+		if darkZones() != 1 || !r.dark(zone(1)[3]) {
+			t.Fatal("a zone of which two workers in a row cannot be reached is not lost")
+		}
+		for range 6 {
+			if w := r.workers[r.sentTo(1)]; w != nil && w.Zone == 1 {
+				t.Fatalf("%s of the lost zone was sent a job", w.Worker)
+			}
+		}
+		r.now += 4*s.ConnectTimeout + time.Millisecond
+		if darkZones() != 0 {
+			t.Fatal("no trial is due after four time-outs")
+		}
+		refuse(zone(1)[2]) // the trial fails: the next one comes later
+		r.now += 4*s.ConnectTimeout + time.Millisecond
+		r.heardOf(zone(0)[0])
+		if darkZones() != 1 {
+			t.Fatal("trials do not become rarer")
+		}
+		r.heardOf(zone(1)[3])
+		if darkZones() != 0 {
+			t.Fatal("a zone that was heard of is still lost")
+		}
+		for z := range 3 { // nothing is heard of any more: the trouble is ours
+			refuse(zone(z)[0])
+			refuse(zone(z)[1])
+		}
+		if darkZones() != 0 {
+			t.Fatal("all zones are lost at once")
+		}
+		r.heardOf(zone(0)[0])
+		if darkZones() != 2 {
+			t.Fatal("one zone is back, the other two are not lost")
+		}
+		entries[1].LastStart = r.now
+		r.at(r.now, Event{Kind: WorkerList, List: ListChanges, Entries: entries[1:2]})
+		if darkZones() != 1 {
+			t.Fatal("a zone in which a worker started is still lost")
+		}
+		r.now = max(r.zone(2).retryAt, r.now)
+		r.sent(&request{class: &r.s.Classes[0], slots: 1, work: 1}, zone(2)[0])
+		if !r.dark(zone(2)[3]) {
+			t.Fatal("two trials at once")
+		}
+		// A job that runs there and may be repeated is not waited for: silence is told after two seconds only.
+		q := &request{id: r.next, class: &r.s.Classes[0], slots: 1, work: 1, cost: 1, aim: r.now + 5*time.Second}
+		r.sent(q, zone(2)[3])
+		r.started(q.class, &q.attempts[0])
+		r.now += 2 * r.beat
+		if r.watch(q, &q.attempts[0]); len(q.attempts) != 2 {
+			t.Fatalf("a job in a lost zone has %d attempts", len(q.attempts))
+		}
+	}
+}
+
 // Two troubles at once: a worker vanishes while the list cannot be had. Its silence alone must keep new
 // jobs away, and the list that comes at last must not bring it back into use.
 func TestVanishedWhileTheListIsDown(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -44,6 +44,13 @@
 	retryAt   time.Duration // when a suspect may be tried again
 }
 
+// zone is what a dispatcher knows of the workers of one zone together.
+type zone struct {
+	failed  int           // connects that failed there since one of them was heard of
+	since   time.Duration // when the first of them did
+	retryAt time.Duration // when the next may be tried
+}
+
 // refusal is what a worker does with the jobs of one class.
 type refusal struct {
 	taken   time.Duration // when the last one was sent that it started
@@ -110,6 +117,8 @@
 	running  int            // those that run
 	suspects int            // those of them that are suspects
 	open     map[*Class]int // those of them that may run the class
+	zones    map[int]*zone
+	heard    time.Duration // last sign of life of any worker
 	requests map[uint64]*request
 	live     []*request     // unanswered, by arrival
 	queue    []*request     // waiting, highest value per cost first
@@ -189,7 +198,7 @@
 	}
 	d := &Dispatcher{
 		s: s, rng: rand.New(rand.NewPCG(seed, 0)),
-		workers: map[string]*worker{}, open: map[*Class]int{}, kindPace: map[int]float64{}, nominal: map[int]float64{},
+		workers: map[string]*worker{}, open: map[*Class]int{}, kindPace: map[int]float64{}, zones: map[int]*zone{}, nominal: map[int]float64{},
 		requests: map[uint64]*request{}, misses: map[*Class]int{}, turns: map[string]*turn{},
 		classWork: make([]float64, len(s.Classes)), fullLeft: make([]time.Duration, len(s.Classes)),
 		tenants: make([]tenant, len(s.TenantQuotas)),
@@ -277,6 +286,9 @@
 		d.stuck += r.slots
 	}
 	w.free -= r.slots
+	if z := d.zone(w.Zone); z.failed >= zoneLost { // a trial: the next one comes later
+		z.retryAt = max(z.retryAt, d.now+2*d.s.ConnectTimeout)
+	}
 	a := attempt{w: w, sent: d.now, heard: d.now}
 	if n := len(w.idle); n > 0 {
 		if d.startWait(w) <= d.beat.Seconds() && w.others <= 0 && w.unstarted == 0 {
@@ -382,6 +394,15 @@
 	}
 }
 
+// learnPace books how long a worker took for a hinted second, of its own and for its kind.
+func (d *Dispatcher) learnPace(w *worker, pace float64) {
+	pace = min(max(pace*d.warmth(w), 1.0/32), 32)
+	old := cmp.Or(w.pace, pace)
+	w.pace = old + (pace-old)/5
+	kind := cmp.Or(d.kindPace[w.Kind], pace)
+	d.kindPace[w.Kind] = kind + (pace-kind)/fewJobs
+}
+
 // left books that one attempt fewer waits for its start.
 func (d *Dispatcher) left(w *worker) {
 	w.unstarted = max(w.unstarted-1, 0)
@@ -426,8 +447,10 @@
 			d.workers[e.Worker] = w
 			d.fleet = append(d.fleet, w)
 			d.pool = d.shuffled(d.pool, w)
+			d.zone(e.Zone).failed = 0
 		} else if e.LastStart > w.LastStart {
 			d.setSuspect(w, false)
+			d.zone(e.Zone).failed = 0 // a zone where workers start is there
 			*w = worker{near: w.near, hash: w.hash, out: w.out, unstarted: w.unstarted, waitFrom: d.now, coldAt: d.now}
 		}
 		if e.Zone == d.s.Zone && !w.near {
@@ -502,6 +525,30 @@
 	w.suspect, w.backoff = bad, 0
 }
 
+// zone finds what is known of a zone.
+func (d *Dispatcher) zone(n int) *zone {
+	if d.zones[n] == nil {
+		d.zones[n] = &zone{}
+	}
+	return d.zones[n]
+}
+
+// heardOf books a sign of life of a worker, and so of its zone. It returns the time.
+func (d *Dispatcher) heardOf(w *worker) time.Duration {
+	w.heard, d.heard = d.now, d.now
+	d.zone(w.Zone).failed = 0
+	return d.now
+}
+
+// unreachable books that no connection to a worker came up. The next one there is tried ever later.
+func (d *Dispatcher) unreachable(w *worker) {
+	z := d.zone(w.Zone)
+	if z.failed++; z.failed == 1 {
+		z.since = d.now
+	}
+	z.retryAt = d.now + min(d.s.ConnectTimeout<<min(z.failed, 8), d.horizon)
+}
+
 // enqueue lets a request wait, in the order of byDensity.
 func (d *Dispatcher) enqueue(r *request) {
 	at, _ := slices.BinarySearchFunc(d.queue, r, byDensity)
