The log tells when a zone looks lost and when it is there again

Need: staff saw single workers fail and could not tell a lost zone from them. One line when a dispatcher holds a zone for lost, with the count, and one when it is heard of again or the list tells of a start there; zones by the settings' names. Both lines are in the test, and seen to fail it when worded otherwise.

--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -675,9 +675,10 @@
 // are heard of; one job at a time finds out whether it is back.
 func TestLostZoneIsAvoided(t *testing.T) {
 	s := testSettings()
-	s.TellsStart = true
+	s.TellsStart, s.ZoneNames = true, []string{"zarqa-east", "russeifa", "hashemiya"}
 	for seed := range uint64(10) {
 		r := newSeededRig(t, s, 12, seed+1)
+		var told []string
 		var entries []Entry
 		for i, w := range r.fleet {
 			entries = append(entries, Entry{Worker: w.Worker, Zone: i % 3, State: Running})
@@ -688,8 +689,10 @@
 			r.next++
 			r.requests[q.id] = q
 			r.sent(q, w)
-			r.at(r.now+s.ConnectTimeout, Event{Kind: Response, Request: q.id, Worker: w.Worker, Outcome: RefusedConn,
-				Settled: true})
+			for _, a := range r.at(r.now+s.ConnectTimeout, Event{Kind: Response, Request: q.id, Worker: w.Worker,
+				Outcome: RefusedConn, Settled: true}) {
+				told = append(told, a.Text)
+			}
 			r.now += time.Millisecond
 		}
 		zone := func(n int) (of []*worker) {
@@ -715,8 +718,9 @@
 		}
 		refuse(zone(1)[1])
 		r.heardOf(zone(0)[0])
-		if darkZones() != 1 || !r.dark(zone(1)[3]) {
-			t.Fatal("a zone of which two workers in a row cannot be reached is not lost")
+		said := slices.Contains(told, "zone russeifa looks lost: 2 connects failed in a row")
+		if darkZones() != 1 || !r.dark(zone(1)[3]) || !said {
+			t.Fatalf("a zone of which two workers in a row cannot be reached is not lost: %q", told)
 		}
 		for range 6 {
 			if w := r.workers[r.sentTo(1)]; w != nil && w.Zone == 1 {
@@ -733,9 +737,11 @@
 		if darkZones() != 1 {
 			t.Fatal("trials do not become rarer")
 		}
-		r.heardOf(zone(1)[3])
-		if darkZones() != 0 {
-			t.Fatal("a zone that was heard of is still lost")
+		id := r.arrive(0)
+		r.requests[id].attempts[0].w = zone(1)[3]
+		note := r.at(r.now, Event{Kind: Started, Request: id, Worker: zone(1)[3].Worker})
+		if darkZones() != 0 || find(note, Log).Text != "zone russeifa is there again" {
+			t.Fatalf("a zone that was heard of is still lost: %+v", note)
 		}
 		for z := range 3 { // nothing is heard of any more: the trouble is ours
 			refuse(zone(z)[0])
--- a/state.go
+++ b/state.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -447,10 +448,10 @@
 			d.workers[e.Worker] = w
 			d.fleet = append(d.fleet, w)
 			d.pool = d.shuffled(d.pool, w)
-			d.zone(e.Zone).failed = 0
+			d.reached(e.Zone)
 		} else if e.LastStart > w.LastStart {
 			d.setSuspect(w, false)
-			d.zone(e.Zone).failed = 0 // a zone where workers start is there
+			d.reached(e.Zone) // a zone where workers start is there
 			*w = worker{near: w.near, hash: w.hash, out: w.out, unstarted: w.unstarted, waitFrom: d.now, coldAt: d.now}
 		}
 		if e.Zone == d.s.Zone && !w.near {
@@ -536,15 +537,34 @@
 // heardOf books a sign of life of a worker, and so of its zone. It returns the time.
 func (d *Dispatcher) heardOf(w *worker) time.Duration {
 	w.heard, d.heard = d.now, d.now
-	d.zone(w.Zone).failed = 0
+	d.reached(w.Zone)
 	return d.now
 }
 
+// reached books that a zone is there.
+func (d *Dispatcher) reached(n int) {
+	z := d.zone(n)
+	if z.failed >= zoneLost {
+		d.log("zone %s is there again", d.zoneName(n))
+	}
+	z.failed = 0
+}
+
+// zoneName is what the settings call a zone, else its number.
+func (d *Dispatcher) zoneName(n int) string {
+	if n >= 0 && n < len(d.s.ZoneNames) {
+		return d.s.ZoneNames[n]
+	}
+	return strconv.Itoa(n)
+}
+
 // unreachable books that no connection to a worker came up. The next one there is tried ever later.
 func (d *Dispatcher) unreachable(w *worker) {
 	z := d.zone(w.Zone)
 	if z.failed++; z.failed == 1 {
 		z.since = d.now
+	} else if z.failed == zoneLost {
+		d.log("zone %s looks lost: %d connects failed in a row", d.zoneName(w.Zone), z.failed)
 	}
 	z.retryAt = d.now + min(d.s.ConnectTimeout<<min(z.failed, 8), d.horizon)
 }
