sim holds drains and cold workers' budgets; scenarios tell the module the fall rule

Now each fetch is held against the drain that its dispatcher was told of, with 50 ms of slack, and what comes to a cold worker against N + 3 x root of N requests of mean work; one that bears too much falls for good, and the rule is broken if two thirds came from dispatchers that knew of its start.

--- a/internal/rehearsal/emulator/emulator.go
+++ b/internal/rehearsal/emulator/emulator.go
@@ -6,6 +6,7 @@
 package emulator
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"hash/fnv"
@@ -27,6 +28,9 @@
 // epoch is the day's first moment: far from 0, which means 'long ago' to the module.
 const epoch = 1_000_000 * time.Second
 
+// slack is how much longer the rules' limits are on sockets.
+const slack = 50 * time.Millisecond
+
 // event is something that happens at a moment; seq keeps their order among equals.
 type event struct {
 	at   time.Duration
@@ -124,6 +128,13 @@
 	token   uint64
 	fetches map[uint64]*job // in the worker's hands, by handle
 	watch   bool
+	told    map[string]word // what discovery has told of each worker
+}
+
+// word is what a dispatcher has been told of a worker.
+type word struct {
+	started time.Duration
+	left    time.Duration // since when it drains or is gone; 0: it is neither
 }
 
 // New makes a day ready. log, which may be nil, gets its events.
@@ -137,7 +148,7 @@
 		s.byName[w.name] = w
 	}
 	for i := range sc.Dispatchers {
-		d := &dispatcher{sim: s, number: i, zone: i % len(sc.Net.Zones), tokens: map[uint64]*request{}, fetches: map[uint64]*job{}}
+		d := &dispatcher{sim: s, number: i, zone: i % len(sc.Net.Zones), tokens: map[uint64]*request{}, fetches: map[uint64]*job{}, told: map[string]word{}}
 		d.loop = core.NewVirtual(func() time.Duration { return s.now })
 		settings := s.settings
 		settings.Zone = d.zone
@@ -150,8 +161,7 @@
 		c.Listen(d)
 		s.dispatchers = append(s.dispatchers, d)
 		s.after(0, func() {
-			d.core.List(d, hollyyoke.ListPersisted, s.entries())
-			d.arm()
+			d.list(hollyyoke.ListPersisted, s.entries())
 		})
 		d.arrivals()
 	}
@@ -288,19 +298,31 @@
 	d.watch = true
 	s := d.sim
 	s.after(seconds(s.sc.Discovery.LagMs/1000), func() {
-		d.core.List(d, hollyyoke.ListComplete, s.entries())
-		d.arm()
+		d.list(hollyyoke.ListComplete, s.entries())
 	})
 }
 
+// list brings word of workers.
+func (d *dispatcher) list(kind hollyyoke.ListKind, entries []hollyyoke.Entry) {
+	for _, e := range entries {
+		was := d.told[e.Worker]
+		now := word{started: e.LastStart}
+		if e.State != hollyyoke.Running {
+			now.left = cmp.Or(was.left, d.sim.now)
+		}
+		d.told[e.Worker] = now
+	}
+	d.core.List(d, kind, entries)
+	d.arm()
+}
+
 // changed tells all that watch of a worker, after discovery's lag.
 func (s *Sim) changed(w *worker) {
 	entry := w.entry()
 	for _, d := range s.dispatchers {
 		if d.watch {
 			s.after(seconds(s.sc.Discovery.LagMs/1000), func() {
-				d.core.List(d, hollyyoke.ListChanges, []hollyyoke.Entry{entry})
-				d.arm()
+				d.list(hollyyoke.ListChanges, []hollyyoke.Entry{entry})
 			})
 		}
 	}
@@ -309,6 +331,9 @@
 // Start sends a fetch to its worker.
 func (d *dispatcher) Start(f core.Fetch) {
 	s, w := d.sim, d.sim.byName[f.Backend]
+	if left := d.told[f.Backend].left; left > 0 && s.now > left+s.settings.DrainGrace+slack {
+		s.wrong("dispatcher %d sent %s to %s, %v after it was told that it drains or is gone", d.number, f.Job.ID, f.Backend, s.now-left)
+	}
 	j := &job{id: f.Job.ID, class: f.Job.Class, work: f.Job.Work, handle: f.Handle, from: d}
 	d.fetches[f.Handle] = j
 	d.core.Sent(f.Handle)
@@ -445,8 +470,8 @@
 	return r
 }
 
-// check holds the rules: one final answer for each try, no more runs of a fragile
-// job than one, and nothing lost on the way.
+// check holds the rules that the whole day shows: one final answer for each try, no more runs of a fragile job
+// than one, and nothing lost on the way. Drains are held at each send (Start), cold workers at each arrival (falls).
 func (s *Sim) check(r *Result) {
 	for _, d := range s.dispatchers {
 		if n := d.core.Owed(); n > 0 {
--- a/internal/rehearsal/emulator/emulator_test.go
+++ b/internal/rehearsal/emulator/emulator_test.go
@@ -224,6 +224,15 @@
 				}
 			})
 		},
+		"sent too late to w1": func(s *Sim) {
+			s.at(epoch+4*time.Second, func() {
+				d := s.dispatchers[0]
+				d.told["w1"] = word{left: s.now - s.settings.DrainGrace - slack}
+				d.Start(core.Fetch{Handle: 1 << 40, Backend: "w1", Job: &core.Job{ID: "in time", Work: time.Millisecond}})
+				d.told["w1"] = word{left: s.now - s.settings.DrainGrace - slack - 1}
+				d.Start(core.Fetch{Handle: 1<<40 + 1, Backend: "w1", Job: &core.Job{ID: "too late", Work: time.Millisecond}})
+			})
+		},
 		"owes": func(s *Sim) {
 			s.at(epoch+20*time.Second, func() { s.dispatchers[1].core.Take(s.dispatchers[1], 1<<40, core.Job{ID: "late", Work: time.Second}) })
 			s.sc.LengthS = 11 // the day ends in its midst
@@ -235,12 +244,52 @@
 		}
 		spoil(s)
 		r := s.Run()
-		if !strings.Contains(strings.Join(r.Broken, "\n"), name) || !strings.Contains(r.Broken[0], "seed 3") {
+		if all := strings.Join(r.Broken, "\n"); !strings.Contains(all, name) || strings.Contains(all, "sent in time") || !strings.Contains(r.Broken[0], "seed 3") {
 			t.Errorf("%s: %v", name, r.Broken)
 		}
 	}
 }
 
+// A cold worker falls for good when it is sent too much; that is a broken rule if those who sent it knew of its start.
+func TestColdWorkerFalls(t *testing.T) {
+	sc := scenario(t, "day")
+	sc.LengthS = 1
+	// Four slots at a third of their pace carry 4 * 0.33 / 0.572 requests of mean work a second, four times of
+	// which and three roots are 18.3.
+	for _, x := range []struct {
+		name         string
+		jobs, told   int
+		falls, wrong bool
+	}{
+		{"as many as it bears", 18, 18, false, false},
+		{"one more", 19, 19, true, true},
+		{"one more, most from those who did not know", 19, 12, true, false},
+	} {
+		s, err := New(sc, 1, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.queue = nil
+		w := s.workers[0]
+		w.started = s.now
+		s.dispatchers[0].told[w.name] = word{started: w.started}
+		for i := range x.jobs {
+			from := s.dispatchers[0]
+			if i >= x.told {
+				from = s.dispatchers[1]
+			}
+			w.arrive(&job{id: fmt.Sprint(i), work: 572 * time.Millisecond, from: from})
+		}
+		if w.down != x.falls || len(s.broken) > 0 != x.wrong {
+			t.Errorf("%s: down %v, broken %q", x.name, w.down, s.broken)
+		}
+		s.fault(0, Fault{Kind: "kill", AtS: 0.1, ForS: 0.1, Workers: sc.Workers.Count})
+		if s.run(epoch + time.Second); w.down != x.falls {
+			t.Errorf("%s: killed and started anew, it is down: %v", x.name, w.down)
+		}
+	}
+}
+
 func TestBadScenarios(t *testing.T) {
 	whole, err := os.ReadFile("../../../deploy/scenarios/faults.toml")
 	if err != nil {
--- a/internal/rehearsal/emulator/scenario.go
+++ b/internal/rehearsal/emulator/scenario.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -39,6 +40,10 @@
 		Queue      int     `toml:"queue"`
 		ColdFrom   float64 `toml:"cold_from"`
 		WarmAfterS float64 `toml:"warm_after_s"`
+
+		// A cold one that is sent more than so many times what it can do, for so long, falls and stays down.
+		FallMultiple float64 `toml:"fall_multiple"` // 4 where left out
+		FallS        float64 `toml:"fall_s"`        // 1
 	} `toml:"workers"`
 	Load    Load      `toml:"load"`
 	Classes []ClassOf `toml:"class"`
@@ -103,6 +108,7 @@
 		{"length_s", sc.LengthS, 0.001, 86400}, {"dispatchers", float64(sc.Dispatchers), 1, 1000}, {"workers.count", float64(sc.Workers.Count), 1, 10000},
 		{"workers.slots", float64(sc.Workers.Slots), 1, 1000}, {"workers.speed", sc.Workers.Speed, 1e-6, 1e6}, {"workers.queue", float64(sc.Workers.Queue), 0, 1e6},
 		{"workers.cold_from", sc.Workers.ColdFrom, 0, 1}, {"workers.warm_after_s", sc.Workers.WarmAfterS, 0, 3600},
+		{"workers.fall_multiple", sc.Workers.FallMultiple, 0, 1000}, {"workers.fall_s", sc.Workers.FallS, 0, 3600},
 		{"load.rate_per_s", sc.Load.Rate, 1e-3, 1e6}, {"load.swing", sc.Load.Swing, 0, 0.99}, {"net.same_ms", sc.Net.SameMs, 0, 1e4}, {"net.cross_ms", sc.Net.CrossMs, 0, 1e4},
 		{"net.jitter", sc.Net.Jitter, 0, 100}, {"discovery.lag_ms", sc.Discovery.LagMs, 0, 1e6},
 	} {
@@ -114,6 +120,7 @@
 		sc.Net.Zones = []string{"here"}
 	}
 	sc.Load.Tries = max(sc.Load.Tries, 1)
+	sc.Workers.FallMultiple, sc.Workers.FallS = cmp.Or(sc.Workers.FallMultiple, 4), cmp.Or(sc.Workers.FallS, 1)
 	share := 0.0
 	for i, c := range sc.Classes {
 		switch {
@@ -156,6 +163,7 @@
 	s.Peers, s.Tick, s.ZoneNames, s.KindNames = sc.Dispatchers, 2*time.Millisecond, sc.Net.Zones, []string{"m"}
 	s.AskForList, s.AskWithin = true, 10*time.Second
 	s.ColdFrom, s.WarmAfter = sc.Workers.ColdFrom, seconds(sc.Workers.WarmAfterS)
+	s.FallMultiple, s.FallWindow = sc.Workers.FallMultiple, seconds(sc.Workers.FallS)
 	s.MaxAttempts, s.SecondCopies, s.Cancel, s.Probing = 3, true, true, true
 	s.MaxRetryAfter, s.ConnectTimeout = 2*time.Second, 250*time.Millisecond
 	s.TellsStart, s.StartsInOrder = true, true
--- a/internal/rehearsal/emulator/worker.go
+++ b/internal/rehearsal/emulator/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,15 @@
 	down    bool
 	drains  bool
 	books   []run
+	fresh   []arrival // what came lately while it was cold
+	fell    bool
+}
+
+// arrival is work that came to a cold worker.
+type arrival struct {
+	at   time.Duration
+	work float64 // seconds
+	told bool    // its dispatcher had word of the start
 }
 
 // run is one line of a worker's books.
@@ -89,6 +99,9 @@
 	case w.down:
 		j.over(w, hollyyoke.RefusedConn)
 		return
+	case w.falls(j):
+		j.over(w, hollyyoke.Severed)
+		return
 	case len(w.queue) >= w.sim.sc.Workers.Queue:
 		j.over(w, hollyyoke.Saturated)
 		return
@@ -98,6 +111,47 @@
 	w.fill()
 }
 
+// cold tells whether the worker is still warming up.
+func (w *worker) cold() bool {
+	return w.started > 0 && w.sim.now-w.started < seconds(w.sim.sc.Workers.WarmAfterS)
+}
+
+// falls counts what a cold worker is sent, also what it turns away: above N + 3 x root of N requests of mean work in the window, N what
+// the multiple of its present pace allows, it falls. The rule is broken if two thirds came from those told.
+func (w *worker) falls(j *job) bool {
+	s := w.sim
+	if !w.cold() {
+		w.fresh = nil
+		return false
+	}
+	window := seconds(s.sc.Workers.FallS)
+	w.fresh = append(w.fresh, arrival{s.now, j.work.Seconds(), j.from.told[w.name].started == w.started})
+	w.fresh = slices.DeleteFunc(w.fresh, func(a arrival) bool { return a.at <= s.now-window })
+	mean, all, told := 0.0, 0.0, 0.0
+	for _, c := range s.sc.Classes {
+		mean += c.Share * c.WorkMs / 1000
+	}
+	for _, a := range w.fresh {
+		all += a.work
+		if a.told {
+			told += a.work
+		}
+	}
+	n := s.sc.Workers.FallMultiple * w.pace() * float64(w.slots) * window.Seconds() / mean
+	if all/mean <= n+3*math.Sqrt(n) {
+		return false
+	}
+	w.fell = true
+	s.tell(-1, "falls", w.name)
+	if told > all*2/3 {
+		s.wrong("%s fell: %.2f s of work in %v, %.1f times what it could do, %.0f%% of it from dispatchers that knew of its start",
+			w.name, all, window, all/mean/n*s.sc.Workers.FallMultiple, 100*told/all)
+	}
+	w.die()
+	s.changed(w)
+	return true
+}
+
 // fill starts what may run.
 func (w *worker) fill() {
 	for !w.paused && !w.down && len(w.queue) > 0 && len(w.running) < w.slots {
@@ -121,8 +175,7 @@
 	}
 	step := seconds(j.left / pace)
 	const look = 100 * time.Millisecond // a pace that changes is looked at again
-	warming := w.started > 0 && w.sim.now-w.started < seconds(w.sim.sc.Workers.WarmAfterS)
-	if warming {
+	if w.cold() {
 		step = min(step, look)
 	}
 	w.sim.after(step, func() {
@@ -207,8 +260,10 @@
 			case "pause":
 				w.change(func() { w.paused = false })
 			case "kill":
-				w.down, w.started = false, s.now
-				s.changed(w)
+				if !w.fell {
+					w.down, w.started = false, s.now
+					s.changed(w)
+				}
 			case "drain":
 				w.drains = false
 				s.changed(w)
