--- a/dispatcher.go
+++ b/dispatcher.go
@@ -386,7 +386,7 @@
 // coldRoom keeps to this dispatcher's part of what all may send a cold worker, by what warm ones take. It is
 // staked on the first job and on any above it, and never on twice the mean: a busy one thinks all peers busy.
 func (d *Dispatcher) coldRoom(r *request, w *worker) bool {
-	if d.warmth(w) >= 1 {
+	if d.warmth(w) >= 1 || d.s.FallWindow <= 0 { // a rule of length 0 is off
 		return true
 	}
 	rate := coldSafety * d.s.FallMultiple * d.warmth(w) * d.warmShare(w.Kind)
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1054,6 +1054,17 @@
 	}
 }
 
+// A rule of length 0 is off. Where settings told none, cold workers got nothing until they were warm.
+func TestNoFallRuleBindsNothing(t *testing.T) {
+	s := testSettings()
+	s.FallWindow, s.FallMultiple, s.ColdFrom = 0, 0, 0.9
+	r := newRig(t, s, 1)
+	r.at(r.now, Event{Kind: WorkerList, List: ListChanges, Entries: []Entry{{Worker: "w0", LastStart: r.now}}})
+	if r.sentTo(0) != "w0" {
+		t.Fatal("a cold worker gets nothing though no rule says so")
+	}
+}
+
 // A busy dispatcher takes its part times its peers for what all have. One that was four times as busy as the mean sent
 // a worker just started a renewal of 2.8 s, five jobs of the mean and half of what the rule allows in its window.
 func TestNoHeavyJobForAColdWorker(t *testing.T) {
