When a lost zone is tried again is decided in the policy, from facts booked

Need: the wait to the next trial of a lost zone was reckoned in state.go, where nothing is decided. Now state.go books how many connects failed, since when, and when one was last tried; dark() decides from that. The test fails with each of its four conditions taken out.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -251,8 +251,7 @@
 	if n := d.lowerHome(r); n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
 		return n
 	}
-	// Two of the own zone win unless the delay they add outweighs the price.
-	if price = nearBias * d.s.CrossZonePrice; price > 0 && (w == nil || w.Zone != d.s.Zone) {
+	if price = nearBias * d.s.CrossZonePrice; price > 0 && (w == nil || w.Zone != d.s.Zone) { // two near
 		if n := d.lower(r, d.near); n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
 			return n
 		}
@@ -308,7 +307,7 @@
 func (d *Dispatcher) startWait(w *worker) float64 {
 	wait := w.wait.get(d.now, d.horizon/4)
 	if d.s.TellsStart && w.unstarted > 0 {
-		return max(wait, (d.now - w.waitFrom).Seconds())
+		wait = max(wait, (d.now - w.waitFrom).Seconds())
 	}
 	return wait
 }
@@ -380,7 +379,8 @@
 // Guards against a time-out for each of its workers at each dispatcher, until the list tells of it.
 func (d *Dispatcher) dark(w *worker) bool {
 	z := d.zone(w.Zone)
-	return z.failed >= zoneLost && d.now < z.retryAt && d.heard > z.since
+	rest := min(d.s.ConnectTimeout<<min(z.failed, 8), d.horizon) // then a trial is due, ever later
+	return z.failed >= zoneLost && d.now-z.tried < rest && d.heard > z.since
 }
 
 // coldRoom keeps to this dispatcher's part of what all may send a cold worker, by what warm ones take. It is
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -759,7 +759,11 @@
 		if darkZones() != 1 {
 			t.Fatal("a zone in which a worker started is still lost")
 		}
-		r.now = max(r.zone(2).retryAt, r.now)
+		r.now += r.horizon
+		if r.dark(zone(2)[3]) {
+			t.Fatal("no trial is due after a horizon")
+		}
+		r.heardOf(zone(0)[0])
 		r.sent(&request{class: &r.s.Classes[0], slots: 1, work: 1}, zone(2)[0])
 		if !r.dark(zone(2)[3]) {
 			t.Fatal("two trials at once")
--- a/state.go
+++ b/state.go
@@ -47,9 +47,9 @@
 
 // zone is what a dispatcher knows of the workers of one zone together.
 type zone struct {
-	failed  int           // connects that failed there since one of them was heard of
-	since   time.Duration // when the first of them did
-	retryAt time.Duration // when the next may be tried
+	failed int           // connects that failed there since one of them was heard of
+	since  time.Duration // when the first of them did
+	tried  time.Duration // when the last of them did, or a later job was sent there
 }
 
 // refusal is what a worker does with the jobs of one class.
@@ -287,9 +287,7 @@
 		d.stuck += r.slots
 	}
 	w.free -= r.slots
-	if z := d.zone(w.Zone); z.failed >= zoneLost { // a trial: the next one comes later
-		z.retryAt = max(z.retryAt, d.now+2*d.s.ConnectTimeout)
-	}
+	d.zone(w.Zone).tried = d.now
 	a := attempt{w: w, sent: d.now, heard: d.now}
 	if n := len(w.idle); n > 0 {
 		if d.startWait(w) <= d.beat.Seconds() && w.others <= 0 && w.unstarted == 0 {
@@ -558,7 +556,7 @@
 	return strconv.Itoa(n)
 }
 
-// unreachable books that no connection to a worker came up. The next one there is tried ever later.
+// unreachable books that no connection to a worker came up.
 func (d *Dispatcher) unreachable(w *worker) {
 	z := d.zone(w.Zone)
 	if z.failed++; z.failed == 1 {
@@ -566,7 +564,7 @@
 	} else if z.failed == zoneLost {
 		d.log("zone %s looks lost: %d connects failed in a row", d.zoneName(w.Zone), z.failed)
 	}
-	z.retryAt = d.now + min(d.s.ConnectTimeout<<min(z.failed, 8), d.horizon)
+	z.tried = d.now
 }
 
 // enqueue lets a request wait, in the order of byDensity.
