Read over: a sign of life is written once; one test of cold and of mean work in sim

heardOf set a worker's time that its callers set again; now they do so alone, and it books zone and fleet. The simulator's pace() words coldness by cold(), and the mean work of a scenario has one place.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -411,7 +411,7 @@
 	if a == nil {
 		return
 	}
-	a.heard = d.heardOf(a.w)
+	a.heard, a.w.heard = d.now, d.heardOf(a.w)
 	if q, lost := d.overtaken(r, a); q != nil {
 		d.lostOn(lost)
 		d.giveUp(q)
--- a/internal/rehearsal/emulator/scenario.go
+++ b/internal/rehearsal/emulator/scenario.go
@@ -171,6 +171,14 @@
 	return s
 }
 
+// meanWork is the mean work of all requests, in seconds.
+func (sc *Scenario) meanWork() (mean float64) {
+	for _, c := range sc.Classes {
+		mean += c.Share * c.WorkMs / 1000
+	}
+	return mean
+}
+
 // work draws a request's work.
 func (c *ClassOf) work(random *rand.Rand) time.Duration {
 	mean := c.WorkMs / 1000
--- a/internal/rehearsal/emulator/worker.go
+++ b/internal/rehearsal/emulator/worker.go
@@ -83,10 +83,9 @@
 // pace is how fast a slot works now: a fresh worker is slower, and warms in a line.
 func (w *worker) pace() float64 {
 	p := w.speed * w.slow
-	warm := seconds(w.sim.sc.Workers.WarmAfterS)
-	if age := w.sim.now - w.started; w.started > 0 && age < warm {
-		cold := w.sim.sc.Workers.ColdFrom
-		p *= cold + (1-cold)*float64(age)/float64(warm)
+	if w.cold() {
+		from, age := w.sim.sc.Workers.ColdFrom, w.sim.now-w.started
+		p *= from + (1-from)*float64(age)/float64(seconds(w.sim.sc.Workers.WarmAfterS))
 	}
 	return p
 }
@@ -116,8 +115,9 @@
 	return w.started > 0 && w.sim.now-w.started < seconds(w.sim.sc.Workers.WarmAfterS)
 }
 
-// falls counts what a cold worker is sent, also what it turns away: above N + 3 x root of N requests of mean work in the window, N what
-// the multiple of its present pace allows, it falls. The rule is broken if two thirds came from those told.
+// falls counts what a cold worker is sent, also what it turns away: above N + 3 x root of N requests of mean
+// work in the window, N what the multiple of its present pace allows, it falls. The rule is broken if two
+// thirds came from those told.
 func (w *worker) falls(j *job) bool {
 	s := w.sim
 	if !w.cold() {
@@ -127,10 +127,7 @@
 	window := seconds(s.sc.Workers.FallS)
 	w.fresh = append(w.fresh, arrival{s.now, j.work.Seconds(), j.from.told[w.name].started == w.started})
 	w.fresh = slices.DeleteFunc(w.fresh, func(a arrival) bool { return a.at <= s.now-window })
-	mean, all, told := 0.0, 0.0, 0.0
-	for _, c := range s.sc.Classes {
-		mean += c.Share * c.WorkMs / 1000
-	}
+	mean, all, told := s.sc.meanWork(), 0.0, 0.0
 	for _, a := range w.fresh {
 		all += a.work
 		if a.told {
--- a/state.go
+++ b/state.go
@@ -199,7 +199,8 @@
 	}
 	d := &Dispatcher{
 		s: s, rng: rand.New(rand.NewPCG(seed, 0)),
-		workers: map[string]*worker{}, open: map[*Class]int{}, kindPace: map[int]float64{}, zones: map[int]*zone{}, nominal: map[int]float64{},
+		workers: map[string]*worker{}, zones: map[int]*zone{}, open: map[*Class]int{},
+		kindPace: map[int]float64{}, nominal: map[int]float64{},
 		requests: map[uint64]*request{}, misses: map[*Class]int{}, turns: map[string]*turn{},
 		classWork: make([]float64, len(s.Classes)), fullLeft: make([]time.Duration, len(s.Classes)),
 		tenants: make([]tenant, len(s.TenantQuotas)),
@@ -532,9 +533,9 @@
 	return d.zones[n]
 }
 
-// heardOf books a sign of life of a worker, and so of its zone. It returns the time.
+// heardOf books that a worker's zone shows a sign of life, and returns the time.
 func (d *Dispatcher) heardOf(w *worker) time.Duration {
-	w.heard, d.heard = d.now, d.now
+	d.heard = d.now
 	d.reached(w.Zone)
 	return d.now
 }
