--- a/dispatcher.go
+++ b/dispatcher.go
@@ -23,13 +23,15 @@
 	passOver    = 8               // waiting jobs of a class that may be passed over when they do not fit
 	nearBias    = 4               // how much of a job's time a point of cross-zone price weighs
 	homeBias    = 4               // and a point of the price of a fetch
+	homeShare   = 0.1             // and a fetch without a price: its time is part of the job's
 	zoneLost    = 2               // failed connects in a row from which a zone looks lost
 	suspectFrom = 0.4             // failure score that ejects a worker
 	strangeness = 4               // mean waits that one may have where nothing has been heard of it lately
 	ownJobs     = 2               // jobs that a worker of the own set gets in a horizon
 	leastOwn    = 4               // workers in the own set at the least
 	mostDraws   = 32              // workers looked at for one pick
-	mostHomes   = 8               // workers that may be homes of one key
+	leastHomes  = 2               // homes of a key at first, where a fetch has a price
+	mostHomes   = 8               // and at the most, or without a price at once
 	probes      = 2               // workers probed for each arrival
 	coldSafety  = 0.4             // share of the cold budget that is used
 	hintDoubt   = 0.25            // how far a job with a small hint may lie towards the mean of its class
@@ -52,6 +54,9 @@
 	d.horizon, d.beat = max(longest/4, d.s.Tick), max(shortest/2, d.s.Tick)
 	d.bucket, d.perSlot, d.own = math.Inf(1), startSlots/float64(d.s.Peers), 2*leastOwn
 	d.perRate, d.idleSafe = d.perSlot, cmp.Or(d.s.ConnIdle, math.MaxInt64/2)
+	if d.homesFrom = mostHomes; d.s.FetchPrice > 0 {
+		d.homesFrom = leastHomes
+	}
 }
 
 // Handle takes in what happened at time now and appends what must be done to out.
@@ -129,8 +134,8 @@
 		d.giveUp(r)
 		return
 	}
-	if d.s.FetchPrice > 0 && ev.Key != "" {
-		r.home = hash(ev.Key)
+	if home, met := d.meet(ev.Key); d.s.FetchPrice > 0 || !met { // one met lately is popular: all have it
+		r.home = home
 	}
 	if r.class.InTurn && ev.Key != "" {
 		d.lineUp(r, ev.Key)
@@ -145,8 +150,7 @@
 	}
 }
 
-// overQuota tells whether an arrival is beyond its tenant's quota. Of that, this dispatcher takes its
-// even share, or the share that its own part of all traffic suggests where that is more.
+// overQuota tells whether an arrival is beyond its tenant's quota: an even part, or that of the traffic here.
 func (d *Dispatcher) overQuota(ev Event) bool {
 	if ev.Tenant < 0 || ev.Tenant >= len(d.tenants) {
 		return false
@@ -247,7 +251,7 @@
 	}
 	w := d.lower(r, d.pool)
 	left := max(r.aim-d.now, 0).Seconds()
-	price := homeBias * d.s.FetchPrice
+	price := max(homeBias*d.s.FetchPrice, homeShare)
 	if n := d.lowerHome(r); n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
 		return n
 	}
@@ -259,9 +263,9 @@
 	return w
 }
 
-// lowerHome samples a key's homes, where a fetch has a price: the next two on a common ring, else more.
+// lowerHome samples a key's homes: where a fetch has a price, the next two on a common ring, else more.
 func (d *Dispatcher) lowerHome(r *request) (w *worker) {
-	for n := 2; n <= mostHomes && w == nil && r.home != 0; n *= 2 {
+	for n := d.homesFrom; n <= mostHomes && w == nil && r.home != 0; n *= 2 {
 		w = d.lower(r, d.homesOf(r.home, n))
 	}
 	return w
@@ -369,7 +373,7 @@
 // trustAll: if most look bad, the trouble is not theirs, and all are used.
 func (d *Dispatcher) trustAll() bool { return 2*(d.running-d.suspects) <= len(d.fleet) }
 
-// healthy ejects lost zones, and suspects but for a trial that is due, a fragile one when half has faded.
+// healthy ejects lost zones, and suspects but for a due trial, a fragile one only when half has faded.
 func (d *Dispatcher) healthy(r *request, w *worker) bool {
 	return !d.dark(w) && (!w.suspect || d.trustAll() || d.now >= w.retryAt &&
 		(r.class.Repeat != Fragile || w.fail.get(d.now, d.horizon) < suspectFrom/2))
@@ -423,8 +427,7 @@
 	}
 }
 
-// alone calls off the copies of a job that has started elsewhere: those that wait, or else, while another
-// that started earlier is heard of, the one that starts now.
+// alone calls off the copies of a job that has started elsewhere, or this one if an earlier one is heard of.
 func (d *Dispatcher) alone(r *request, now int) {
 	for i := range r.attempts {
 		if a := &r.attempts[i]; i == now || a.done || !d.s.TellsStart || !d.s.Cancel || r.class.Stream {
@@ -501,8 +504,7 @@
 	d.forget(r)
 }
 
-// turnedAway books that a worker is full, or full for a class: one that turns job after job of it away while
-// it takes others gets it ever more seldom. Guards against spending all attempts on such workers.
+// turnedAway books that a worker is full, or for a class whose jobs alone it turns away, ever more seldom.
 func (d *Dispatcher) turnedAway(w *worker, c *Class) {
 	t := w.refusal(c)
 	if t.n++; t.n == 1 {
@@ -525,8 +527,7 @@
 	d.lostAt = d.now
 }
 
-// charge is what a job takes of a cold worker's budget. Where hints are rough, jobs chosen for being small
-// are larger than they say, part of the way to their class's mean: a hundred pushed a cold worker over.
+// charge is what a job takes of a cold budget. One chosen for its small, rough hint is larger than it says.
 func (r *request) charge() float64 {
 	return r.cost + hintDoubt*r.slots*max(r.mean-r.work, 0)
 }
@@ -684,10 +685,10 @@
 }
 
 // inTheWay tells whether a job that can hardly be in time, and has not started, makes others late: it waits
-// in a worker's queue while many outcomes are bad. Only one that may be repeated can be called off whole.
+// in a worker's queue and earns nothing late, or may be repeated, so called off whole, while many are bad.
 func (d *Dispatcher) inTheWay(r *request) bool {
-	return d.bad > crowded && r.class.Repeat == Retryable && r.class.LateWorth < 1 && d.s.TellsStart &&
-		d.s.Cancel && d.now+seconds(r.work)+d.beat >= r.aim && !r.started()
+	idle := r.class.LateWorth <= 0 || d.bad > crowded && r.class.Repeat == Retryable && r.class.LateWorth < 1
+	return idle && d.s.TellsStart && d.s.Cancel && d.now+seconds(r.work)+d.beat >= r.aim && !r.started()
 }
 
 // watch notices silence, the only sign of a vanished machine, and sends a second copy of a job that a suspect
@@ -750,8 +751,7 @@
 	d.roster(ev)
 }
 
-// spread is a random wait before a call for the list, longer the more dispatchers call. Guards against a
-// herd: thirty that called at once took discovery's time in vain, waited too long, and called at once again.
+// spread is a random wait before a call for the list, lest a herd of dispatchers call at once and in vain.
 func (d *Dispatcher) spread() time.Duration {
 	if !d.s.Herd() {
 		return 0
--- a/state.go
+++ b/state.go
@@ -107,27 +107,28 @@
 	beat    time.Duration // interval of the sweep
 	beating bool
 
-	workers  map[string]*worker
-	fleet    []*worker      // the workers in the order of the list
-	pool     []*worker      // the same, to draw from
-	near     []*worker      // those of the own zone, to draw from
-	fresh    []*worker      // those that are cold
-	ring     []*worker      // where a fetch has a price: all by a hash of their name, the same at every dispatcher
-	homes    []*worker      // scratch
-	own      int            // the first so many to draw make up the own set
-	running  int            // those that run
-	suspects int            // those of them that are suspects
-	open     map[*Class]int // those of them that may run the class
-	zones    map[int]*zone
-	heard    time.Duration // last sign of life of any worker
-	requests map[uint64]*request
-	live     []*request     // unanswered, by arrival
-	queue    []*request     // waiting, highest value per cost first
-	misses   map[*Class]int // jobs of a class that did not fit in one drain
-	turns    map[string]*turn
-	resting  []*turn         // keys that rest, the first to end first
-	taken    []time.Duration // when requests came, and when attempts beyond their first were made,
-	extra    []time.Duration // in the last ExtraWindow
+	workers   map[string]*worker
+	fleet     []*worker      // the workers in the order of the list
+	pool      []*worker      // the same, to draw from
+	near      []*worker      // those of the own zone, to draw from
+	fresh     []*worker      // those that are cold
+	ring      []*worker      // all by a hash of their name, the same at every dispatcher
+	homes     []*worker      // scratch
+	homesFrom int            // how many of a key's homes are looked at first
+	own       int            // the first so many to draw make up the own set
+	running   int            // those that run
+	suspects  int            // those of them that are suspects
+	open      map[*Class]int // those of them that may run the class
+	zones     map[int]*zone
+	heard     time.Duration // last sign of life of any worker
+	requests  map[uint64]*request
+	live      []*request     // unanswered, by arrival
+	queue     []*request     // waiting, highest value per cost first
+	misses    map[*Class]int // jobs of a class that did not fit in one drain
+	turns     map[string]*turn
+	resting   []*turn         // keys that rest, the first to end first
+	taken     []time.Duration // when requests came, and when attempts beyond their first were made,
+	extra     []time.Duration // in the last ExtraWindow
 
 	inflight  float64 // slots leased
 	stuck     float64 // those of them that suspects hold
@@ -145,7 +146,9 @@
 	mix            []point
 	priceC, priceK float64
 	solveAt        time.Duration
-	classWork      []float64       // recent mean hinted run time by class
+	classWork      []float64       // recent mean run time by class, as hinted or, without hints, as learned
+	runs           []float64       // jobs without a hint that it was learned from, by class
+	met            []uint64        // keys of the latest jobs, hashed
 	fullLeft       []time.Duration // longest time left of an arrival, by class: that of a first try
 	kindPace       map[int]float64
 	nominal        map[int]float64 // the largest weight of a kind
@@ -203,6 +206,7 @@
 		kindPace: map[int]float64{}, nominal: map[int]float64{},
 		requests: map[uint64]*request{}, misses: map[*Class]int{}, turns: map[string]*turn{},
 		classWork: make([]float64, len(s.Classes)), fullLeft: make([]time.Duration, len(s.Classes)),
+		runs:    make([]float64, len(s.Classes)),
 		tenants: make([]tenant, len(s.TenantQuotas)),
 	}
 	d.begin()
@@ -403,6 +407,32 @@
 	d.kindPace[w.Kind] = kind + (pace-kind)/fewJobs
 }
 
+// learnMean books how long a job without a hint ran: the mean of its class stands for the hints that do not come.
+func (d *Dispatcher) learnMean(r *request, a *attempt) {
+	for i := range d.s.Classes {
+		if &d.s.Classes[i] == r.class {
+			d.runs[i]++ // the first guess counts as one of them
+			run := (d.now - max(a.sent, a.started)).Seconds() * d.warmth(a.w)
+			d.classWork[i] += (run - d.classWork[i]) / min(d.runs[i]+1, fewJobs)
+		}
+	}
+}
+
+// meet books that a job concerns a key, and tells the key's hash, 0 for none, and whether it was met among the
+// latest jobs: so many that a key met twice has about as large a part of all work as its homes can carry.
+func (d *Dispatcher) meet(key string) (h uint64, met bool) {
+	if key == "" {
+		return 0, false
+	}
+	h = hash(key)
+	met = slices.Contains(d.met, h)
+	d.met = append(d.met, h)
+	if over := len(d.met) - max(len(d.fleet)/mostHomes, 1); over > 0 {
+		d.met = slices.Delete(d.met, 0, over)
+	}
+	return h, met
+}
+
 // left books that one attempt fewer waits for its start.
 func (d *Dispatcher) left(w *worker) {
 	w.unstarted = max(w.unstarted-1, 0)
@@ -417,6 +447,9 @@
 	if a.started == 0 && !a.mute {
 		d.left(a.w)
 	}
+	if o == Completed && r.hold == 0 && d.s.TellsStart {
+		d.learnMean(r, a)
+	}
 	a.done = true
 	r.out--
 	a.w.out -= r.slots
@@ -473,7 +506,7 @@
 		return !w.near
 	})
 	d.fresh = append(d.fresh[:0], d.fleet...)
-	if d.s.FetchPrice > 0 && (len(d.ring) != len(d.fleet) || slices.ContainsFunc(d.ring, gone)) {
+	if len(d.ring) != len(d.fleet) || slices.ContainsFunc(d.ring, gone) {
 		d.ring = append(d.ring[:0], d.fleet...)
 		slices.SortFunc(d.ring, func(a, b *worker) int { return cmp.Compare(a.hash, b.hash) })
 	}
