--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -155,6 +155,8 @@
 	ending    core.Deadline
 	endBy     time.Duration
 	halfEnded bool
+	skimming  bool // what comes is dropped
+	skimmed   int  // bytes of it so far
 
 	reading sync.Mutex // guards what follows
 	flight  int        // buffers on their way to the owner
@@ -232,6 +234,14 @@
 	a.gate.close()
 }
 
+// Open is the number of its connections that have not ended, those that linger
+// included; before Close, one that is waited for may be among them.
+func (a *Acceptor) Open() int {
+	a.gate.mu.Lock()
+	defer a.gate.mu.Unlock()
+	return a.gate.open
+}
+
 // gate bounds connections of one kind.
 type gate struct {
 	mu   sync.Mutex
@@ -440,25 +450,46 @@
 	c.reading.Unlock()
 }
 
-// Resume reads on.
+// Resume reads on, unless what comes is skimmed.
 func (c *Conn) Resume() {
+	if c.skimming {
+		return
+	}
 	c.again(func() { c.paused = false })
 }
 
 // Quiet tells whether nothing of the peer's is on its way to the owner, neither
 // in a buffer nor unread in the socket: a close now crosses nothing that is here.
 func (c *Conn) Quiet() bool {
+	bytes, _ := c.unread()
+	return !bytes
+}
+
+// Resting tells whether the connection is open and nothing of the peer's is
+// here that the owner has not taken in, its end included: what is asked now
+// cannot be answered by what came before.
+func (c *Conn) Resting() bool {
+	bytes, end := c.unread()
+	return !bytes && !end
+}
+
+// unread tells whether bytes of the peer's are here that the owner has not
+// taken in, and, where there are none, whether the connection is at its end.
+func (c *Conn) unread() (bytes, end bool) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	if c.Handle == 0 || c.flight > 0 || c.stalled {
-		return c.Handle == 0
+	if c.Handle == 0 {
+		return false, true
+	}
+	if c.flight > 0 {
+		return true, false
 	}
-	quiet := true
+	end = true // unless there is a descriptor to ask
 	c.control(func(fd int) {
 		n, _, err := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err != nil || n == 0
+		bytes, end = err == nil && n > 0, err != syscall.EAGAIN && n <= 0
 	})
-	return quiet
+	return bytes, end
 }
 
 // control calls f with the descriptor, which is ours as long as nbio has not closed it.
@@ -815,6 +846,9 @@
 const (
 	lingerFor  = time.Second
 	lingerStep = 5 * time.Millisecond
+
+	// Lingering is how long an ended connection may stay, until it is closed for good.
+	Lingering = lingerFor + 2*severTime
 )
 
 // End closes the connection once all that was written has left and the peer
@@ -838,21 +872,44 @@
 		c.Close()
 		return
 	}
+	if _, more := c.skip(); !more {
+		c.Close()
+		return
+	}
+	if !c.halfEnded && c.Passed(c.asked) {
+		c.halfEnded = true
+		c.control(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) })
+	}
+	c.engine.Loop.Set(&c.ending, min(now+lingerStep, c.endBy))
+}
+
+// skip reads a buffer and drops it; false: the peer's end has come.
+func (c *Conn) skip() (n int, more bool) {
 	b := c.engine.Pool.Get()
 	n, err := c.nb.Read(b.array)
 	if n > 0 {
 		b.grow(n)
 	}
 	c.engine.Pool.Put(b)
-	if n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR {
-		c.Close()
+	return n, n > 0 || err == syscall.EAGAIN || err == syscall.EINTR
+}
+
+// Skim drops what the peer sends from now on, one buffer a step and so many
+// bytes at the most. The owner gets none of it, but hears of the peer's end,
+// which else would not come through behind bytes that nobody reads.
+func (c *Conn) Skim(most int) {
+	if c.Handle == 0 || c.endBy > 0 || c.skimming {
 		return
 	}
-	if !c.halfEnded && c.Passed(c.asked) {
-		c.halfEnded = true
-		c.control(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) })
+	c.skimming = true
+	c.Pause()
+	c.ending.Fire = func() {
+		n, more := c.skip()
+		if c.skimmed += max(n, 0); more && c.skimmed < most { // of its end the poller hears
+			c.engine.Loop.Set(&c.ending, c.engine.Loop.Now()+lingerStep)
+		}
 	}
-	c.engine.Loop.Set(&c.ending, min(now+lingerStep, c.endBy))
+	c.ending.Fire()
 }
 
 // Open is the number of connections in their slots.
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -406,3 +406,98 @@
 		t.Errorf("%d may be dialed, more than at first", e.dials.most)
 	}
 }
+
+func skimmed(e *Engine, c *Conn) (n int) {
+	do(e, func() { n = c.skimmed })
+	return n
+}
+
+// What is skimmed is bounded and reaches no owner; the peer's end, which waits
+// behind it, is heard.
+func TestSkim(t *testing.T) {
+	e := engine(t, 100)
+	w := newWatcher(e)
+	opened := make(chan *Conn, 2)
+	a, err := e.Listen("127.0.0.1:0", 20, true, func(c *Conn) Owner { c.Skim(1 << 20); opened <- c; return w }, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		bytes int
+		heard bool
+	}{{0, true}, {100, true}, {700 << 10, true}, {64 << 20, false}} {
+		conn, err := stdnet.Dial("tcp", a.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := receive(t, opened)
+		sent := make(chan int, 1)
+		go func() {
+			n, _ := conn.Write(make([]byte, x.bytes))
+			conn.Close()
+			sent <- n
+		}()
+		if !x.heard { // it stops for good, so that the peer gets no further than the system's buffers
+			for end, last, since := time.Now().Add(patience), skimmed(e, c), time.Now(); last < 1<<20 || time.Since(since) < 50*lingerStep; time.Sleep(lingerStep) {
+				if now := skimmed(e, c); now != last {
+					last, since = now, time.Now()
+				}
+				if time.Now().After(end) {
+					t.Fatalf("%d bytes were skimmed, and it does not stop", last)
+				}
+			}
+			if n := skimmed(e, c); n > 1<<20+BufferSize {
+				t.Errorf("%d bytes were skimmed, %d at the most", n, 1<<20)
+			}
+			do(e, c.Close)
+			receive(t, sent)
+			continue
+		}
+		w.gone(t)
+		if n := receive(t, sent); n != x.bytes || len(w.data) > 0 {
+			t.Errorf("%d of %d bytes sent, the owner got %d pieces", n, x.bytes, len(w.data))
+		}
+	}
+}
+
+// A connection rests only while nothing of the peer's is here that its owner has
+// not got: no bytes, read or unread, and no end.
+func TestResting(t *testing.T) {
+	for name, act := range map[string]func(*stdnet.TCPConn){
+		"nothing": func(*stdnet.TCPConn) {},
+		"a byte":  func(c *stdnet.TCPConn) { c.Write([]byte("x")) },
+		"its end": func(c *stdnet.TCPConn) { c.CloseWrite() },
+		"a reset": func(c *stdnet.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		for _, paused := range []bool{false, true} {
+			e := engine(t, 100)
+			w := newWatcher(e)
+			opened := make(chan *Conn, 1)
+			a, err := e.Listen("127.0.0.1:0", 20, true, func(c *Conn) Owner { opened <- c; return w }, func() {})
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn, err := stdnet.Dial("tcp", a.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := receive(t, opened)
+			do(e, func() {
+				if paused {
+					c.Pause()
+				}
+				if !c.Resting() || !c.Quiet() {
+					t.Errorf("%s: it does not rest at first", name)
+				}
+				act(conn.(*stdnet.TCPConn)) // on loopback it is here when the call returns
+				if c.Resting() != (name == "nothing") {
+					t.Errorf("%s, paused %v: resting is %v", name, paused, c.Resting())
+				}
+				if c.Quiet() != (name != "a byte") {
+					t.Errorf("%s, paused %v: quiet is %v", name, paused, c.Quiet())
+				}
+			})
+			conn.Close()
+		}
+	}
+}
