--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,16 +16,17 @@
 
 // Job is what a req asks for, in no wire's words.
 type Job struct {
-	ID     string // the client's name for it
-	Class  int
-	Key    string // what it concerns; may be empty
-	Target string // path and query as the client wrote them; empty where its wire has none
-	Body   []byte // valid until Release
-	Slots  float64
-	Work   time.Duration // hinted run time; 0: no hint
-	Left   time.Duration // how long the client waits, from Since on; 0: as long as the class says
-	Since  time.Duration // clock time from which Left runs
-	Retry  bool          // marked as a client's repeat
+	ID             string // the client's name for it
+	Class          int
+	Key            string // what it concerns; may be empty
+	Target         string // path and query as the client wrote them; empty where its wire has none
+	IdempotencyKey string // the client's idempotency key, by which backends know a repeat; may be empty
+	Body           []byte // valid until Release
+	Slots          float64
+	Work           time.Duration // hinted run time; 0: no hint
+	Left           time.Duration // how long the client waits, from Since on; 0: as long as the class says
+	Since          time.Duration // clock time from which Left runs
+	Retry          bool          // marked as a client's repeat
 
 	Release func() // called once, when the job's bytes are needed no more; may be nil
 	Lease   Lease  // asked before each fetch of a job that is leased; nil: it is not
--- a/internal/durable/request.go
+++ b/internal/durable/request.go
@@ -19,11 +19,12 @@
 
 // Request is what such a client asked for.
 type Request struct {
-	Target string
-	Key    string // what it concerns
-	Body   []byte
-	Slots  float64
-	Work   time.Duration
+	Target         string
+	Key            string // what it concerns
+	IdempotencyKey string `json:"-"` // the client's idempotency key, which the job's id holds
+	Body           []byte
+	Slots          float64
+	Work           time.Duration
 }
 
 // RequestID is the id of the job under a key.
@@ -37,7 +38,9 @@
 
 // ReadRequest reads what a job asks for; false: it came by another wire.
 func ReadRequest(j jobs.Job) (r Request, is bool) {
-	is = strings.HasPrefix(j.ID, requestPrefix) && json.Unmarshal(j.Payload, &r) == nil
+	if r.IdempotencyKey, is = strings.CutPrefix(j.ID, requestPrefix); is {
+		is = json.Unmarshal(j.Payload, &r) == nil
+	}
 	return r, is
 }
 
--- a/internal/faktory/durable.go
+++ b/internal/faktory/durable.go
@@ -123,7 +123,7 @@
 		if !known {
 			return core.Job{}, errUnknown
 		}
-		return core.Job{ID: j.ID, Class: class, Target: r.Target, Key: r.Key, Body: r.Body, Slots: r.Slots, Work: r.Work}, nil
+		return core.Job{ID: j.ID, Class: class, Target: r.Target, Key: r.Key, IdempotencyKey: r.IdempotencyKey, Body: r.Body, Slots: r.Slots, Work: r.Work}, nil
 	}
 	job, _, err := readJob(j.Payload, s.classes, s.core.Loop.Now())
 	return job, err
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -234,6 +234,9 @@
 		out = append(out, l.b.dial...)
 		out = append(out, "\r\nX-Correlation-Id: "...)
 		out = append(out, j.ID...)
+		if j.IdempotencyKey != "" {
+			out = append(append(out, "\r\nIdempotency-Key: "...), j.IdempotencyKey...)
+		}
 		out = append(out, "\r\nX-Time-Left-Ms: "...)
 		out = strconv.AppendInt(out, max((l.job.Deadline-now).Milliseconds(), 1), 10)
 		out = append(out, "\r\nContent-Length: "...)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -690,7 +690,7 @@
 	if !isID(id) {
 		return errors.New("X-Correlation-Id is not of 1 to 128 letters, digits or -._:~+/=@")
 	}
-	job.ID, job.Target = string(id), string(m.b)
+	job.ID, job.Target, job.IdempotencyKey = string(id), string(m.b), string(m.get("Idempotency-Key"))
 	path, _, _ := bytes.Cut(m.b, []byte("?"))
 	if i := bytes.LastIndexByte(path, '/'); i > 0 {
 		job.Key = string(path[i+1:])
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -314,7 +314,7 @@
 	if v := string(m.c); v != "HTTP/1.1" && v != "HTTP/1.0" || !isToken(m.a) || !isTarget(m.b) {
 		return false, false, errMalformed
 	}
-	for _, name := range []string{"X-Correlation-Id", "X-Time-Left-Ms"} {
+	for _, name := range []string{"X-Correlation-Id", "X-Time-Left-Ms", "Idempotency-Key"} {
 		if m.count(name) > 1 { // which one counts, others may see otherwise
 			return false, false, errMalformed
 		}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -104,6 +104,7 @@
 	{"POST /renewal/\x01 HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 4\r\n\r\ndone", 400, true},
 	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id : IDENTITY\r\nContent-Length: 4\r\n\r\ndone", 400, true},
 	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nx-correlation-id: other\r\nContent-Length: 4\r\n\r\ndone", 400, true},
+	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 4\r\n\r\ndone", 400, true},
 	{"POST /renewal/k HTTP/1.1\r\nX-Time-Left-Ms: 9\r\nX-Time-Left-Ms: 9\r\nContent-Length: 4\r\n\r\ndone", 400, true},
 	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone", 400, true},
 	{"POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: IDENTITY\r\nContent-Length: -4\r\n\r\ndone", 400, true},
