--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -829,8 +829,8 @@
 	out   bool // a call is out
 	conn  *net.Conn
 	in    *net.Buffer
-	text  *net.Buffer
-	seen  int  // bytes of it that hold no end of the head
+	text  objects
+	seen  int  // bytes of in that hold no end of the head
 	ok    bool // the head of the answer has come
 	live  bool // and its first line
 	chunk chunks
@@ -944,11 +944,10 @@
 func (w *watch) drop() {
 	w.set.core.Loop.Clear(&w.due)
 	w.set.engine.Pool.Put(w.in)
-	w.set.engine.Pool.Put(w.text)
 	if w.conn != nil {
 		w.conn.Close()
 	}
-	w.in, w.text, w.conn, w.out, w.ok, w.live, w.chunk, w.seen = nil, nil, nil, false, false, false, chunks{}, 0
+	w.in, w.text, w.conn, w.out, w.ok, w.live, w.chunk, w.seen = nil, objects{}, nil, false, false, false, chunks{}, 0
 	w.turn++
 }
 
@@ -973,12 +972,21 @@
 		w.set.engine.Pool.Put(b)
 		return
 	}
-	if !collect(&w.set.engine.Pool, &w.in, b) {
-		w.fail("more than a buffer at once")
-		return
-	}
-	if err := w.read(); err != nil {
-		w.fail(err.Error())
+	defer w.set.engine.Pool.Put(b)
+	for w.conn == c && len(b.Bytes()) > 0 {
+		if w.in == nil {
+			w.in = w.set.engine.Pool.Get()
+		}
+		n := w.in.Fill(b.Bytes())
+		b.Cut(n)
+		err := w.read()
+		if err == nil && n == 0 {
+			err = errMalformed // no room for the end of what is a line at the most
+		}
+		if err != nil && w.conn == c {
+			w.fail(err.Error())
+			return
+		}
 	}
 }
 
@@ -1018,26 +1026,14 @@
 
 func (w *watch) lines(data []byte) error {
 	for conn := w.conn; len(data) > 0 && w.conn == conn; {
-		if w.text == nil {
-			w.text = w.set.engine.Pool.Get()
-		}
-		end := bytes.IndexByte(data, '\n')
-		part := data
-		if end >= 0 {
-			part = data[:end]
-		}
-		if !w.text.Add(part) {
-			return errors.New("a line is longer than a buffer")
+		object, used, whole, err := w.text.next(data)
+		if err != nil {
+			return err
 		}
-		if end < 0 {
-			return nil
+		if data = data[used:]; !whole {
+			continue
 		}
-		data = data[end+1:]
-		line := w.text
-		w.text = nil
-		err := w.line(bytes.TrimSpace(line.Bytes()))
-		w.set.engine.Pool.Put(line)
-		if err != nil {
+		if err := w.line(object); err != nil {
 			return err
 		}
 	}
