--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -116,7 +116,7 @@
 func NewBackends(c *core.Core, e *net.Engine, discovery string) *Backends {
 	s := &Backends{core: c, engine: e, hosts: map[string]*backend{}, lines: map[uint64]*line{}, hold: holdTime}
 	s.watch = watch{set: s, addr: discovery}
-	s.watch.due.Fire = func() { s.watch.fail("silent") }
+	s.watch.due.Fire = s.watch.expire
 	s.due.Fire = func() { s.begin(nil) }
 	c.Listen(s)
 	return s
@@ -833,6 +833,7 @@
 	seen  int  // bytes of in that hold no end of the head
 	ok    bool // the head of the answer has come
 	live  bool // and its first line
+	mute  bool // an agent that does not answer: the log tells so
 	chunk chunks
 	due   core.Deadline
 }
@@ -842,8 +843,38 @@
 	watchConnect = time.Second
 	watchCall    = 3 * time.Second // for the first line: discovery takes calls in turn
 	watchLine    = 3 * time.Second // between lines; one comes every 2 s at the latest
+
+	// Where lists are pushed, an agent on this machine has them. It answers at
+	// once and at no cost, and what it has counts as told, watch or not: a call
+	// that is not answered, and the pause to the next, must both fit into the
+	// time that a drain leaves.
+	agentCalls = 4 // part of that time that a call may take
+	agentRests = 8 // part of it from a call that failed to the next
+	leastRest  = 10 * time.Millisecond
 )
 
+// pushed tells whether lists come from an agent, which is called without the module's word.
+func (w *watch) pushed() bool { return !w.set.core.Settings.AskForList }
+
+// patience is how long a call may take up to its first line.
+func (w *watch) patience() (connect, call time.Duration) {
+	if !w.pushed() {
+		return watchConnect, watchCall
+	}
+	part := max(w.set.core.Settings.DrainGrace/agentCalls, 2*leastRest)
+	return part, part
+}
+
+// expire ends a call or a watch on which nothing has come in time. An agent may
+// have answered while the loop was late.
+func (w *watch) expire() {
+	if w.conn != nil && !w.conn.Quiet() {
+		w.set.core.Loop.Set(&w.due, w.set.core.Loop.Now()+leastRest)
+		return
+	}
+	w.fail("silent")
+}
+
 // hosts is a list of backends as discovery words it.
 type hosts struct {
 	Seq   int64  `json:"seq"`
@@ -885,7 +916,7 @@
 			s.first[e.Worker] = e
 		}
 	}
-	if s.watch.addr == "" || s.core.Settings.Herd() { // the module says when to call
+	if s.watch.addr == "" || s.core.Settings.AskForList && s.core.Settings.Herd() { // the module says when to call
 		s.begin(nil)
 		return nil
 	}
@@ -922,8 +953,9 @@
 	w.out = true
 	turn := w.turn
 	loop := w.set.core.Loop
-	loop.Set(&w.due, loop.Now()+watchConnect+watchCall)
-	w.set.engine.Dial(w.addr, watchConnect, w, func(c *net.Conn, err error) {
+	connect, call := w.patience()
+	loop.Set(&w.due, loop.Now()+connect+call)
+	w.set.engine.Dial(w.addr, connect, w, func(c *net.Conn, err error) {
 		switch {
 		case turn != w.turn:
 			if c != nil {
@@ -933,7 +965,7 @@
 			w.fail(err.Error())
 		default:
 			w.conn = c
-			loop.Set(&w.due, loop.Now()+watchCall)
+			loop.Set(&w.due, loop.Now()+call)
 			c.Write([]byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
 				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n"))
 		}
@@ -951,12 +983,27 @@
 	w.turn++
 }
 
-// fail ends a call that brought nothing, or a watch that broke. The module says when to ask again.
+// fail ends a call that brought nothing, or a watch that broke. The module says
+// when to ask again, but for an agent, which is called again at once: the list
+// known at the start then waits for its whole time.
 func (w *watch) fail(why string) {
 	w.drop()
-	w.set.core.Log("discovery: " + why)
-	w.set.begin(nil)
-	w.set.core.List(w.set, hollyyoke.ListError, nil)
+	if !w.pushed() {
+		w.set.core.Log("discovery: " + why)
+		w.set.begin(nil)
+		w.set.core.List(w.set, hollyyoke.ListError, nil)
+		return
+	}
+	if !w.mute {
+		w.mute = true // an outage has one line in the log, not one for each call
+		w.set.core.Log("discovery: " + why)
+	}
+	loop, turn := w.set.core.Loop, w.turn
+	loop.After(max(w.set.core.Settings.DrainGrace/agentRests, leastRest), func() {
+		if turn == w.turn {
+			w.open()
+		}
+	})
 }
 
 // Closed is told that discovery ended the call.
@@ -1045,7 +1092,7 @@
 	loop := w.set.core.Loop
 	loop.Set(&w.due, loop.Now()+watchLine)
 	first := !w.live
-	w.live = true
+	w.live, w.mute = true, false
 	if len(text) == 0 && w.set.first != nil {
 		w.set.begin(nil)
 		return nil
