--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,8 @@
 	Backend  string
 	Job      *Job
 	Deadline time.Duration // when the client gives up
+	Until    time.Duration // a repeat that may run twice from then on must have left whole by then; 0: no bound
+	Settled  bool          // an answer to another request, taken for this one's, could make it run twice
 	Copy     int           // how many attempts came before
 	Fence    uint64        // of its lease; 0: it has none
 }
@@ -182,7 +184,8 @@
 }
 
 type attempt struct {
-	fetch    uint64 // 0: never started
+	fetch    uint64        // 0: never started
+	at       time.Duration // when it was assigned; its request leaves later
 	neverRan bool
 }
 
@@ -611,7 +614,8 @@
 		return
 	}
 	h := c.fetches.Put(&fetch{req: handle, attempt: n, backend: backend, carrier: l.source})
-	r.attempts = append(r.attempts, attempt{fetch: h})
+	until := c.until(r)
+	r.attempts = append(r.attempts, attempt{fetch: h, at: c.Loop.Now()})
 	r.out++
 	c.counts.Fetches++
 	if charge > 0 && c.Charged != nil {
@@ -620,7 +624,10 @@
 	if c.Trace != nil {
 		c.Trace(r.job.ID, "fetch", "copy", n, "backend", backend, "charge", charge)
 	}
-	start := Fetch{Handle: h, Backend: backend, Job: &r.job, Deadline: r.deadline, Copy: n}
+	start := Fetch{
+		Handle: h, Backend: backend, Job: &r.job, Deadline: r.deadline, Until: until, Copy: n,
+		Settled: c.Settings.Classes[r.job.Class].Repeat != hollyyoke.Retryable,
+	}
 	if r.job.Lease == nil {
 		l.source.Start(start)
 		return
@@ -641,6 +648,20 @@
 	})
 }
 
+// until is the last moment for a repeat of a req to leave, 0 where nothing binds
+// it: backends drop a repeat that arrives within the window of the first attempt
+// that may have run. It counts from before that one left, and half of the time
+// allowed for a connect, which goes there and back, is left to the way.
+func (c *Core) until(r *req) (until time.Duration) {
+	class := &c.Settings.Classes[r.job.Class]
+	for _, a := range r.attempts {
+		if end := a.at + class.Window - c.Settings.ConnectTimeout/2; class.Repeat == hollyyoke.Dedup && !a.neverRan && (until == 0 || end < until) {
+			until = end
+		}
+	}
+	return until
+}
+
 // stop gives a fetch up. If it is known never to have run, that is what is told.
 func (c *Core) stop(handle uint64, o hollyyoke.Outcome) {
 	f := c.fetches.Get(handle)
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -26,6 +26,7 @@
 // Backends carries fetches to the backends that discovery lists.
 type Backends struct {
 	hold   time.Duration // holdTime; tests that play the other end take longer
+	calm   time.Duration // settleTime; likewise
 	core   *core.Core
 	engine *net.Engine
 	hosts  map[string]*backend
@@ -81,6 +82,8 @@
 	last    bool
 	status  int
 	due     core.Deadline // connect, probe, idle or clearing time
+	rested  time.Duration // since when it is idle
+	until   time.Duration // and when it is closed for that, however late the loop is
 	lost    bool          // dialed in vain: whoever wanted it has gone
 	over    bool          // the answer has ended
 	kept    bool          // it has been idle: it may be dead unseen
@@ -101,6 +104,11 @@
 	clearTime  = time.Second // for the rest of an answer whose outcome is known
 	drainSlack = 100 * time.Millisecond
 
+	// settleTime is how long a connection has been idle before a request goes out
+	// on it that must not run twice. A second answer to the one before may come
+	// some milliseconds late; it names no request where it says that nothing ran.
+	settleTime = 20 * time.Millisecond
+
 	// holdTime is how long the last byte of a request stays back. A connection
 	// that the backend has closed, or closes on the request, shows it by then,
 	// most of them at once; and a request that broke off before its last byte
@@ -114,7 +122,7 @@
 
 // NewBackends returns a carrier that follows discovery at addr.
 func NewBackends(c *core.Core, e *net.Engine, discovery string) *Backends {
-	s := &Backends{core: c, engine: e, hosts: map[string]*backend{}, lines: map[uint64]*line{}, hold: holdTime}
+	s := &Backends{core: c, engine: e, hosts: map[string]*backend{}, lines: map[uint64]*line{}, hold: holdTime, calm: settleTime}
 	s.watch = watch{set: s, addr: discovery}
 	s.watch.due.Fire = s.watch.expire
 	s.due.Fire = func() { s.begin(nil) }
@@ -140,7 +148,7 @@
 		s.core.Ended(f.Handle, hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
 		return
 	}
-	l := b.take()
+	l := b.take(f.Settled)
 	if l == nil {
 		l = s.dial(b)
 	}
@@ -151,13 +159,22 @@
 	}
 }
 
-// take returns an idle connection that is still open, the newest first.
-func (b *backend) take() *line {
-	if n := len(b.idle); n > 0 {
-		l := b.idle[n-1]
-		b.idle = b.idle[:n-1]
-		l.set.core.Loop.Clear(&l.due)
-		return l
+// take returns an idle connection that is still open and on which nothing has
+// come, the newest first, or the newest that has settled. One on which something
+// has come, or that the backend may have closed by now, is closed.
+func (b *backend) take(settled bool) *line {
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		l := b.idle[i]
+		now := l.set.core.Loop.Now()
+		if settled && now-l.rested < l.set.calm {
+			continue
+		}
+		b.idle = slices.Delete(b.idle, i, i+1)
+		if l.conn.Resting() && (l.until == 0 || now < l.until) {
+			l.set.core.Loop.Clear(&l.due)
+			return l
+		}
+		l.close()
 	}
 	return nil
 }
@@ -220,6 +237,11 @@
 		l.rest()
 		return
 	}
+	if l.expired(now) {
+		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
+		l.rest()
+		return
+	}
 	out := s.out[:0]
 	if l.probe {
 		s.core.Loop.Set(&l.due, now+probeTime) // here, so that one on a new connection has it too
@@ -262,10 +284,25 @@
 	}
 	if l.held {
 		s.core.Loop.Set(&l.due, now+s.hold)
+	} else {
+		l.bound()
 	}
 	l.tellSent()
 }
 
+// expired tells whether a repeat must not leave any more.
+func (l *line) expired(now time.Duration) bool {
+	return l.fetch != 0 && l.job.Until > 0 && now >= l.job.Until
+}
+
+// bound sees to it that a repeat that the socket has not taken whole is given up
+// in time: what waits here would leave whenever the backend makes room.
+func (l *line) bound() {
+	if l.fetch != 0 && l.job.Until > 0 && !l.conn.Passed(l.mark) {
+		l.set.core.Loop.Set(&l.due, l.job.Until)
+	}
+}
+
 // tellSent tells that the fetch's last byte has left, if it has.
 func (l *line) tellSent() {
 	if l.fetch != 0 && l.phase != resting && !l.held && l.conn.Passed(l.mark) {
@@ -282,11 +319,17 @@
 		l.settle(hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
 		return
 	}
+	if l.expired(s.core.Loop.Now()) {
+		l.close()
+		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
+		return
+	}
 	if !l.conn.Write([]byte{l.tail}) {
 		l.close()
 		l.unsent()
 		return
 	}
+	l.bound()
 	l.tellSent()
 }
 
@@ -301,7 +344,7 @@
 	}
 	fresh := l.fresh || !l.kept
 	l.fetch = 0
-	n := l.b.take()
+	n := l.b.take(l.job.Settled)
 	if n == nil {
 		n = s.dial(l.b)
 	}
@@ -343,6 +386,15 @@
 	case l.probe:
 		l.fail(hollyyoke.Overdue)
 		l.close()
+	case l.fetch != 0 && l.phase == waiting: // the time of a repeat is over
+		if l.conn.Passed(l.mark) {
+			return
+		}
+		o := hollyyoke.Superseded
+		if l.close(); l.conn.Passed(l.mark) { // it left meanwhile
+			o = hollyyoke.Severed
+		}
+		l.settle(o, hollyyoke.Load{}, nil)
 	default:
 		l.unlist()
 		l.close()
@@ -381,9 +433,8 @@
 		l.lost = true
 		return true
 	}
-	neverRan = l.phase == resting || !l.conn.Passed(l.mark)
-	l.close()
-	return neverRan
+	l.close() // first: until then what waits here may still leave, on another goroutine
+	return l.phase == resting || !l.conn.Passed(l.mark)
 }
 
 // rest keeps the line for the next fetch, for a while.
@@ -397,13 +448,14 @@
 		l.close()
 		return
 	}
-	l.kept = true
+	l.kept, l.rested, l.until = true, l.set.core.Loop.Now(), 0
 	if l.b.idle = append(l.b.idle, l); len(l.b.idle) > l.set.mostIdle() { // the one unused longest goes
 		l.b.idle[0].close()
 		l.b.idle = l.b.idle[1:]
 	}
 	if idle := l.set.core.Settings.ConnIdle; idle > 0 {
-		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+max(idle-idleMargin, idle/2))
+		l.until = l.rested + max(idle-idleMargin, idle/2)
+		l.set.core.Loop.Set(&l.due, l.until)
 	}
 }
 
@@ -462,7 +514,7 @@
 	if b == nil {
 		return
 	}
-	l := b.take()
+	l := b.take(false)
 	if l == nil {
 		l = s.dial(b)
 	}
