--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -720,6 +720,143 @@
 	}
 }
 
+// SIGTERM while the program still reads what it is told is a planned end too: the
+// configuration comes through a pipe here, and only after the signal.
+func TestTermDuringTheStart(t *testing.T) {
+	w := &world{t: t}
+	w.backend("s-1", done)
+	w.start() // for a whole configuration
+	w.cmd.Process.Kill()
+	w.cmd.Wait()
+	raw, err := os.ReadFile(w.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.path = filepath.Join(t.TempDir(), "pipe")
+	if err := syscall.Mkfifo(w.path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.launch()
+	in, err := os.OpenFile(w.path, os.O_WRONLY, 0) // goes on once the program reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.signal(syscall.SIGTERM)
+	w.signal(syscall.SIGHUP)
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.cmd.Process.Pid))
+	for end := time.Now().Add(patience); err == nil && pending(status); status, err = os.ReadFile(fmt.Sprintf("/proc/%d/status", w.cmd.Process.Pid)) {
+		if time.Now().After(end) {
+			t.Fatal("the signals do not reach it")
+		}
+	}
+	in.Write(raw) // fails where the signal has ended the program
+	in.Close()
+	if code := w.ended(); code != 0 {
+		t.Errorf("exit code %d, want a planned end", code)
+	}
+	if !strings.Contains(w.log.String(), "stopped: taken 0") {
+		t.Error("it did not end as planned")
+	}
+}
+
+// pending tells whether signals wait to be taken, by the words of /proc.
+func pending(status []byte) bool {
+	for line := range strings.Lines(string(status)) {
+		if name, bits, _ := strings.Cut(line, ":"); name == "ShdPnd" || name == "SigPnd" {
+			if strings.Trim(bits, " \t\n0") != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// At a planned end an answer that is owed reaches a client that goes on sending,
+// and one that reads it late; a client that rests until the end hears of it in
+// order; nothing that comes after the window reaches a backend.
+func TestPlannedEndBesideBusyClients(t *testing.T) {
+	w := &world{t: t}
+	release, arrived := make(chan struct{}), make(chan struct{}, 2)
+	big := strings.Repeat("made ", 12<<10)
+	slow := func(id string, conn net.Conn) bool {
+		if !strings.HasPrefix(id, "slow") {
+			return done(id, conn)
+		}
+		arrived <- struct{}{}
+		<-release
+		text := fmt.Sprintf(`{"id":%q,"state":"done","result":%q}`+"\n", id, big)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+		return true
+	}
+	a, b := w.backend("s-1", slow), w.backend("s-2", slow)
+	w.start()
+	dial := func(text string) (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", w.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(patience))
+		io.WriteString(conn, text)
+		return conn, bufio.NewReader(conn)
+	}
+	job := func(id string) string {
+		return "POST /renewal/k HTTP/1.1\r\nX-Correlation-Id: " + id + "\r\nContent-Length: 4\r\n\r\nbody"
+	}
+	_, resting := dial(job("usual"))
+	if resp, err := http.ReadResponse(resting, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%+v, %v", resp, err)
+	} else {
+		io.Copy(io.Discard, resp.Body)
+	}
+	late, lateIn := dial(job("slow-1"))
+	sending, sendingIn := dial(job("slow-2"))
+	<-arrived
+	<-arrived
+	go func() {
+		for junk := make([]byte, 4<<10); ; {
+			if _, err := sending.Write(junk); err != nil {
+				return
+			}
+		}
+	}()
+	w.signal(syscall.SIGTERM)
+	if _, err := resting.ReadByte(); err != io.EOF { // the window is over
+		t.Errorf("a resting session ends with %v", err)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", w.listen)
+		if err != nil {
+			break
+		}
+		conn.Close()
+		if time.Now().After(end) {
+			t.Fatal("it goes on listening")
+		}
+	}
+	io.WriteString(late, job("after-the-end"))
+	close(release)
+	for name, in := range map[string]*bufio.Reader{"that reads late": lateIn, "that goes on sending": sendingIn} {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Errorf("a client %s: %v", name, err)
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		if resp.StatusCode != 200 || string(body) != big || err != nil {
+			t.Errorf("a client %s: %d, %d bytes, %v", name, resp.StatusCode, len(body), err)
+		}
+	}
+	if code := w.ended(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	for _, got := range append(a.arrivals(), b.arrivals()...) {
+		if strings.HasPrefix(got, "after") {
+			t.Errorf("sent on after the end: %s", got)
+		}
+	}
+}
+
 // The Faktory front runs beside the platform's, on the same backends.
 func TestFaktoryFront(t *testing.T) {
 	w := &world{t: t}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -285,3 +285,88 @@
 		t.Fatalf("listed %v", c.listed)
 	}
 }
+
+// windows is a carrier that keeps what it is told of the windows for repeats.
+type windows struct {
+	model
+	got []Fetch
+}
+
+func (w *windows) Start(f Fetch) { w.got = append(w.got, f) }
+
+// A repeat must leave within the window of the first attempt that may have run,
+// less the way there; an attempt that never ran opens none. No other class is bound.
+func TestRepeatsKeepToTheWindow(t *testing.T) {
+	const window, connect = 2 * time.Second, 200 * time.Millisecond
+	for _, x := range []struct {
+		name   string
+		repeat hollyyoke.Repeat
+		ends   []hollyyoke.Outcome
+		opened []int // the attempt whose window binds; -1: none
+	}{
+		{"may have run at once", hollyyoke.Dedup, []hollyyoke.Outcome{hollyyoke.Errored}, []int{-1, 0}},
+		{"never ran", hollyyoke.Dedup, []hollyyoke.Outcome{hollyyoke.RefusedConn}, []int{-1, -1}},
+		{"may be repeated", hollyyoke.Retryable, []hollyyoke.Outcome{hollyyoke.Errored}, []int{-1, -1}},
+		{"must not run twice", hollyyoke.Fragile, []hollyyoke.Outcome{hollyyoke.RefusedConn}, []int{-1, -1}},
+	} {
+		now := time.Hour
+		c, err := New(NewVirtual(func() time.Duration { return now }), hollyyoke.Settings{
+			Classes: []hollyyoke.Class{{Worth: 3, Aim: 300 * time.Millisecond, Deadline: 9 * time.Second, Repeat: x.repeat, Window: window}},
+			Tick:    time.Millisecond, MaxAttempts: 4, Cancel: true, ConnectTimeout: connect, MaxRetryAfter: time.Second,
+		}, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := &windows{}
+		w.states = map[string]hollyyoke.WorkerState{}
+		c.Listen(w)
+		c.List(w, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "a"}, {Worker: "b"}, {Worker: "c"}, {Worker: "d"}})
+		c.Take(answers(func(Answer) {}), 0, Job{ID: "one", Left: 9 * time.Second, Work: 10 * time.Millisecond})
+		var at []time.Duration
+		for i, o := range x.ends {
+			for len(w.got) == i {
+				now += time.Millisecond
+				if c.Loop.Turn(); now > time.Hour+window {
+					t.Fatalf("%s: attempt %d does not come", x.name, i)
+				}
+			}
+			at = append(at, now)
+			now += 50 * time.Millisecond
+			c.Ended(w.got[i].Handle, o, hollyyoke.Load{}, nil)
+		}
+		for len(w.got) == len(x.ends) {
+			now += time.Millisecond
+			if c.Loop.Turn(); now > time.Hour+window {
+				t.Fatalf("%s: the last attempt does not come", x.name)
+			}
+		}
+		for i, f := range w.got {
+			want := time.Duration(0)
+			if n := x.opened[i]; n >= 0 {
+				want = at[n] + window - connect/2
+			}
+			if f.Until != want || f.Settled != (x.repeat != hollyyoke.Retryable) {
+				t.Errorf("%s: attempt %d until %v, want %v; settled %v", x.name, i, f.Until-time.Hour, want-time.Hour, f.Settled)
+			}
+		}
+		for _, y := range []struct {
+			attempts []attempt
+			want     time.Duration
+		}{
+			{[]attempt{{at: 9, neverRan: true}, {at: 20}, {at: 10}}, 10 + window - connect/2},
+			{[]attempt{{at: 9, neverRan: true}, {at: 20, neverRan: true}}, 0},
+		} {
+			if x.repeat != hollyyoke.Dedup {
+				y.want = 0
+			}
+			if got := c.until(&req{attempts: y.attempts}); got != y.want {
+				t.Errorf("%s: after %v until %v, want %v", x.name, y.attempts, got, y.want)
+			}
+		}
+	}
+}
+
+// answers is a front that calls the test on each answer.
+type answers func(Answer)
+
+func (f answers) Answer(_ uint64, a Answer) { f(a) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,9 @@
 	// arrivalWindow is how long new connections and requests may still come after
 	// SIGTERM: 0.4 s by the platform's page, and some for a slow machine.
 	arrivalWindow = 600 * time.Millisecond
+	// lastWindow is how long what was on its way by then may be read. What came
+	// 0.7 s after SIGTERM and SIGKILL finds unanswered is lost.
+	lastWindow = 60 * time.Millisecond
 
 	callPatience  = 300 * time.Millisecond  // for a predecessor to take the call
 	helloPatience = time.Second             // and for its first word
@@ -443,9 +446,10 @@
 			f.close()
 		}
 		if now >= last {
+			f.platform.Shut()
 			d.Finish()
 		}
-		if n.released && d.Owed() == 0 && (f.platform.Sessions() == 0 || now >= last) && !f.faktory.Busy() {
+		if n.released && d.Owed() == 0 && (f.platform.Open() == 0 || now >= last) && !f.faktory.Busy() {
 			loop.After(lastBytes, loop.Stop)
 			return
 		}
@@ -525,7 +529,8 @@
 }
 
 // stop is the planned end: all that comes in the arrival window is served like
-// before, then sessions end between requests, and the last answer ends the program.
+// before, then sessions end between requests, and the front shuts: nothing that
+// comes later is read. The last answer, once it is out, ends the program.
 func (n *node) stop() {
 	d, f, loop := n.core, n.fronts, n.core.Loop
 	n.stopping = true
@@ -541,15 +546,23 @@
 	}
 	f.faktory.Stop()
 	loop.After(arrivalWindow, func() {
-		// For requests that have begun to come in, and for closings that upstream has not taken.
-		if n.inherited { // what comes now waits in the backlog for the next process
+		// For answers that clients have not read yet, and for closings that upstream has not taken.
+		if f.platform != nil { // what comes now waits in the backlog, or is told that nobody listens
 			f.platform.Refrain()
 		}
-		patience, upstream := loop.Now()+time.Second, loop.Now()+8*time.Second
+		shut := loop.Now() + lastWindow
+		patience, upstream := shut+net.Lingering, loop.Now()+8*time.Second
 		var last func()
 		last = func() {
 			ended, now := f.close(), loop.Now()
-			if d.Owed() == 0 && (ended || now > patience && !f.faktory.Busy() || now > upstream) {
+			if f.platform != nil && now >= shut {
+				f.platform.Shut()
+				ended = ended && f.platform.Open() == 0
+			}
+			if d.Owed() > 0 {
+				patience = now + net.Lingering
+			}
+			if now >= shut && d.Owed() == 0 && (ended || now > patience && !f.faktory.Busy() || now > upstream) {
 				// What was answered just now is still on its way out of the sockets.
 				loop.After(lastBytes, loop.Stop)
 				return
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -282,6 +282,9 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	signals := make(chan os.Signal, 4) // likewise: a SIGTERM during the start ends the program as planned
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	l, err := load(f, env)
 	if err != nil {
 		return err
@@ -380,8 +383,6 @@
 			loop.Post(func() { n.reload(next, now, o.Connections, err) })
 		}
 	}()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		loop.Post(n.stop)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -38,6 +38,7 @@
 	away     bool // out of service, for a drain
 	awayAt   time.Duration
 	shared   bool // another process accepts on the same listener
+	shut     bool // nothing is read from clients any more
 	left     bool // to the successor, which is the same dispatcher to those who ask for its health
 	acceptor *net.Acceptor
 	drain    core.Deadline // the drain's next step
@@ -76,6 +77,7 @@
 	served bool          // the answer at hand is a job's that was served
 	over   admit.Reason  // a cap that its half-read request breaks
 	paused bool          // no more is read for now
+	flood  core.Deadline // the next look for more than a session may have unread
 	posted bool          // a turn is on its way
 	scan   scan          // how far the body at hand has been looked at
 	idleAt time.Duration
@@ -99,6 +101,9 @@
 	lateRest    = 300 * time.Millisecond  // for the first byte of a session that comes later
 	drainStep   = 50 * time.Millisecond
 	mostWaiting = 256 << 10 // bytes of answers that a client leaves unread
+
+	floodTime = 50 * time.Millisecond // between looks behind a request that is out
+	mostFlood = 8 << 20               // bytes that are read there to find the client's end
 )
 
 // NewFront returns a front that accepts on addr once Listen is called. Its
@@ -142,8 +147,12 @@
 const frontNumber = 0 // of this front's tokens, at the entry
 
 func (f *Front) accept(c *net.Conn) net.Owner {
+	if f.shut { // it was in the system's queue
+		c.End()
+		return c.Owner
+	}
 	s := &session{front: f, conn: c, idleAt: c.Opened}
-	s.idle.Fire, s.stall.Fire = s.expire, s.stalled
+	s.idle.Fire, s.stall.Fire, s.flood.Fire = s.expire, s.stalled, s.flooded
 	s.token = f.sessions.Put(s)
 	s.id = f.entry.Come(frontNumber, s.token, c.Pass)
 	f.pressed, f.spared = false, false
@@ -279,6 +288,50 @@
 	f.Refrain()
 }
 
+// Shut is the point of no return of a planned end. Nothing is read from clients
+// after it, so nothing of theirs is sent on that comes later. What has been read
+// whole before is answered, also where it is still on its way from the poller; a
+// request that is half read is refused. Said again, it changes nothing.
+func (f *Front) Shut() {
+	if f.shut {
+		return
+	}
+	f.stopping, f.closing, f.shut = true, true, true
+	f.core.Loop.Clear(&f.drain)
+	f.Refrain()
+	f.sessions.All(func(_ uint64, s *session) { s.conn.Pause() })
+	f.core.Loop.Post(func() { // behind all that was read
+		f.sessions.All(func(_ uint64, s *session) { s.shut() })
+	})
+}
+
+// shut ends a session of which all has come in that will.
+func (s *session) shut() {
+	if s.queued && !s.header { // its turn has not come
+		s.queued = false
+		s.read()
+	}
+	switch {
+	case s.gone:
+	case s.busy: // it ends with its answer, and until then is only looked after for its client's end
+		s.last = true
+		s.conn.Resume()
+	case s.in != nil && !s.header:
+		s.reject(errEnding)
+	default:
+		s.end()
+	}
+}
+
+// Open is the number of connections that have not ended, those included that
+// wait for the last answer to be read.
+func (f *Front) Open() int {
+	if f.acceptor == nil {
+		return f.sessions.Len()
+	}
+	return f.acceptor.Open()
+}
+
 // Refrain accepts no more; what comes waits in the backlog for the next process.
 func (f *Front) Refrain() {
 	if f.acceptor != nil { // one that ends before it has begun accepts nothing anyway
@@ -341,11 +394,31 @@
 			s.abuse(admit.Slow)
 		}
 		s.reject(errSlow)
+	case !s.conn.Quiet(): // a request is here, though not read yet
+		s.front.core.Loop.Set(&s.idle, s.front.core.Loop.Now()+lateTime)
 	default:
 		s.end()
 	}
 }
 
+// flooded looks whether more has come behind the request that is out than a
+// session has room for. Guards against a client that sent much and has gone: its
+// end does not come through behind what nobody reads, and its request would be
+// sent on for nobody. Such a session ends with its answer.
+func (s *session) flooded() {
+	switch {
+	case s.gone || !s.paused:
+	case !s.busy || s.conn.Quiet():
+		s.front.core.Loop.Set(&s.flood, s.front.core.Loop.Now()+floodTime)
+	default:
+		s.last = true
+		s.front.engine.Pool.Put(s.in)
+		s.front.engine.Pool.Put(s.next)
+		s.in, s.next = nil, nil
+		s.conn.Skim(mostFlood)
+	}
+}
+
 // abuse books what a peer has done.
 func (s *session) abuse(why admit.Reason) {
 	if s.front.entry.Guards() {
@@ -387,6 +460,7 @@
 	s.front.sessions.Drop(s.token)
 	s.front.core.Loop.Clear(&s.idle)
 	s.front.core.Loop.Clear(&s.stall)
+	s.front.core.Loop.Clear(&s.flood)
 	s.front.engine.Pool.Put(s.in)
 	s.front.engine.Pool.Put(s.next)
 	s.in, s.next, s.gone = nil, nil, true
@@ -407,6 +481,11 @@
 		s.front.engine.Pool.Put(b)
 		return
 	}
+	if s.busy && s.last { // it ends with the answer that is owed: what comes means nothing, but for its end
+		s.front.engine.Pool.Put(b)
+		s.conn.Skim(mostFlood)
+		return
+	}
 	if s.header {
 		s.front.introduce(s, b)
 		return
@@ -518,7 +597,7 @@
 		var chosen *session
 		_, _, ok := f.entry.Admit.Victim(f.core.Loop.Now(), admit.ForMemory, false, func(token uint64) bool {
 			s := f.sessions.Get(token)
-			if s == nil || s.in == nil || s.posted || s.token == f.reader {
+			if s == nil || s.in == nil || s.busy || s.posted || s.token == f.reader {
 				return true
 			}
 			chosen = s
@@ -531,6 +610,9 @@
 	}
 }
 
+// tight tells whether buffers take up so much memory that nothing is read ahead.
+func (f *Front) tight() bool { return 2*f.engine.Pool.Held() > f.memory }
+
 // full tells whether buffers take up as much memory as they may.
 func (f *Front) full() bool { return f.engine.Pool.Held() > f.memory }
 
@@ -551,7 +633,7 @@
 
 // read takes requests out of the buffer until one must be waited for. Guards
 // the other sessions' turns: a client may send hundreds at once, and those
-// behind the one that is out wait in the socket.
+// behind the one that is out and a buffer more wait in the socket.
 func (s *session) read() {
 	s.front.reader = s.token
 	defer func() { s.front.reader = 0 }()
@@ -589,12 +671,13 @@
 			bytes.Equal(m.c, []byte("HTTP/1.0")) && !m.has("Connection", "keep-alive")
 		s.request(&m)
 	}
-	if s.gone {
+	if s.gone || s.busy && s.last || s.front.shut { // the rest is skimmed, or not read at all
 		return
 	}
-	if hold := s.busy || s.next != nil || s.posted; hold != s.paused {
+	if hold := s.next != nil || s.posted || s.busy && s.in != nil && s.front.tight(); hold != s.paused {
 		if s.paused = hold; hold {
 			s.conn.Pause()
+			s.front.core.Loop.Set(&s.flood, s.front.core.Loop.Now()+floodTime)
 		} else {
 			s.conn.Resume()
 		}
@@ -760,7 +843,7 @@
 	default:
 		s.write(502, nil, 0, "")
 	}
-	if s.paused && !s.gone {
+	if (s.paused || s.in != nil) && !s.gone {
 		s.turn() // a request that came early; not from inside the core
 	}
 }
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -28,6 +28,7 @@
 	errBody      = errors.New("body too long")
 	errSlow      = errors.New("the request did not come in time")
 	errMemory    = errors.New("too many requests are half sent")
+	errEnding    = errors.New("the dispatcher is ending")
 	errCaps      = errors.New("too many requests of this address are half sent")
 )
 
@@ -392,7 +393,7 @@
 		return 431
 	case errors.Is(err, errSlow):
 		return 408
-	case errors.Is(err, errMemory), errors.Is(err, errCaps):
+	case errors.Is(err, errMemory), errors.Is(err, errCaps), errors.Is(err, errEnding):
 		return 503
 	}
 	return 400
--- a/internal/platform/keep.go
+++ b/internal/platform/keep.go
@@ -55,7 +55,7 @@
 		s.last = s.last || f.closing
 		s.served = status == 200
 		s.write(status, text, after, "")
-		if s.paused && !s.gone {
+		if (s.paused || s.in != nil) && !s.gone {
 			s.turn()
 		}
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -26,16 +26,20 @@
 	engine *net.Engine
 }
 
-func newRig(t testing.TB) *rig {
+func newRig(t testing.TB, changes ...func(*hollyyoke.Settings)) *rig {
 	t.Helper()
-	c, err := core.New(core.NewLoop(), hollyyoke.Settings{
+	s := hollyyoke.Settings{
 		Classes: []hollyyoke.Class{
 			{Name: "status-check", Worth: 3, LateWorth: 0.25, Aim: 200 * time.Millisecond, Deadline: 5 * time.Second},
 			{Name: "renewal", Worth: 5, LateWorth: 0.5, Aim: 200 * time.Millisecond, Deadline: 8 * time.Second, Repeat: hollyyoke.Fragile},
 		},
 		Tick: time.Millisecond, MaxAttempts: 1, Cancel: true, TellsStart: true, Probing: true, MaxRetryAfter: time.Second,
 		ConnectTimeout: 2 * time.Second, ConnIdle: 10 * time.Second, FreeSlots: "x0", ZoneNames: []string{"here"},
-	}, 1)
+	}
+	for _, change := range changes {
+		change(&s)
+	}
+	c, err := core.New(core.NewLoop(), s, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -507,6 +511,7 @@
 	r, s := newRig(f), newStand(f)
 	r.do(func() {
 		b := NewBackends(r.core, r.engine, "")
+		b.calm = 0 // a connection is used again at once
 		known := fmt.Sprintf(`{"hosts":[{"host":"s","dial":%q,"site":"here","health":"ready"}]}`, s.ln.Addr())
 		if err := b.Known([]byte(known)); err != nil {
 			f.Error(err)
@@ -563,6 +568,7 @@
 	r.do(func() {
 		b = NewBackends(r.core, r.engine, "")
 		b.hold = 400 * time.Millisecond // this end must act within it, however busy the machine is
+		b.calm = 0                      // a connection is used again at once
 		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
 			t.Error(err)
 		}
@@ -648,6 +654,7 @@
 	var b *Backends
 	r.do(func() {
 		b = NewBackends(r.core, r.engine, "")
+		b.calm = 0 // a connection is used again at once
 		known := `{"hosts":[{"host":"s","dial":%q,"health":"ready"},{"host":"silent","dial":%q,"health":"draining"}]}`
 		if err := b.Known(fmt.Appendf(nil, known, s.ln.Addr(), silent.Addr())); err != nil {
 			t.Error(err)
