--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -820,7 +820,11 @@
 			}
 		}
 	}()
+	_, halfIn := dial(strings.TrimSuffix(job("half"), "dy"))
 	w.signal(syscall.SIGTERM)
+	if resp, err := http.ReadResponse(halfIn, nil); err != nil || resp.StatusCode != 503 { // not 408, which comes 2 s after it began
+		t.Errorf("half a request: %+v, %v", resp, err)
+	}
 	if _, err := resting.ReadByte(); err != io.EOF { // the window is over
 		t.Errorf("a resting session ends with %v", err)
 	}
@@ -847,9 +851,16 @@
 			t.Errorf("a client %s: %d, %d bytes, %v", name, resp.StatusCode, len(body), err)
 		}
 	}
+	if _, err := lateIn.ReadByte(); err != io.EOF {
+		t.Errorf("behind the last answer: %v", err)
+	}
+	answered := time.Now() // the client has not closed, and is waited for
 	if code := w.ended(); code != 0 {
 		t.Errorf("exit code %d", code)
 	}
+	if span := time.Since(answered); span < 200*time.Millisecond {
+		t.Errorf("it ended %v after an answer of which it could not know that it was read", span)
+	}
 	for _, got := range append(a.arrivals(), b.arrivals()...) {
 		if strings.HasPrefix(got, "after") {
 			t.Errorf("sent on after the end: %s", got)
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -250,8 +250,7 @@
 		return w
 	}
 	w := d.lower(r, d.pool)
-	left := max(r.aim-d.now, 0).Seconds()
-	price := max(homeBias*d.s.FetchPrice, homeShare)
+	left, price := max(r.aim-d.now, 0).Seconds(), max(homeBias*d.s.FetchPrice, homeShare)
 	if n := d.lowerHome(r); n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
 		return n
 	}
@@ -340,25 +339,28 @@
 
 // allowed is the gate of the rules: open to the class, not draining, no effect that could happen twice.
 func (d *Dispatcher) allowed(r *request, w *worker) bool {
-	if w.State != Running || !r.class.mayRunOn(w) {
+	if w.State != Running || !r.class.mayRunOn(w) || d.sealed(r) {
 		return false
 	}
-	for i := range r.attempts {
-		a := &r.attempts[i]
+	for _, a := range r.attempts {
 		if a.w == w && d.now-a.sent < d.horizon && len(d.fleet) > 1 {
 			return false // it has just failed this job
 		}
-		if a.neverRan || r.class.Repeat == Retryable {
-			continue
-		}
-		if r.class.Repeat == Fragile || r.class.Group != GroupAll && a.w.Zone != w.Zone ||
-			r.class.Group == GroupCell && a.w.Cell != w.Cell || d.now-a.sent >= r.class.Window-d.s.Tick {
+		if !a.neverRan && r.class.Repeat == Dedup && !r.class.Group.holds(a.w, w) {
 			return false
 		}
 	}
 	return true
 }
 
+// sealed tells whether no attempt may follow one that may have run: by the class, or as its window is over.
+func (d *Dispatcher) sealed(r *request) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool {
+		over := r.class.Repeat == Dedup && d.now-a.sent >= r.class.Window-d.s.Tick
+		return !a.neverRan && (over || r.class.Repeat == Fragile)
+	})
+}
+
 // busy tells whether a job would wait there in vain, by what the worker has told.
 func (d *Dispatcher) busy(r *request, w *worker) bool {
 	left := (r.aim - d.now).Seconds() - d.runTime(r, w)
@@ -535,8 +537,7 @@
 // again finds another way for a request whose attempts have failed, as far as its class allows.
 func (d *Dispatcher) again(r *request) {
 	left := d.s.MaxAttempts - len(r.attempts)
-	over := left <= 0 || d.now >= r.deadline || d.worthless(r) || !d.affordable(r)
-	if over || r.class.Repeat == Fragile && r.mayHaveRun() {
+	if left <= 0 || d.now >= r.deadline || d.worthless(r) || d.sealed(r) || !d.affordable(r) {
 		d.giveUp(r)
 		return
 	}
@@ -642,7 +643,7 @@
 	for _, r := range d.live {
 		if !r.late && d.now+seconds(r.work)+d.beat >= r.aim {
 			d.lapse(r)
-		} else if r.queued && d.worthless(r) || r.late && d.inTheWay(r) {
+		} else if r.queued && (d.worthless(r) || d.sealed(r)) || r.late && d.inTheWay(r) {
 			d.giveUp(r)
 		}
 		if a := len(r.attempts) - 1; r.out == 1 && !r.attempts[a].done {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1927,6 +1927,47 @@
 
 // Once the budget is spent, a failed request is answered at once rather than tried again (dolny-slask-pisma: five
 // further attempts where 14 requests allowed 3.8), and a window later there is room again.
+// A keyed request that may have run and whose window for repeats is over has nothing to wait for: it is
+// answered then, refused where any worker would know a repeat, else failed.
+func TestOverWindowIsAnsweredAtOnce(t *testing.T) {
+	for group, want := range map[Group]ActionKind{GroupAll: Refuse, GroupZone: FinishError, GroupCell: FinishError} {
+		for _, last := range []Outcome{Errored, Saturated} { // the window ends as it waits, and as it comes back
+			s := testSettings()
+			s.Classes[1].Repeat, s.Classes[1].Group, s.Classes[1].Window = Dedup, group, 1500*time.Millisecond
+			s.Classes[1].Aim, s.Classes[1].Stretch = 5*time.Second, 0
+			r := newRig(t, s, 2)
+			id := r.arrive(1)
+			sent := r.requests[id].attempts[0].sent
+			for _, w := range r.fleet {
+				w.full = r.now + time.Hour
+			}
+			if last == Saturated {
+				r.fleet[0].full, r.fleet[1].full = 0, 0
+			}
+			r.respond(id, 0, Errored, 100*time.Millisecond)
+			if last == Saturated { // a repeat has gone out in time, and comes back late, never run
+				if q := r.requests[id]; q == nil || len(q.attempts) != 2 {
+					t.Fatalf("group %d: not repeated in time", group)
+				}
+				if r.respond(id, 1, Saturated, 1500*time.Millisecond); find(r.actions, want) == nil {
+					t.Fatalf("group %d: not answered in the turn in which its last attempt came back", group)
+				}
+			}
+			for find(r.actions, want) == nil {
+				if r.at(r.now+r.beat, Event{Kind: TimerDue, Timer: beatTimer}); r.now > sent+2*time.Second {
+					t.Fatalf("group %d, %v: still waiting after its window", group, last)
+				}
+				if find(r.actions, Assign) != nil {
+					t.Fatalf("group %d, %v: repeated after its window", group, last)
+				}
+			}
+			if r.now < sent+1400*time.Millisecond {
+				t.Errorf("group %d, %v: given up after %v, with the window still open", group, last, r.now-sent)
+			}
+		}
+	}
+}
+
 func TestBudgetOfFurtherAttempts(t *testing.T) {
 	s := testSettings()
 	s.ExtraWindow, s.ExtraFloor, s.ExtraRatio = 10*time.Second, 1, 0.25
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -195,6 +195,7 @@
 	backend string
 	carrier Carrier
 	sent    bool   // its last byte has left
+	left    bool   // so its carrier says, or its backend has begun with it
 	leasing bool   // it waits for its lease, and no carrier knows of it
 	fence   uint64 // of its lease
 }
@@ -408,9 +409,15 @@
 	c.Loop.Clear(&r.timer)
 }
 
-// tidy drops a req that is over. Its last moment stands until then: a fetch
-// that goes on after the answer, where none may be called off, ends there too.
+// tidy drops a req that is over. What has not left for its backend by then never
+// does, also where the settings let nothing be called off. The last moment stands
+// until then: a fetch that goes on after the answer ends there too.
 func (c *Core) tidy(r *req) {
+	for i := 0; r.answered && i < len(r.attempts); i++ {
+		if f := c.fetches.Get(r.attempts[i].fetch); f != nil && !f.left {
+			c.stop(r.attempts[i].fetch, hollyyoke.Recalled)
+		}
+	}
 	if r.answered && r.out == 0 && c.reqs.Get(r.handle) == r {
 		c.Loop.Clear(&r.due)
 		c.reqs.Drop(r.handle)
@@ -456,7 +463,7 @@
 // Sent tells that the last byte of a fetch has left; told again, it counts once.
 func (c *Core) Sent(handle uint64) {
 	if f := c.fetches.Get(handle); f != nil && !f.sent {
-		f.sent = true
+		f.sent, f.left = true, true
 		c.counts.Sent++
 		if r := c.reqs.Get(f.req); c.Trace != nil && r != nil {
 			c.Trace(r.job.ID, "sent", "copy", f.attempt, "backend", f.backend)
@@ -467,6 +474,7 @@
 // Started tells that a backend has begun with a fetch.
 func (c *Core) Started(handle uint64) {
 	if f := c.fetches.Get(handle); f != nil {
+		f.left = true
 		if r := c.reqs.Get(f.req); c.Trace != nil && r != nil {
 			c.Trace(r.job.ID, "started", "copy", f.attempt, "backend", f.backend)
 		}
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -387,7 +387,7 @@
 		l.fail(hollyyoke.Overdue)
 		l.close()
 	case l.fetch != 0 && l.phase == waiting: // the time of a repeat is over
-		if l.conn.Passed(l.mark) {
+		if l.tellSent(); l.conn.Passed(l.mark) {
 			return
 		}
 		o := hollyyoke.Superseded
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -597,7 +597,7 @@
 		var chosen *session
 		_, _, ok := f.entry.Admit.Victim(f.core.Loop.Now(), admit.ForMemory, false, func(token uint64) bool {
 			s := f.sessions.Get(token)
-			if s == nil || s.in == nil || s.busy || s.posted || s.token == f.reader {
+			if s == nil || s.in == nil || s.posted || s.token == f.reader {
 				return true
 			}
 			chosen = s
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -492,12 +492,12 @@
 
 func (f answering) Answer(_ uint64, a core.Answer) { f(a) }
 
-// keyed are settings with a class whose repeats are known for a window.
-func keyed(window time.Duration) func(*hollyyoke.Settings) {
+// keyed are settings with a class whose repeats are known for a window, and the time for a connect.
+func keyed(window, connect time.Duration) func(*hollyyoke.Settings) {
 	return func(s *hollyyoke.Settings) {
-		s.Classes = append(s.Classes, hollyyoke.Class{Name: "transfer", Worth: 4, Aim: time.Second, Deadline: 8 * time.Second,
-			Repeat: hollyyoke.Dedup, Window: window})
-		s.MaxAttempts, s.ConnectTimeout = 3, 100*time.Millisecond
+		s.Classes = append(s.Classes, hollyyoke.Class{Name: "transfer", Worth: 4, LateWorth: 1, Aim: 8 * time.Second,
+			Deadline: 8 * time.Second, Repeat: hollyyoke.Dedup, Window: window}) // worth waiting for to its end
+		s.MaxAttempts, s.ConnectTimeout = 3, connect
 	}
 }
 
@@ -505,7 +505,11 @@
 func TestWindowEndsBeforeARepeatLeaves(t *testing.T) {
 	for _, inTime := range []bool{true, false} {
 		t.Run(fmt.Sprint("in time: ", inTime), func(t *testing.T) {
-			r := newRig(t, keyed(2*time.Second))
+			window, connect := 4*time.Second, 2*time.Second
+			if !inTime {
+				window, connect = 2*time.Second, 3900*time.Millisecond // the connect may take longer than the window
+			}
+			r := newRig(t, keyed(window, connect))
 			ln, next := r.backendListener(t)
 			var b *Backends
 			r.do(func() {
@@ -518,7 +522,7 @@
 					if step != "fetch" || more[1] != 1 || inTime {
 						return
 					}
-					var first, window = r.core.Loop.Now(), 2 * time.Second // no attempt came later than now
+					first := r.core.Loop.Now() // no attempt came later
 					r.core.Loop.Post(func() {
 						for r.core.Loop.Now() < first+window {
 							time.Sleep(time.Millisecond)
@@ -551,33 +555,37 @@
 	}
 }
 
+// narrow makes the system take only so much of a request that nobody reads.
+func narrow(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048)
+		syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 500)
+	})
+}
+
 // A repeat of which the system took a part is given up when its window ends: the
 // rest would leave whenever the backend makes room.
 func TestWindowEndsInsideARepeat(t *testing.T) {
-	r := newRig(t, keyed(time.Second))
-	lc := stdnet.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { // narrow: the system takes only so much of a request
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048)
-			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 500)
-		})
-	}}
-	narrow, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	const window = time.Second
+	r := newRig(t, keyed(window, 100*time.Millisecond))
+	lc := stdnet.ListenConfig{Control: narrow}
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer narrow.Close()
+	defer ln.Close()
 	var b *Backends
 	got := make(judge, 1)
 	r.do(func() {
 		b = NewBackends(r.core, r.engine, "")
 		b.calm = time.Hour
-		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, narrow.Addr())); err != nil {
+		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
 			t.Error(err)
 		}
 		body := bytes.Repeat([]byte("x"), 64<<10)
 		r.core.Take(got, 0, core.Job{ID: "id000001", Class: 2, Target: "/transfer/k", Body: body, Work: 1e6})
 	})
-	conn, err := narrow.Accept()
+	conn, err := ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -589,22 +597,98 @@
 	} else {
 		io.Copy(io.Discard, req.Body)
 	}
+	first := r.core.Loop.Now() // it was chosen before
 	io.WriteString(conn, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
-	again, err := narrow.Accept()
+	again, err := ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer again.Close()
 	again.SetDeadline(time.Now().Add(patience))
-	if v := verdict(t, got); v == core.Served { // nothing was read of it up to now
+	until(t, "the window is over", func() bool { return r.core.Loop.Now() > first+window })
+	text, _ := io.ReadAll(again) // nothing was read of it up to now
+	if v := verdict(t, got); v == core.Served {
 		t.Errorf("with the window over: %v", v)
 	}
-	text, _ := io.ReadAll(again)
 	if _, body, _ := bytes.Cut(text, []byte("\r\n\r\n")); len(body) >= 64<<10 {
 		t.Errorf("the repeat left whole: %d bytes of its body", len(body))
 	}
 }
 
+// A request that is over is not sent on, though a connect, a held last byte or a
+// full socket stood before it and the settings let no attempt be called off.
+func TestNothingLeavesForARequestThatIsOver(t *testing.T) {
+	for name, answered := range map[string]bool{"its client left": false, "it was answered": true} {
+		for _, where := range []string{"connecting", "last byte held", "socket full"} {
+			t.Run(name+", "+where, func(t *testing.T) {
+				r := newRig(t, func(s *hollyyoke.Settings) { s.Cancel, s.TellsStart = false, false })
+				lc := stdnet.ListenConfig{}
+				if where == "socket full" {
+					lc.Control = narrow
+				}
+				ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer ln.Close()
+				over := make(chan struct{}, 1)
+				got := make(judge, 1)
+				var req uint64
+				finish := func() { // what ends it, on the loop
+					if answered {
+						r.core.Finish()
+					} else {
+						r.core.HangUp(req)
+					}
+					over <- struct{}{}
+				}
+				var b *Backends
+				r.do(func() {
+					b = NewBackends(r.core, r.engine, "")
+					if where == "last byte held" {
+						b.wary, b.hold = r.core.Loop.Now()+time.Hour, 300*time.Millisecond
+					}
+					if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
+						t.Error(err)
+					}
+					r.core.Trace = func(_, step string, _ ...any) {
+						if step == "fetch" && where == "connecting" {
+							r.core.Loop.Post(finish) // before the word that the connection is up
+						}
+					}
+					body := bytes.Repeat([]byte("x"), 64<<10)
+					req = r.core.Take(got, 0, core.Job{ID: "id000001", Class: 0, Target: "/status-check/k", Body: body, Work: 1e6})
+				})
+				conn, err := ln.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				conn.SetDeadline(time.Now().Add(patience))
+				in := bufio.NewReaderSize(conn, 16)
+				if where != "connecting" {
+					if _, err := in.Peek(1); err != nil {
+						t.Fatal(err)
+					}
+					r.core.Loop.Post(finish)
+				}
+				receive(t, over)
+				go r.do(func() { // a connection that came up and carries nothing rests; it is closed then
+					r.core.Loop.After(time.Second, func() { b.Idle() })
+				})
+				text, _ := io.ReadAll(in)
+				if _, body, _ := bytes.Cut(text, []byte("\r\n\r\n")); len(body) >= 64<<10 || where == "connecting" && len(text) > 0 {
+					t.Errorf("%d bytes left for a request that is over", len(text))
+				}
+				until(t, "the request is forgotten", func() (none bool) {
+					r.do(func() { none = r.core.Owed() == 0 && len(b.lines) == 0 })
+					return none
+				})
+			})
+		}
+	}
+}
+
 // ---- Discovery.
 
 // call is what the stand-in for discovery got: a connection and what it asked for.
--- a/state.go
+++ b/state.go
@@ -260,6 +260,11 @@
 
 func abs(x int) int { return max(x, -x) }
 
+// holds tells whether two workers discard each other's repeats.
+func (g Group) holds(a, b *worker) bool {
+	return g == GroupAll || a.Zone == b.Zone && (g == GroupZone || a.Cell == b.Cell)
+}
+
 func (r *request) mayHaveRun() bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
 }
