--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -62,7 +62,7 @@
 	t        *testing.T
 	backends []*backend
 	watches  chan string // the query of each watch
-	changes  chan string // lines for the present watch; "silence" ends its signs of life, "end" the watch
+	changes  chan string // lines for the present watch; "silence" ends the lines that show its liveness, "end" the watch
 	listen   string
 	config   map[string]any
 	path     string      // of the file
@@ -452,7 +452,7 @@
 	}
 }
 
-// A client that hangs up has its fetch called off.
+// A client that hangs up has its attempt called off.
 func TestHangUpReachesTheBackend(t *testing.T) {
 	w := &world{t: t}
 	gone := make(chan struct{})
@@ -479,7 +479,7 @@
 }
 
 // What discovery says holds: a backend that drains gets nothing new, one that
-// comes back does. A watch without signs of life is given up and made anew
+// comes back does. A watch without lines that show liveness is given up and made anew
 // with the list kept; so is one that ends or sends what makes no sense.
 func TestDiscovery(t *testing.T) {
 	w := &world{t: t}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -22,7 +22,7 @@
 // carrier does at once what a job's id says; others' is a source of its own.
 type carrier struct{ core *core.Core }
 
-func (c carrier) Start(f core.Fetch) {
+func (c carrier) Start(f core.Attempt) {
 	c.core.Sent(f.Handle)
 	c.core.Sent(f.Handle) // said twice, it counts once
 	switch f.Job.ID[:4] {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,7 +10,7 @@
 	"hollyyoke.example/hollyyoke"
 )
 
-// This file owns reqs and their fetches: it turns what fronts and carriers
+// This file owns reqs and their attempts: it turns what fronts and carriers
 // report into the module's events, and carries out the module's actions. It
 // must never decide by itself where a req goes, nor answer one twice.
 
@@ -29,24 +29,24 @@
 	Retry          bool          // marked as a client's repeat
 
 	Release func() // called once, when the job's bytes are needed no more; may be nil
-	Lease   Lease  // asked before each fetch of a job that is leased; nil: it is not
+	Lease   Lease  // asked before each attempt of a job that is leased; nil: it is not
 }
 
-// Lease is who leases a job to the backends that it is to be fetched by. Such a
-// req is over with its first fetch that may have run: what comes next is its
+// Lease is who leases a job to the backends that its attempts go to. Such a
+// req is over with its first attempt that may have run: what comes next is its
 // front's to say.
 type Lease interface {
 	// Ask asks for a lease. told is called once, later or at once, with its fence,
 	// or 0 if there is none; it returns false if nobody wants the lease any more.
 	Ask(job *Job, backend string, told func(fence uint64) bool)
-	// Ended tells how the fetch under a fence ended.
+	// Ended tells how the attempt under a fence ended.
 	Ended(job *Job, fence uint64, o hollyyoke.Outcome, neverRan bool, result []byte)
 }
 
 // Verdict is the kind of a final answer.
 type Verdict uint8
 
-// The verdicts. Refused is a synthetic answer that promises that nothing has run.
+// The verdicts. Refused is a rejection, which promises that nothing has run.
 const (
 	Served Verdict = iota
 	Refused
@@ -60,7 +60,7 @@
 	Verdict    Verdict
 	Result     []byte        // what the backend made; valid during the call only
 	RetryAfter time.Duration // for Refused: when to come back; 0: not told
-	MayHaveRun bool          // some fetch of the req may have had an effect
+	MayHaveRun bool          // some attempt of the req may have had an effect
 }
 
 // Front is what hands in reqs. Answer is called once for each req it handed
@@ -69,22 +69,22 @@
 	Answer(token uint64, a Answer)
 }
 
-// Fetch is one attempt, as a carrier sees it.
-type Fetch struct {
+// Attempt is one attempt, as a carrier sees it.
+type Attempt struct {
 	Handle   uint64
 	Backend  string
 	Job      *Job
 	Deadline time.Duration // when the client gives up
 	Until    time.Duration // a repeat that may run twice from then on must have left whole by then; 0: no bound
 	Settled  bool          // an answer to another request, taken for this one's, could make it run twice
-	Copy     int           // how many attempts came before
+	Number   int           // how many attempts came before
 	Fence    uint64        // of its lease; 0: it has none
 }
 
-// Carrier takes fetches to backends. It reports how each ended by Ended, once,
+// Carrier takes attempts to backends. It reports how each ended by Ended, once,
 // unless Stop came first.
 type Carrier interface {
-	Start(f Fetch)
+	Start(f Attempt)
 	Stop(handle uint64) (neverRan bool) // give it up
 	Release(backend string)             // close idle connections
 	Probe(backend string)               // answer with Probed
@@ -106,20 +106,20 @@
 
 	// What a second process of the same dispatcher must know; nil while there is none.
 	Taken   func(name uint64)                    // a req of that name has come
-	Charged func(backend string, charge float64) // a cold backend got a fetch
-
-	module   *hollyyoke.Dispatcher
-	reqs     Table[req]
-	fetches  Table[fetch]
-	sources  []Carrier // those that list backends
-	listed   map[string]listing
-	pending  []hollyyoke.Event
-	actions  []hollyyoke.Action
-	handling bool
-	owed     int
-	counts   Counts
-	tallies  []Tally // by class
-	ids      ids
+	Charged func(backend string, charge float64) // a cold backend got an attempt
+
+	module      *hollyyoke.Dispatcher
+	reqs        Table[req]
+	outstanding Table[outstanding]
+	sources     []Carrier // those that list backends
+	listed      map[string]listing
+	pending     []hollyyoke.Event
+	actions     []hollyyoke.Action
+	handling    bool
+	owed        int
+	counts      Counts
+	tallies     []Tally // by class
+	ids         ids
 }
 
 // ids are the names of reqs, hashed: those that are open, and the latest that
@@ -162,9 +162,9 @@
 	s.ring[s.next], s.next = h, (s.next+1)%pastIDs
 }
 
-// Counts tells what became of the reqs taken so far. Fetches are those assigned,
+// Counts tells what became of the reqs taken so far. Attempts are those assigned,
 // Sent those of which the last byte left for a backend that its carrier reports.
-type Counts struct{ Taken, Served, Refused, Failed, HungUp, Fetches, Sent uint64 }
+type Counts struct{ Taken, Served, Refused, Failed, HungUp, Attempts, Sent uint64 }
 
 // Tally counts the final answers to requests of one class, those of the fronts too.
 type Tally struct{ Served, Refused, Failed uint64 }
@@ -184,12 +184,12 @@
 }
 
 type attempt struct {
-	fetch    uint64        // 0: never started
+	handle   uint64        // 0: never started
 	at       time.Duration // when it was assigned; its request leaves later
 	neverRan bool
 }
 
-type fetch struct {
+type outstanding struct {
 	req     uint64
 	attempt int
 	backend string
@@ -350,10 +350,10 @@
 	if r == nil || r.answered {
 		return false
 	}
-	defer func() { mayHaveRun = r.mayHaveRun() }() // calling a fetch off may show that it never ran
+	defer func() { mayHaveRun = r.mayHaveRun() }() // calling an attempt off may show that it never ran
 	c.counts.HungUp++
 	if c.Trace != nil {
-		c.Trace(r.job.ID, "hung up", "fetches", len(r.attempts))
+		c.Trace(r.job.ID, "hung up", "attempts", len(r.attempts))
 	}
 	c.settle(r)
 	c.handle(hollyyoke.Event{Kind: hollyyoke.HungUp, Request: handle})
@@ -369,7 +369,7 @@
 // the module has no word even then, the req has failed.
 func (c *Core) lastMoment(r *req) {
 	for i := 0; i < len(r.attempts) && c.reqs.Get(r.handle) == r; i++ {
-		if h := r.attempts[i].fetch; c.fetches.Get(h) != nil {
+		if h := r.attempts[i].handle; c.outstanding.Get(h) != nil {
 			c.stop(h, hollyyoke.Overdue)
 		}
 	}
@@ -396,7 +396,7 @@
 		c.counts.Failed++
 	}
 	if c.Trace != nil {
-		c.Trace(r.job.ID, a.Verdict.String(), "fetches", len(r.attempts), "may_have_run", a.MayHaveRun, "left", r.deadline-c.Loop.Now(),
+		c.Trace(r.job.ID, a.Verdict.String(), "attempts", len(r.attempts), "may_have_run", a.MayHaveRun, "left", r.deadline-c.Loop.Now(),
 			"retry_after", a.RetryAfter)
 	}
 	c.settle(r)
@@ -411,11 +411,11 @@
 
 // tidy drops a req that is over. What has not left for its backend by then never
 // does, also where the settings let nothing be called off. The last moment stands
-// until then: a fetch that goes on after the answer ends there too.
+// until then: an attempt that goes on after the answer ends there too.
 func (c *Core) tidy(r *req) {
 	for i := 0; r.answered && i < len(r.attempts); i++ {
-		if f := c.fetches.Get(r.attempts[i].fetch); f != nil && !f.left {
-			c.stop(r.attempts[i].fetch, hollyyoke.Recalled)
+		if f := c.outstanding.Get(r.attempts[i].handle); f != nil && !f.left {
+			c.stop(r.attempts[i].handle, hollyyoke.Recalled)
 		}
 	}
 	if r.answered && r.out == 0 && c.reqs.Get(r.handle) == r {
@@ -430,17 +430,17 @@
 
 // ---- What carriers report.
 
-// Ended tells how a fetch ended. For Completed, result is the body of the answer.
+// Ended tells how an attempt ended. For Completed, result is the body of the answer.
 func (c *Core) Ended(handle uint64, o hollyyoke.Outcome, load hollyyoke.Load, result []byte) {
-	f := c.fetches.Get(handle)
+	f := c.outstanding.Get(handle)
 	if f == nil {
 		return
 	}
 	r := c.reqs.Get(f.req)
 	if c.Trace != nil {
-		c.Trace(r.job.ID, "fetch ended", "copy", f.attempt, "backend", f.backend, "outcome", o, "sent", f.sent, "load", load)
+		c.Trace(r.job.ID, "attempt ended", "number", f.attempt, "backend", f.backend, "outcome", o, "sent", f.sent, "load", load)
 	}
-	c.fetches.Drop(handle)
+	c.outstanding.Drop(handle)
 	r.out--
 	r.attempts[f.attempt].neverRan = o == hollyyoke.Saturated && !c.Settings.FullNoProof ||
 		o == hollyyoke.RefusedConn || o == hollyyoke.Superseded
@@ -460,23 +460,23 @@
 	c.tidy(r)
 }
 
-// Sent tells that the last byte of a fetch has left; told again, it counts once.
+// Sent tells that the last byte of an attempt has left; told again, it counts once.
 func (c *Core) Sent(handle uint64) {
-	if f := c.fetches.Get(handle); f != nil && !f.sent {
+	if f := c.outstanding.Get(handle); f != nil && !f.sent {
 		f.sent, f.left = true, true
 		c.counts.Sent++
 		if r := c.reqs.Get(f.req); c.Trace != nil && r != nil {
-			c.Trace(r.job.ID, "sent", "copy", f.attempt, "backend", f.backend)
+			c.Trace(r.job.ID, "sent", "number", f.attempt, "backend", f.backend)
 		}
 	}
 }
 
-// Started tells that a backend has begun with a fetch.
+// Started tells that a backend has begun with an attempt.
 func (c *Core) Started(handle uint64) {
-	if f := c.fetches.Get(handle); f != nil {
+	if f := c.outstanding.Get(handle); f != nil {
 		f.left = true
 		if r := c.reqs.Get(f.req); c.Trace != nil && r != nil {
-			c.Trace(r.job.ID, "started", "copy", f.attempt, "backend", f.backend)
+			c.Trace(r.job.ID, "started", "number", f.attempt, "backend", f.backend)
 		}
 		c.handle(hollyyoke.Event{
 			Kind: hollyyoke.Started, Request: f.req, Attempt: f.attempt, Worker: f.backend,
@@ -484,9 +484,9 @@
 	}
 }
 
-// Progress tells what share of a fetch is done.
+// Progress tells what share of an attempt is done.
 func (c *Core) Progress(handle uint64, share float64) {
-	if f := c.fetches.Get(handle); f != nil {
+	if f := c.outstanding.Get(handle); f != nil {
 		c.handle(hollyyoke.Event{
 			Kind: hollyyoke.ProgressMade, Request: f.req, Attempt: f.attempt, Worker: f.backend, Fraction: share,
 		})
@@ -571,7 +571,7 @@
 		}
 	case hollyyoke.StopAttempt:
 		if r := c.reqs.Get(a.Request); r != nil && a.Attempt < len(r.attempts) {
-			c.stop(r.attempts[a.Attempt].fetch, hollyyoke.Recalled)
+			c.stop(r.attempts[a.Attempt].handle, hollyyoke.Recalled)
 		}
 	case hollyyoke.SetTimer:
 		c.setTimer(a.Timer, c.Loop.Now()+a.Delay)
@@ -604,7 +604,7 @@
 	}}, at)
 }
 
-// assign starts the next fetch of a req.
+// assign starts the next attempt of a req.
 func (c *Core) assign(handle uint64, backend string, charge float64) {
 	r := c.reqs.Get(handle)
 	if r == nil {
@@ -621,29 +621,29 @@
 		})
 		return
 	}
-	h := c.fetches.Put(&fetch{req: handle, attempt: n, backend: backend, carrier: l.source})
+	h := c.outstanding.Put(&outstanding{req: handle, attempt: n, backend: backend, carrier: l.source})
 	until := c.until(r)
-	r.attempts = append(r.attempts, attempt{fetch: h, at: c.Loop.Now()})
+	r.attempts = append(r.attempts, attempt{handle: h, at: c.Loop.Now()})
 	r.out++
-	c.counts.Fetches++
+	c.counts.Attempts++
 	if charge > 0 && c.Charged != nil {
 		c.Charged(backend, charge)
 	}
 	if c.Trace != nil {
-		c.Trace(r.job.ID, "fetch", "copy", n, "backend", backend, "charge", charge)
+		c.Trace(r.job.ID, "attempt", "number", n, "backend", backend, "charge", charge)
 	}
-	start := Fetch{
-		Handle: h, Backend: backend, Job: &r.job, Deadline: r.deadline, Until: until, Copy: n,
+	start := Attempt{
+		Handle: h, Backend: backend, Job: &r.job, Deadline: r.deadline, Until: until, Number: n,
 		Settled: c.Settings.Classes[r.job.Class].Repeat != hollyyoke.Retryable,
 	}
 	if r.job.Lease == nil {
 		l.source.Start(start)
 		return
 	}
-	f := c.fetches.Get(h)
+	f := c.outstanding.Get(h)
 	f.leasing = true
 	r.job.Lease.Ask(&r.job, backend, func(fence uint64) bool {
-		if c.fetches.Get(h) != f {
+		if c.outstanding.Get(h) != f {
 			return false
 		}
 		if f.leasing, f.fence = false, fence; fence == 0 {
@@ -670,9 +670,9 @@
 	return until
 }
 
-// stop gives a fetch up. If it is known never to have run, that is what is told.
+// stop gives an attempt up. If it is known never to have run, that is what is told.
 func (c *Core) stop(handle uint64, o hollyyoke.Outcome) {
-	f := c.fetches.Get(handle)
+	f := c.outstanding.Get(handle)
 	if f == nil {
 		return
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -74,8 +74,8 @@
 	t      *testing.T
 	core   *Core
 	reqs   []*modelReq
-	out    map[uint64]*modelReq // by fetch
-	order  []uint64             // fetches that are out
+	out    map[uint64]*modelReq // by attempt
+	order  []uint64             // attempts that are out
 	states map[string]hollyyoke.WorkerState
 }
 
@@ -85,7 +85,7 @@
 	answers  int
 	verdict  Verdict
 	hungUp   bool
-	ran, out int // fetches that may have run, and that are out
+	ran, out int // attempts that may have run, and that are out
 	released int
 }
 
@@ -104,23 +104,23 @@
 	}
 }
 
-func (m *model) Start(f Fetch) {
+func (m *model) Start(f Attempt) {
 	r := m.reqs[f.Job.Body[0]]
 	if m.states[f.Backend] != hollyyoke.Running {
-		m.t.Fatalf("a fetch for %s, which is %v", f.Backend, m.states[f.Backend])
+		m.t.Fatalf("an attempt for %s, which is %v", f.Backend, m.states[f.Backend])
 	}
 	if r.class == 1 && r.ran+r.out > 0 {
-		m.t.Fatalf("a fragile req fetched again: %d ran, %d out", r.ran, r.out)
+		m.t.Fatalf("a fragile req sent on again: %d ran, %d out", r.ran, r.out)
 	}
 	if r.answers > 0 || r.hungUp || r.released > 0 {
-		m.t.Fatalf("a req that is over was fetched")
+		m.t.Fatalf("a req that is over was sent on")
 	}
 	r.out++
 	m.out[f.Handle] = r
 	m.order = append(m.order, f.Handle)
 }
 
-// take removes a fetch from those out.
+// take removes an attempt from those out.
 func (m *model) take(handle uint64) *modelReq {
 	r := m.out[handle]
 	delete(m.out, handle)
@@ -196,11 +196,11 @@
 					Class: x % 2, Body: []byte{byte(n)}, Left: time.Duration(x) * 20 * time.Millisecond,
 					Work: time.Duration(x%7) * 10 * time.Millisecond, Release: func() { r.released++ },
 				})
-			case 1, 2: // a fetch ends
+			case 1, 2: // an attempt ends
 				if len(m.order) > 0 {
 					m.end(m.order[x/8%len(m.order)], []hollyyoke.Outcome{0, 1, 2, 3, 4, 5, hollyyoke.Unusable}[x%7])
 				}
-			case 3: // a fetch tells its start, or its progress
+			case 3: // an attempt tells its start, or its progress
 				if len(m.order) > 0 {
 					c.Started(m.order[x%len(m.order)])
 					c.Progress(m.order[x%len(m.order)], float64(x)/255)
@@ -232,9 +232,9 @@
 				t.Fatalf("req %d: %d answers, hung up: %v, released %d times", i, r.answers, r.hungUp, r.released)
 			}
 		}
-		if n := c.Counts(); c.Owed() != 0 || c.reqs.Len() != 0 || c.fetches.Len() != 0 ||
+		if n := c.Counts(); c.Owed() != 0 || c.reqs.Len() != 0 || c.outstanding.Len() != 0 ||
 			n.Taken != n.Served+n.Refused+n.Failed+n.HungUp {
-			t.Fatalf("owed %d, reqs %d, fetches %d, counts %+v", c.Owed(), c.reqs.Len(), c.fetches.Len(), n)
+			t.Fatalf("owed %d, reqs %d, attempts %d, counts %+v", c.Owed(), c.reqs.Len(), c.outstanding.Len(), n)
 		}
 	})
 }
@@ -289,10 +289,10 @@
 // windows is a carrier that keeps what it is told of the windows for repeats.
 type windows struct {
 	model
-	got []Fetch
+	got []Attempt
 }
 
-func (w *windows) Start(f Fetch) { w.got = append(w.got, f) }
+func (w *windows) Start(f Attempt) { w.got = append(w.got, f) }
 
 // A repeat must leave within the window of the first attempt that may have run,
 // less the way there; an attempt that never ran opens none. No other class is bound.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -1,6 +1,6 @@
 // Package core is the dispatcher between a front and the decision module. It
-// owns the module, the clock, the tables of reqs and fetches, and the one
-// ordered structure that all deadlines hang in. It deals in reqs, fetches and
+// owns the module, the clock, the tables of reqs and attempts, and the one
+// ordered structure that all deadlines hang in. It deals in reqs, attempts and
 // outcomes; it must never know a wire, a socket or a file.
 package core
 
--- a/internal/faktory/durable.go
+++ b/internal/faktory/durable.go
@@ -392,10 +392,10 @@
 // through ends the delivery that went out under a lease: its worker is through
 // with it, or its word no longer counts.
 func (s *Server) through(id string, fence uint64, o hollyyoke.Outcome) {
-	for _, d := range s.fetches {
-		if d.given && d.fetch.Job.ID == id && d.fetch.Fence == fence {
+	for _, d := range s.deliveries {
+		if d.given && d.attempt.Job.ID == id && d.attempt.Fence == fence {
 			s.drop(d)
-			s.core.Ended(d.fetch.Handle, o, hollyyoke.Load{}, nil)
+			s.core.Ended(d.attempt.Handle, o, hollyyoke.Load{}, nil)
 			return
 		}
 	}
--- a/internal/faktory/faktory_test.go
+++ b/internal/faktory/faktory_test.go
@@ -699,7 +699,7 @@
 // echo is a carrier whose one worker does at once what a job's key says.
 type echo struct{ core *core.Core }
 
-func (e echo) Start(f core.Fetch) {
+func (e echo) Start(f core.Attempt) {
 	o := map[string]hollyyoke.Outcome{
 		"done": hollyyoke.Completed, "failed": hollyyoke.Errored, "full": hollyyoke.Saturated,
 	}[f.Job.Key]
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -28,21 +28,21 @@
 // Server is the Faktory front's server role. It is a front and a carrier, and
 // belongs to the loop's goroutine.
 type Server struct {
-	core     *core.Core
-	engine   *net.Engine
-	password string
-	classes  map[string]int
-	base     int // the number of kinds that are not masks of classes
-	sessions core.Table[session]
-	entry    *entry.Entry
-	workers  map[string]*worker // by name, which is the wid with a prefix
-	fetches  map[uint64]*delivery
-	jids     *memory
-	kept     *keep // what is durable; nil: nothing
-	acceptor *net.Acceptor
-	began    time.Duration
-	commands uint64
-	out      []byte
+	core       *core.Core
+	engine     *net.Engine
+	password   string
+	classes    map[string]int
+	base       int // the number of kinds that are not masks of classes
+	sessions   core.Table[session]
+	entry      *entry.Entry
+	workers    map[string]*worker // by name, which is the wid with a prefix
+	deliveries map[uint64]*delivery
+	jids       *memory
+	kept       *keep // what is durable; nil: nothing
+	acceptor   *net.Acceptor
+	began      time.Duration
+	commands   uint64
+	out        []byte
 }
 
 // session is one connection of a producer or a worker.
@@ -88,10 +88,10 @@
 
 // delivery is one fetch on its way to a worker or in work there.
 type delivery struct {
-	fetch core.Fetch
-	w     *worker
-	given bool // handed out: from now on it may have run
-	due   core.Deadline
+	attempt core.Attempt
+	w       *worker
+	given   bool // handed out: from now on it may have run
+	due     core.Deadline
 }
 
 const (
@@ -110,7 +110,7 @@
 func NewServer(c *core.Core, e *net.Engine, password string, jids *memory) *Server {
 	s := &Server{
 		core: c, engine: e, password: password, classes: names(c), base: len(c.Settings.KindNames),
-		workers: map[string]*worker{}, fetches: map[uint64]*delivery{}, jids: jids, began: c.Loop.Now(),
+		workers: map[string]*worker{}, deliveries: map[uint64]*delivery{}, jids: jids, began: c.Loop.Now(),
 		entry: entry.Plain(c.Loop, 1),
 	}
 	c.Listen(s)
@@ -572,9 +572,9 @@
 	}
 	n.say("+OK")
 	var found *delivery // by the session's worker; a session without one closes the oldest
-	for _, d := range n.srv.fetches {
-		if d.given && d.fetch.Job.ID == c.Jid && (n.worker == nil || d.w == n.worker) &&
-			(found == nil || d.fetch.Handle < found.fetch.Handle) {
+	for _, d := range n.srv.deliveries {
+		if d.given && d.attempt.Job.ID == c.Jid && (n.worker == nil || d.w == n.worker) &&
+			(found == nil || d.attempt.Handle < found.attempt.Handle) {
 			found = d
 		}
 	}
@@ -589,10 +589,10 @@
 	if verb == "FAIL" {
 		o = hollyyoke.Errored
 	}
-	n.srv.core.Ended(found.fetch.Handle, o, hollyyoke.Load{}, nil)
+	n.srv.core.Ended(found.attempt.Handle, o, hollyyoke.Load{}, nil)
 }
 
-// beat takes a worker's sign of life. One that says it is quiet, or about to
+// beat takes a worker's liveness. One that says it is quiet, or about to
 // terminate, drains from now on.
 func (n *session) beat(rest []byte) {
 	var b struct {
@@ -716,19 +716,19 @@
 	w.returnHeld(s)
 	for _, d := range s.all(w) {
 		s.drop(d)
-		s.core.Ended(d.fetch.Handle, hollyyoke.Severed, hollyyoke.Load{}, nil)
+		s.core.Ended(d.attempt.Handle, hollyyoke.Severed, hollyyoke.Load{}, nil)
 	}
 }
 
-// all returns a worker's deliveries, in the order of their fetches.
+// all returns a worker's deliveries, in the order of their attempts.
 func (s *Server) all(w *worker) (list []*delivery) {
-	for _, d := range s.fetches {
+	for _, d := range s.deliveries {
 		if d.w == w {
 			list = append(list, d)
 		}
 	}
 	slices.SortFunc(list, func(a, b *delivery) int {
-		if a.fetch.Handle < b.fetch.Handle {
+		if a.attempt.Handle < b.attempt.Handle {
 			return -1
 		}
 		return 1
@@ -756,25 +756,25 @@
 	for len(w.held) > 0 {
 		d := w.held[0]
 		s.drop(d)
-		s.core.Ended(d.fetch.Handle, hollyyoke.Saturated, hollyyoke.Load{}, nil)
+		s.core.Ended(d.attempt.Handle, hollyyoke.Saturated, hollyyoke.Load{}, nil)
 	}
 }
 
 // ---- The carrier.
 
 // Start hands a job to a parked FETCH of the worker, or holds it for its next one.
-func (s *Server) Start(f core.Fetch) {
+func (s *Server) Start(f core.Attempt) {
 	w := s.workers[f.Backend]
 	if w == nil || w.entry.State != hollyyoke.Running || len(w.held) >= max(w.slots, 1) {
 		s.core.Ended(f.Handle, hollyyoke.Saturated, hollyyoke.Load{}, nil)
 		return
 	}
-	d := &delivery{fetch: f, w: w}
+	d := &delivery{attempt: f, w: w}
 	d.due.Fire = func() {
 		s.drop(d)
 		s.core.Ended(f.Handle, hollyyoke.Saturated, hollyyoke.Load{}, nil)
 	}
-	s.fetches[f.Handle] = d
+	s.deliveries[f.Handle] = d
 	if n := w.slotFor(f.Job.Class, f.Job.ID); n != nil {
 		s.give(d, n)
 		return
@@ -802,7 +802,7 @@
 // serveHeld gives what is held to the slots that fit.
 func (w *worker) serveHeld(s *Server) {
 	for _, d := range slices.Clone(w.held) {
-		if n := w.slotFor(d.fetch.Job.Class, d.fetch.Job.ID); n != nil {
+		if n := w.slotFor(d.attempt.Job.Class, d.attempt.Job.ID); n != nil {
 			w.held = slices.DeleteFunc(w.held, func(o *delivery) bool { return o == d })
 			s.core.Loop.Clear(&d.due)
 			s.give(d, n)
@@ -813,30 +813,30 @@
 // give hands a job out. If the connection is known to be broken, nothing ran.
 func (s *Server) give(d *delivery, n *session) {
 	n.unpark()
-	job := d.fetch.Job
+	job := d.attempt.Job
 	raw := job.Body
 	if job.Target != "" {
 		raw = makeJob(job, s.core.Settings.Classes[job.Class].Name)
 	}
-	if d.fetch.Fence != 0 {
-		raw = withFence(raw, d.fetch.Fence)
+	if d.attempt.Fence != 0 {
+		raw = withFence(raw, d.attempt.Fence)
 	}
 	s.out = appendBulk(s.out[:0], raw)
 	before := n.conn.Written()
 	if !n.conn.Write(s.out) && n.conn.Written()-before < int64(len(s.out)) {
-		delete(s.fetches, d.fetch.Handle)
-		s.core.Ended(d.fetch.Handle, hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
+		delete(s.deliveries, d.attempt.Handle)
+		s.core.Ended(d.attempt.Handle, hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
 		return
 	}
 	d.given = true
 	d.w.working++
 	n.ready()
-	s.core.Started(d.fetch.Handle)
+	s.core.Started(d.attempt.Handle)
 }
 
 // drop forgets a delivery.
 func (s *Server) drop(d *delivery) {
-	delete(s.fetches, d.fetch.Handle)
+	delete(s.deliveries, d.attempt.Handle)
 	s.core.Loop.Clear(&d.due)
 	if d.given {
 		d.w.working--
@@ -845,9 +845,9 @@
 	d.w.held = slices.DeleteFunc(d.w.held, func(o *delivery) bool { return o == d })
 }
 
-// Stop gives a fetch up. The protocol cannot call a job back that a worker has.
+// Stop gives an attempt up. The protocol cannot call a job back that a worker has.
 func (s *Server) Stop(handle uint64) (neverRan bool) {
-	d := s.fetches[handle]
+	d := s.deliveries[handle]
 	if d == nil {
 		return false
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -397,7 +397,7 @@
 		d.Log(fmt.Sprintf("the store: %v", err))
 	}
 	sum := d.Counts()
-	d.Log(fmt.Sprintf("stopped: taken %d, served %d, refused %d, failed %d, hung up %d, fetches %d",
-		sum.Taken, sum.Served, sum.Refused, sum.Failed, sum.HungUp, sum.Fetches))
+	d.Log(fmt.Sprintf("stopped: taken %d, served %d, refused %d, failed %d, hung up %d, attempts %d",
+		sum.Taken, sum.Served, sum.Refused, sum.Failed, sum.HungUp, sum.Attempts))
 	return nil
 }
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -18,19 +18,19 @@
 	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
-// This file owns fetches on the platform's wire, the connections to backends
+// This file owns attempts on the platform's wire, the connections to backends
 // that they run on, and the discovery watch that names the backends. It must
 // never send a request twice by itself once its last byte may have left, nor
 // take an answer for one that it was not made for.
 
-// Backends carries fetches to the backends that discovery lists.
+// Backends carries attempts to the backends that discovery lists.
 type Backends struct {
 	hold   time.Duration // holdTime; tests that play the other end take longer
 	calm   time.Duration // settleTime; likewise
 	core   *core.Core
 	engine *net.Engine
 	hosts  map[string]*backend
-	lines  map[uint64]*line // by the fetch that runs on it
+	lines  map[uint64]*line // by the attempt that runs on it
 	out    []byte
 	watch  watch
 	first  map[string]hollyyoke.Entry // the list known at the start, until discovery has spoken
@@ -65,13 +65,13 @@
 	b       *backend
 	conn    *net.Conn // nil while dialing
 	phase   phase
-	fetch   uint64 // the fetch whose outcome is owed; 0: none
-	job     core.Fetch
+	attempt uint64 // the attempt whose outcome is owed; 0: none
+	job     core.Attempt
 	probe   bool
 	mark    int64 // behind the last byte of the request
 	tail    byte  // that byte, until it is sent
 	held    bool  // it is not sent yet
-	fresh   bool  // the fetch has lost a new connection already
+	fresh   bool  // the attempt has lost a new connection already
 	in      *net.Buffer
 	seen    int         // bytes of it that hold no end of a head
 	at      int         // bytes of it that have been taken in
@@ -90,7 +90,7 @@
 	end     *end          // the outcome, until the piece at hand has been read
 }
 
-// end is how a fetch ended.
+// end is how an attempt ended.
 type end struct {
 	o      hollyyoke.Outcome
 	load   hollyyoke.Load
@@ -141,8 +141,8 @@
 // only so many for all dispatchers together.
 func (s *Backends) mostIdle() int { return max(idleInAll/max(s.core.Settings.Peers, 1), 1) }
 
-// Start sends a fetch on the connection used last, or on a new one.
-func (s *Backends) Start(f core.Fetch) {
+// Start sends an attempt on the connection used last, or on a new one.
+func (s *Backends) Start(f core.Attempt) {
 	b := s.hosts[f.Backend]
 	if b == nil {
 		s.core.Ended(f.Handle, hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
@@ -152,7 +152,7 @@
 	if l == nil {
 		l = s.dial(b)
 	}
-	l.fetch, l.job, l.fresh = f.Handle, f, false
+	l.attempt, l.job, l.fresh = f.Handle, f, false
 	s.lines[f.Handle] = l
 	if l.conn != nil {
 		l.send()
@@ -195,7 +195,7 @@
 		s.core.Loop.Clear(&l.due)
 		l.conn = c
 		switch {
-		case l.lost || l.fetch == 0 && !l.probe:
+		case l.lost || l.attempt == 0 && !l.probe:
 			l.lost = false
 			l.rest()
 		default:
@@ -227,12 +227,12 @@
 	return b.state != hollyyoke.Running && now-b.told > max(grace-drainSlack, 0)
 }
 
-// send writes the request of the line's fetch or probe.
+// send writes the request of the line's attempt or probe.
 func (l *line) send() {
 	s := l.set
 	now := s.core.Loop.Now()
 	// Guards the drain rule: a connect may have taken so long that the news is too old by now.
-	if l.fetch != 0 && (l.b.late(now, s.core.Settings.DrainGrace) || l.job.Deadline <= now) {
+	if l.attempt != 0 && (l.b.late(now, s.core.Settings.DrainGrace) || l.job.Deadline <= now) {
 		l.settle(hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
 		l.rest()
 		return
@@ -292,21 +292,21 @@
 
 // expired tells whether a repeat must not leave any more.
 func (l *line) expired(now time.Duration) bool {
-	return l.fetch != 0 && l.job.Until > 0 && now >= l.job.Until
+	return l.attempt != 0 && l.job.Until > 0 && now >= l.job.Until
 }
 
 // bound sees to it that a repeat that the socket has not taken whole is given up
 // in time: what waits here would leave whenever the backend makes room.
 func (l *line) bound() {
-	if l.fetch != 0 && l.job.Until > 0 && !l.conn.Passed(l.mark) {
+	if l.attempt != 0 && l.job.Until > 0 && !l.conn.Passed(l.mark) {
 		l.set.core.Loop.Set(&l.due, l.job.Until)
 	}
 }
 
-// tellSent tells that the fetch's last byte has left, if it has.
+// tellSent tells that the attempt's last byte has left, if it has.
 func (l *line) tellSent() {
-	if l.fetch != 0 && l.phase != resting && !l.held && l.conn.Passed(l.mark) {
-		l.set.core.Sent(l.fetch)
+	if l.attempt != 0 && l.phase != resting && !l.held && l.conn.Passed(l.mark) {
+		l.set.core.Sent(l.attempt)
 	}
 }
 
@@ -335,20 +335,20 @@
 
 // unsent is told that the connection broke before the request's last byte had
 // left: nothing ran. A kept one may have been dead for long, which says nothing
-// of the backend, and the fetch goes on on another. So may one new one, once.
+// of the backend, and the attempt goes on on another. So may one new one, once.
 func (l *line) unsent() {
-	s, f := l.set, l.fetch
+	s, f := l.set, l.attempt
 	if !l.kept && l.fresh || f == 0 {
 		l.fail(hollyyoke.RefusedConn)
 		return
 	}
 	fresh := l.fresh || !l.kept
-	l.fetch = 0
+	l.attempt = 0
 	n := l.b.take(l.job.Settled)
 	if n == nil {
 		n = s.dial(l.b)
 	}
-	n.fetch, n.job, n.fresh = f, l.job, fresh
+	n.attempt, n.job, n.fresh = f, l.job, fresh
 	s.lines[f] = n
 	if n.conn != nil {
 		n.send()
@@ -386,7 +386,7 @@
 	case l.probe:
 		l.fail(hollyyoke.Overdue)
 		l.close()
-	case l.fetch != 0 && l.phase == waiting: // the time of a repeat is over
+	case l.attempt != 0 && l.phase == waiting: // the time of a repeat is over
 		if l.tellSent(); l.conn.Passed(l.mark) {
 			return
 		}
@@ -411,16 +411,16 @@
 	l.settle(o, hollyyoke.Load{}, nil)
 }
 
-// settle tells the outcome of the line's fetch, once.
+// settle tells the outcome of the line's attempt, once.
 func (l *line) settle(o hollyyoke.Outcome, load hollyyoke.Load, result []byte) {
-	if f := l.fetch; f != 0 {
-		l.fetch = 0
+	if f := l.attempt; f != 0 {
+		l.attempt = 0
 		delete(l.set.lines, f)
 		l.set.core.Ended(f, o, load, result)
 	}
 }
 
-// Stop gives a fetch up. Nothing ran if its request had not left whole.
+// Stop gives an attempt up. Nothing ran if its request had not left whole.
 func (s *Backends) Stop(handle uint64) (neverRan bool) {
 	l := s.lines[handle]
 	if l == nil {
@@ -428,7 +428,7 @@
 	}
 	l.tellSent()
 	delete(s.lines, handle)
-	l.fetch = 0
+	l.attempt = 0
 	if l.conn == nil { // the connection may serve another
 		l.lost = true
 		return true
@@ -437,7 +437,7 @@
 	return l.phase == resting || !l.conn.Passed(l.mark)
 }
 
-// rest keeps the line for the next fetch, for a while.
+// rest keeps the line for the next attempt, for a while.
 func (l *line) rest() {
 	l.phase, l.probe, l.over, l.held, l.status = resting, false, false, false, 0
 	l.free()
@@ -547,7 +547,7 @@
 func (s *Backends) Discovery(addr string) { s.watch.addr = addr }
 
 // Move goes on with discovery at another address, at once. What the former one
-// has listed stands, and so does every fetch; the watch goes on where it was.
+// has listed stands, and so does every attempt; the watch goes on where it was.
 func (s *Backends) Move(addr string) {
 	s.watch.addr = addr
 	s.watch.open()
@@ -638,7 +638,7 @@
 	l.cut()
 	if l.over {
 		l.last = l.last || l.in != nil || l.held // bytes behind the answer, or some of the request still here
-		// Idle first, told then: the fetch that the module starts on this news finds the connection.
+		// Idle first, told then: the attempt that the module starts on this news finds the connection.
 		l.set.core.Loop.Clear(&l.due)
 		l.rest()
 	}
@@ -759,7 +759,7 @@
 	if l.probe {
 		return l.keep(data)
 	}
-	if l.status != 200 || l.fetch == 0 || l.end != nil {
+	if l.status != 200 || l.attempt == 0 || l.end != nil {
 		return nil
 	}
 	for len(data) > 0 {
@@ -822,9 +822,9 @@
 	}
 	switch n.State {
 	case "started":
-		l.set.core.Started(l.fetch)
+		l.set.core.Started(l.attempt)
 	case "running":
-		l.set.core.Progress(l.fetch, n.Share)
+		l.set.core.Progress(l.attempt, n.Share)
 	case "done":
 		result := []byte(n.Result)
 		var plain string
@@ -858,12 +858,12 @@
 		}
 		l.set.core.Probed(l.b.name, o, load)
 	}
-	if l.text != nil && l.fetch != 0 && l.end == nil { // the last line may lack its line end
+	if l.text != nil && l.attempt != 0 && l.end == nil { // the last line may lack its line end
 		if err := l.news(l.text.Bytes()); err != nil {
 			return err
 		}
 	}
-	if l.fetch != 0 && l.end == nil {
+	if l.attempt != 0 && l.end == nil {
 		l.end = &end{o: hollyyoke.Severed}
 	}
 	l.over = true
@@ -1139,7 +1139,7 @@
 	return nil
 }
 
-// line takes in one line: the list, changes, or a sign of life.
+// line takes in one line: the list, changes, or a line that only shows liveness.
 func (w *watch) line(text []byte) error {
 	loop := w.set.core.Loop
 	loop.Set(&w.due, loop.Now()+watchLine)
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -68,7 +68,7 @@
 
 // held starts a front before a carrier whose attempts end when the test says so.
 func (r *rig) held(memory int) (f *Front, addr string, out holder) {
-	out = holder{echo{r.core}, make(chan core.Fetch, 100)}
+	out = holder{echo{r.core}, make(chan core.Attempt, 100)}
 	r.do(func() {
 		r.core.Listen(out)
 		r.core.List(out, hollyyoke.ListComplete, []hollyyoke.Entry{{Worker: "w"}})
@@ -78,11 +78,11 @@
 	return f, addr, out
 }
 
-func (r *rig) serve(f core.Fetch) {
+func (r *rig) serve(f core.Attempt) {
 	r.do(func() { r.core.Ended(f.Handle, hollyyoke.Completed, hollyyoke.Load{}, []byte("made")) })
 }
 
-func started(t *testing.T, out holder) (f core.Fetch) {
+func started(t *testing.T, out holder) (f core.Attempt) {
 	t.Helper()
 	select {
 	case f = <-out.started:
@@ -171,7 +171,7 @@
 	r := newRig(t)
 	f, addr, out := r.held(64 << 20)
 	conn, in := bad(t, addr, job("first"))
-	fetch := started(t, out)
+	attempt := started(t, out)
 	var sent atomic.Int64
 	go func() {
 		junk := make([]byte, 16<<10)
@@ -184,7 +184,7 @@
 	}()
 	until(t, "much has been sent", func() bool { return sent.Load() > 100<<10 })
 	r.do(f.Shut)
-	r.serve(fetch)
+	r.serve(attempt)
 	if code := status(in); code != 200 {
 		t.Errorf("its answer: %d", code)
 	}
@@ -237,13 +237,13 @@
 	r := newRig(t)
 	f, addr, out := r.held(64 << 20)
 	_, in := bad(t, addr, job("first")+"POST /renewal/k HTTP/1.1\r\n")
-	fetch := started(t, out)
+	attempt := started(t, out)
 	r.do(func() {
 		f.memory = 1
 		f.relieve()
 		f.memory = 64 << 20
 	})
-	r.serve(fetch)
+	r.serve(attempt)
 	if code := status(in); code != 200 {
 		t.Errorf("the answer owed: %d", code)
 	}
@@ -519,7 +519,7 @@
 					t.Error(err)
 				}
 				r.core.Trace = func(_, step string, more ...any) {
-					if step != "fetch" || more[1] != 1 || inTime {
+					if step != "attempt" || more[1] != 1 || inTime {
 						return
 					}
 					first := r.core.Loop.Now() // no attempt came later
@@ -652,7 +652,7 @@
 						t.Error(err)
 					}
 					r.core.Trace = func(_, step string, _ ...any) {
-						if step == "fetch" && where == "connecting" {
+						if step == "attempt" && where == "connecting" {
 							r.core.Loop.Post(finish) // before the word that the connection is up
 						}
 					}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -1,5 +1,5 @@
 // Package platform speaks the platform's protocol: client sessions on one
-// side, fetches from backends and the discovery watch on the other, all
+// side, attempts from backends and the discovery watch on the other, all
 // HTTP/1.1 over plain TCP. It translates; it must never decide where a req
 // goes, whether one is repeated, or when one is refused.
 package platform
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -63,7 +63,7 @@
 // echo is a carrier whose backend does at once what a job's body says.
 type echo struct{ core *core.Core }
 
-func (e echo) Start(f core.Fetch) {
+func (e echo) Start(f core.Attempt) {
 	word, _, _ := bytes.Cut(f.Job.Body, []byte(" "))
 	if string(word) == "hold" {
 		return
@@ -193,7 +193,7 @@
 // them their trust and the first req its own attempts.
 func TestNameInUse(t *testing.T) {
 	r := newRig(t)
-	held := holder{echo{r.core}, make(chan core.Fetch, 10)}
+	held := holder{echo{r.core}, make(chan core.Attempt, 10)}
 	var addr string
 	r.do(func() {
 		r.core.Listen(held)
@@ -214,11 +214,11 @@
 		return got
 	}
 	first := post()
-	fetch := <-held.started
+	attempt := <-held.started
 	if status := <-post(); status != 409 {
 		t.Errorf("the name of an open req: %d", status)
 	}
-	r.do(func() { r.core.Ended(fetch.Handle, hollyyoke.Completed, hollyyoke.Load{}, []byte("made")) })
+	r.do(func() { r.core.Ended(attempt.Handle, hollyyoke.Completed, hollyyoke.Load{}, []byte("made")) })
 	if status := <-first; status != 200 {
 		t.Errorf("the open req: %d", status)
 	}
@@ -226,7 +226,7 @@
 		t.Errorf("the name of a req that is over: %d", status)
 	}
 	if n := len(held.started); n != 0 {
-		t.Errorf("%d more fetches", n)
+		t.Errorf("%d more attempts", n)
 	}
 }
 
@@ -364,13 +364,13 @@
 	}
 }
 
-// holder is a carrier whose fetches end when the test says so.
+// holder is a carrier whose attempts end when the test says so.
 type holder struct {
 	echo
-	started chan core.Fetch
+	started chan core.Attempt
 }
 
-func (h holder) Start(f core.Fetch) { h.started <- f }
+func (h holder) Start(f core.Attempt) { h.started <- f }
 
 // stand is a stand-in backend: the n-th request gets the n-th script.
 type stand struct {
@@ -643,7 +643,7 @@
 }
 
 // A probe that is not answered ends, also on a connection of its own: it once
-// had no deadline there. One that is answered leaves its connection to a fetch.
+// had no deadline there. One that is answered leaves its connection to an attempt.
 func TestProbes(t *testing.T) {
 	r, s := newRig(t), newStand(t)
 	silent, err := stdnet.Listen("tcp", "127.0.0.1:0")
--- a/internal/rehearsal/emulator/emulator.go
+++ b/internal/rehearsal/emulator/emulator.go
@@ -118,17 +118,17 @@
 // dispatcher is one of them: the real core on a loop in virtual time. It is its
 // own front and its own carrier.
 type dispatcher struct {
-	sim     *Sim
-	number  int
-	zone    int
-	loop    *core.Loop
-	core    *core.Core
-	armed   time.Duration // when its next turn is set; 0: none is
-	tokens  map[uint64]*request
-	token   uint64
-	fetches map[uint64]*job // in the worker's hands, by handle
-	watch   bool
-	told    map[string]word // what discovery has told of each worker
+	sim      *Sim
+	number   int
+	zone     int
+	loop     *core.Loop
+	core     *core.Core
+	armed    time.Duration // when its next turn is set; 0: none is
+	tokens   map[uint64]*request
+	token    uint64
+	attempts map[uint64]*job // in the worker's hands, by handle
+	watch    bool
+	told     map[string]word // what discovery has told of each worker
 }
 
 // word is what a dispatcher has been told of a worker.
@@ -148,7 +148,7 @@
 		s.byName[w.name] = w
 	}
 	for i := range sc.Dispatchers {
-		d := &dispatcher{sim: s, number: i, zone: i % len(sc.Net.Zones), tokens: map[uint64]*request{}, fetches: map[uint64]*job{}, told: map[string]word{}}
+		d := &dispatcher{sim: s, number: i, zone: i % len(sc.Net.Zones), tokens: map[uint64]*request{}, attempts: map[uint64]*job{}, told: map[string]word{}}
 		d.loop = core.NewVirtual(func() time.Duration { return s.now })
 		settings := s.settings
 		settings.Zone = d.zone
@@ -328,14 +328,14 @@
 	}
 }
 
-// Start sends a fetch to its worker.
-func (d *dispatcher) Start(f core.Fetch) {
+// Start sends an attempt to its worker.
+func (d *dispatcher) Start(f core.Attempt) {
 	s, w := d.sim, d.sim.byName[f.Backend]
 	if left := d.told[f.Backend].left; left > 0 && s.now > left+s.settings.DrainGrace+slack {
 		s.wrong("dispatcher %d sent %s to %s, %v after it was told that it drains or is gone", d.number, f.Job.ID, f.Backend, s.now-left)
 	}
 	j := &job{id: f.Job.ID, class: f.Job.Class, work: f.Job.Work, handle: f.Handle, from: d}
-	d.fetches[f.Handle] = j
+	d.attempts[f.Handle] = j
 	d.core.Sent(f.Handle)
 	s.after(s.delay(d.zone, w.zone), func() { w.arrive(j) })
 }
@@ -344,29 +344,29 @@
 func (j *job) back(w *worker, what func(d *dispatcher)) {
 	d, s := j.from, j.from.sim
 	s.after(s.delay(d.zone, w.zone), func() {
-		if d.fetches[j.handle] == j {
+		if d.attempts[j.handle] == j {
 			what(d)
 			d.arm()
 		}
 	})
 }
 
-// over ends a fetch as its dispatcher hears it.
+// over ends an attempt as its dispatcher hears it.
 func (j *job) over(w *worker, o hollyyoke.Outcome) {
 	load := w.load()
 	j.back(w, func(d *dispatcher) {
-		delete(d.fetches, j.handle)
+		delete(d.attempts, j.handle)
 		d.core.Ended(j.handle, o, load, nil)
 	})
 }
 
-// Stop calls a fetch off: the worker drops it if it has not begun by the time it hears.
+// Stop calls an attempt off: the worker drops it if it has not begun by the time it hears.
 func (d *dispatcher) Stop(handle uint64) (neverRan bool) {
-	j := d.fetches[handle]
+	j := d.attempts[handle]
 	if j == nil {
 		return false
 	}
-	delete(d.fetches, handle)
+	delete(d.attempts, handle)
 	if w := j.at; w != nil {
 		d.sim.after(d.sim.delay(d.zone, w.zone), func() { w.drop(j) })
 	} else {
--- a/internal/rehearsal/emulator/emulator_test.go
+++ b/internal/rehearsal/emulator/emulator_test.go
@@ -228,9 +228,9 @@
 			s.at(epoch+4*time.Second, func() {
 				d := s.dispatchers[0]
 				d.told["w1"] = word{left: s.now - s.settings.DrainGrace - slack}
-				d.Start(core.Fetch{Handle: 1 << 40, Backend: "w1", Job: &core.Job{ID: "in time", Work: time.Millisecond}})
+				d.Start(core.Attempt{Handle: 1 << 40, Backend: "w1", Job: &core.Job{ID: "in time", Work: time.Millisecond}})
 				d.told["w1"] = word{left: s.now - s.settings.DrainGrace - slack - 1}
-				d.Start(core.Fetch{Handle: 1<<40 + 1, Backend: "w1", Job: &core.Job{ID: "too late", Work: time.Millisecond}})
+				d.Start(core.Attempt{Handle: 1<<40 + 1, Backend: "w1", Job: &core.Job{ID: "too late", Work: time.Millisecond}})
 			})
 		},
 		"owes": func(s *Sim) {
--- a/internal/rehearsal/emulator/worker.go
+++ b/internal/rehearsal/emulator/worker.go
@@ -47,7 +47,7 @@
 	at    time.Duration
 }
 
-// job is a fetch at a worker.
+// job is an attempt at a worker.
 type job struct {
 	id     string
 	class  int
@@ -90,7 +90,7 @@
 	return p
 }
 
-// arrive takes a fetch that has come.
+// arrive takes an attempt that has come.
 func (w *worker) arrive(j *job) {
 	switch {
 	case j.off:
--- a/state.go
+++ b/state.go
@@ -36,7 +36,7 @@
 	idle      []time.Duration // since when its open connections are unused, the oldest first
 	doubt     *request        // late, not started: its connection may be dead
 	full      time.Duration   // turned work away: full until then
-	heard     time.Duration   // last sign of life
+	heard     time.Duration   // last liveness
 	fail      fading          // recent failures, 0 to 1
 	unusable  int             // jobs in a row that it called unusable
 	refusals  map[*Class]*refusal
@@ -120,7 +120,7 @@
 	suspects  int            // those of them that are suspects
 	open      map[*Class]int // those of them that may run the class
 	zones     map[int]*zone
-	heard     time.Duration // last sign of life of any worker
+	heard     time.Duration // last liveness of any worker
 	requests  map[uint64]*request
 	live      []*request     // unanswered, by arrival
 	queue     []*request     // waiting, highest value per cost first
@@ -571,7 +571,7 @@
 	return d.zones[n]
 }
 
-// heardOf books that a worker's zone shows a sign of life, and returns the time.
+// heardOf books that a worker's zone shows liveness, and returns the time.
 func (d *Dispatcher) heardOf(w *worker) time.Duration {
 	d.heard = d.now
 	d.reached(w.Zone)
