--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -449,7 +449,8 @@
 			f.platform.Shut()
 			d.Finish()
 		}
-		if n.released && d.Owed() == 0 && (f.platform.Open() == 0 || now >= last) && !f.faktory.Busy() {
+		// At the very last, what has just been answered has half of what is left to be read.
+		if n.released && d.Owed() == 0 && (f.platform.Open() == 0 || now >= last+killMargin/2) && !f.faktory.Busy() {
 			loop.After(lastBytes, loop.Stop)
 			return
 		}
