--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -689,6 +689,72 @@
 	}
 }
 
+// An answer that never ends is cut: behind its last object the connection has a
+// second, and carries no other request; an object that never ends is no answer.
+func TestEndlessAnswers(t *testing.T) {
+	r := newRig(t)
+	ln, next := r.backendListener(t)
+	var b *Backends
+	r.do(func() {
+		b = NewBackends(r.core, r.engine, "")
+		b.calm = 0
+		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
+			t.Error(err)
+		}
+	})
+	endless := func(conn stdnet.Conn, text string) (cut chan int) {
+		cut = make(chan int, 1)
+		go func() {
+			n := 0
+			for {
+				m, err := io.WriteString(conn, text)
+				if n += m; err != nil {
+					cut <- n
+					return
+				}
+			}
+		}()
+		return cut
+	}
+	for i, x := range []struct {
+		head, more string
+		want       core.Verdict
+	}{
+		{strings.TrimSuffix(chunked(done), "0\r\n\r\n"), chunk("more\n"), core.Served},
+		{watchHead, chunk(strings.Repeat("x", 1000)), core.Failed},
+		{watchHead, chunk("\n"), core.Failed},
+		{"HTTP/1.1 200 OK\r\n", "X-More: more\r\n", core.Failed},
+	} {
+		id := fmt.Sprintf("id%06d", i)
+		got := make(judge, 1)
+		r.do(func() {
+			r.core.Take(got, 0, core.Job{ID: id, Class: 1, Target: "/renewal/k", Body: []byte("body"), Work: 1e6, Left: 3 * time.Second})
+		})
+		conn, in := next()
+		if _, err := http.ReadRequest(in); err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(conn, strings.ReplaceAll(x.head, "IDENTITY", id))
+		cut := endless(conn, x.more)
+		if v := verdict(t, got); v != x.want {
+			t.Errorf("answer %d: %v, want %v", i, v, x.want)
+		}
+		if x.want == core.Served { // beside it
+			other := r.take(1, "id000099")
+			conn, in := next()
+			answerOnce(t, conn, in)
+			if v := verdict(t, other); v != core.Served {
+				t.Errorf("beside an endless answer: %v", v)
+			}
+			conn.Close()
+		}
+		receive(t, cut)
+		if held := r.engine.Pool.Held(); held > 8*net.BufferSize {
+			t.Errorf("answer %d: %d bytes are held", i, held)
+		}
+	}
+}
+
 // ---- Discovery.
 
 // call is what the stand-in for discovery got: a connection and what it asked for.
