--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -294,8 +294,11 @@
 	for g.open >= g.most && !g.shut {
 		g.cond.Wait()
 	}
+	if g.shut {
+		return false
+	}
 	g.open++
-	return !g.shut
+	return true
 }
 
 func (g *gate) leave() {
--- a/internal/net/net_test.go
+++ b/internal/net/net_test.go
@@ -501,3 +501,36 @@
 		}
 	}
 }
+
+// A closed listener counts its connections down to none, also where it had no
+// room for another as it closed, or waited for one.
+func TestOpenCountsDown(t *testing.T) {
+	for _, most := range []int{1, 5} {
+		e := engine(t, 100)
+		w := newWatcher(e)
+		opened, full := make(chan *Conn, 1), make(chan bool, 10)
+		a, err := e.Listen("127.0.0.1:0", most, true, func(c *Conn) Owner { opened <- c; return w }, func() { full <- true })
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := stdnet.Dial("tcp", a.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		receive(t, opened)
+		if most == 1 {
+			receive(t, full) // it waits for room
+		}
+		a.Close()
+		if n := a.Open(); n < 1 {
+			t.Errorf("%d open, one is", n)
+		}
+		conn.Close()
+		w.gone(t)
+		for end := time.Now().Add(patience); a.Open() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("room for %d: %d open, none is", most, a.Open())
+			}
+		}
+	}
+}
