--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -255,10 +255,7 @@
 	ln, next := r.backendListener(t)
 	var addr string
 	r.do(func() {
-		b := NewBackends(r.core, r.engine, "")
-		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
-			t.Error(err)
-		}
+		r.sole(t, ln, settleTime)
 		addr, _ = NewFront(r.core, r.engine, 64<<20, func() bool { return true }).Listen("127.0.0.1:0", 20)
 	})
 	conn, in := bad(t, addr, "")
@@ -310,6 +307,17 @@
 	}
 }
 
+// sole returns a carrier that knows one backend, whose connections it uses again
+// after a rest of calm. It is for the loop.
+func (r *rig) sole(t *testing.T, ln stdnet.Listener, calm time.Duration) *Backends {
+	b := NewBackends(r.core, r.engine, "")
+	b.calm = calm
+	if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
+		t.Error(err)
+	}
+	return b
+}
+
 // answerOnce reads a request and answers it as done.
 func answerOnce(t *testing.T, conn stdnet.Conn, in *bufio.Reader) {
 	t.Helper()
@@ -359,11 +367,7 @@
 				r := newRig(t)
 				ln, next := r.backendListener(t)
 				r.do(func() {
-					b := NewBackends(r.core, r.engine, "")
-					b.calm = 0
-					if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
-						t.Error(err)
-					}
+					r.sole(t, ln, 0)
 				})
 				first := r.take(1, "id000001")
 				conn, in := next()
@@ -402,11 +406,7 @@
 	ln, next := r.backendListener(t)
 	var b *Backends
 	r.do(func() {
-		b = NewBackends(r.core, r.engine, "")
-		b.calm = time.Hour
-		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
-			t.Error(err)
-		}
+		b = r.sole(t, ln, time.Hour)
 	})
 	first := r.take(1, "id000001")
 	conn, in := next()
@@ -445,11 +445,7 @@
 	ln, next := r.backendListener(t)
 	var b *Backends
 	r.do(func() {
-		b = NewBackends(r.core, r.engine, "")
-		b.calm = 0
-		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
-			t.Error(err)
-		}
+		b = r.sole(t, ln, 0)
 	})
 	first := make(judge, 1)
 	end, release := time.Duration(0), make(chan struct{})
@@ -513,11 +509,7 @@
 			ln, next := r.backendListener(t)
 			var b *Backends
 			r.do(func() {
-				b = NewBackends(r.core, r.engine, "")
-				b.calm = time.Hour // each attempt has a connection of its own
-				if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
-					t.Error(err)
-				}
+				b = r.sole(t, ln, time.Hour) // each attempt has a connection of its own
 				r.core.Trace = func(_, step string, more ...any) {
 					if step != "attempt" || more[1] != 1 || inTime {
 						return
@@ -574,14 +566,9 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	var b *Backends
 	got := make(judge, 1)
 	r.do(func() {
-		b = NewBackends(r.core, r.engine, "")
-		b.calm = time.Hour
-		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
-			t.Error(err)
-		}
+		r.sole(t, ln, time.Hour)
 		body := bytes.Repeat([]byte("x"), 64<<10)
 		r.core.Take(got, 0, core.Job{ID: "id000001", Class: 2, Target: "/transfer/k", Body: body, Work: 1e6})
 	})
@@ -644,13 +631,10 @@
 				}
 				var b *Backends
 				r.do(func() {
-					b = NewBackends(r.core, r.engine, "")
+					b = r.sole(t, ln, settleTime)
 					if where == "last byte held" {
 						b.wary, b.hold = r.core.Loop.Now()+time.Hour, 300*time.Millisecond
 					}
-					if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
-						t.Error(err)
-					}
 					r.core.Trace = func(_, step string, _ ...any) {
 						if step == "attempt" && where == "connecting" {
 							r.core.Loop.Post(finish) // before the word that the connection is up
@@ -694,13 +678,8 @@
 func TestEndlessAnswers(t *testing.T) {
 	r := newRig(t)
 	ln, next := r.backendListener(t)
-	var b *Backends
 	r.do(func() {
-		b = NewBackends(r.core, r.engine, "")
-		b.calm = 0
-		if err := b.Known(fmt.Appendf(nil, `{"hosts":[{"host":"s","dial":%q,"health":"ready"}]}`, ln.Addr())); err != nil {
-			t.Error(err)
-		}
+		r.sole(t, ln, 0)
 	})
 	endless := func(conn stdnet.Conn, text string) (cut chan int) {
 		cut = make(chan int, 1)
