--- a/dispatcher.go
+++ b/dispatcher.go
@@ -134,7 +134,7 @@
 		d.giveUp(r)
 		return
 	}
-	if home, met := d.meet(ev.Key); d.s.FetchPrice > 0 || !met { // one met lately is popular: all have it
+	if home, met := d.meet(ev.Key); d.s.FetchPrice > 0 || !met && d.suspects == 0 && d.bad < crowded {
 		r.home = home
 	}
 	if r.class.InTurn && ev.Key != "" {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -2218,10 +2218,18 @@
 // threefold. Keys met seldom go to the same eight workers from every dispatcher; one met often would overrun
 // those, and is kept everywhere anyway.
 func TestRareKeysHaveHomesWithoutAPrice(t *testing.T) {
-	homes, often := map[string]bool{}, map[string]bool{}
+	homes, often, trouble := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for seed := range uint64(60) {
 		r := newSeededRig(t, testSettings(), 50, seed)
 		homes[r.worker(r.arriveWith(0, "k"))] = true
+		for name, wrong := range map[string]func(*rig){
+			"a suspect":         func(r *rig) { r.judge(r.fleet[0], 1, "fails") },
+			"many bad outcomes": func(r *rig) { r.bad = crowded },
+		} { // then what is known of workers counts for more than what they keep
+			r := newSeededRig(t, testSettings(), 50, seed)
+			wrong(r)
+			trouble[name+r.worker(r.arriveWith(0, "k"))] = true
+		}
 		for range 8 {
 			r.now += 5 * time.Second
 			id := r.arriveWith(0, "k")
@@ -2232,6 +2240,9 @@
 	if len(homes) > mostHomes || len(homes) < mostHomes/2 {
 		t.Fatalf("60 dispatchers send a rare key to %d workers", len(homes))
 	}
+	if len(trouble) < 2*3*mostHomes {
+		t.Fatalf("in trouble they send a rare key to %d workers", len(trouble)/2)
+	}
 	if len(often) < 3*mostHomes {
 		t.Fatalf("they send one that they meet all the time to %d", len(often))
 	}
