--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -410,10 +410,11 @@
 }
 
 // tidy drops a req that is over. What has not left for its backend by then never
-// does, also where the settings let nothing be called off. The last moment stands
-// until then: an attempt that goes on after the answer ends there too.
+// does, also where the settings let nothing be called off; but for a leased job,
+// which is wanted whoever waits, and whose lease is its front's. The last moment
+// stands until then: an attempt that goes on after the answer ends there too.
 func (c *Core) tidy(r *req) {
-	for i := 0; r.answered && i < len(r.attempts); i++ {
+	for i := 0; r.answered && r.job.Lease == nil && i < len(r.attempts); i++ {
 		if f := c.outstanding.Get(r.attempts[i].handle); f != nil && !f.left {
 			c.stop(r.attempts[i].handle, hollyyoke.Recalled)
 		}
