--- a/state.go
+++ b/state.go
@@ -36,7 +36,7 @@
 	idle      []time.Duration // since when its open connections are unused, the oldest first
 	doubt     *request        // late, not started: its connection may be dead
 	full      time.Duration   // turned work away: full until then
-	heard     time.Duration   // last liveness
+	heard     time.Duration   // when it last showed liveness
 	fail      fading          // recent failures, 0 to 1
 	unusable  int             // jobs in a row that it called unusable
 	refusals  map[*Class]*refusal
@@ -120,7 +120,7 @@
 	suspects  int            // those of them that are suspects
 	open      map[*Class]int // those of them that may run the class
 	zones     map[int]*zone
-	heard     time.Duration // last liveness of any worker
+	heard     time.Duration // when any worker last showed liveness
 	requests  map[uint64]*request
 	live      []*request     // unanswered, by arrival
 	queue     []*request     // waiting, highest value per cost first
