--- /dev/null
+++ b/internal/platform/answer.go
@@ -0,0 +1,268 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/net"
+	"hollyyoke.example/hollyyoke/internal/settings"
+)
+
+// This file reads the answers of backends to attempts and probes. It must never
+// take an answer for one that its request was not made for.
+
+// Data takes in what the backend sent.
+func (l *line) Data(_ *net.Conn, b *net.Buffer) {
+	if l.phase == resting { // nothing was asked: what comes is no answer to anything
+		l.set.engine.Pool.Put(b)
+		l.unlist()
+		l.close()
+		return
+	}
+	l.tellSent()
+	if !collect(&l.set.engine.Pool, &l.in, b) {
+		l.broken()
+		return
+	}
+	for more := true; more && !l.over && l.in != nil && l.at < len(l.in.Bytes()); {
+		var err error
+		if more, err = l.step(); err != nil {
+			l.broken()
+			return
+		}
+	}
+	l.cut()
+	if l.over {
+		l.last = l.last || l.in != nil || l.held // bytes behind the answer, or some of the request still here
+		// Idle first, told then: the attempt that the module starts on this news finds the connection.
+		l.set.core.Loop.Clear(&l.due)
+		l.rest()
+	}
+	l.tell()
+}
+
+// tell tells the outcome that the answer held, if any.
+func (l *line) tell() {
+	e := l.end
+	if l.end = nil; e == nil {
+		return
+	}
+	if l.held { // what is told as over must not begin now
+		l.close()
+	}
+	if l.phase != resting && l.conn.Handle != 0 {
+		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+clearTime)
+	}
+	l.settle(e.o, e.load, e.result)
+}
+
+// broken gives up a line whose bytes make no sense. The job may have run.
+func (l *line) broken() {
+	l.close()
+	l.tell()
+	l.fail(hollyyoke.Severed)
+}
+
+// step takes one piece out of the input; false: more must come first.
+func (l *line) step() (bool, error) {
+	in := l.in.Bytes()[l.at:]
+	switch {
+	case l.phase == waiting:
+		var h head
+		if ok, err := parseHead(in, &h, &l.seen); !ok {
+			return false, err
+		}
+		l.seen = 0
+		l.at += h.size
+		return true, l.head(&h)
+	case l.chunked:
+		data, used, err := l.chunk.next(in)
+		if err != nil || used == 0 {
+			return false, err
+		}
+		err = l.body(data)
+		l.at += used
+		if l.chunk.done && err == nil {
+			err = l.done()
+		}
+		return true, err
+	default:
+		n := len(in)
+		if l.left >= 0 {
+			n = min(n, l.left)
+			l.left -= n
+		}
+		err := l.body(in[:n])
+		l.at += n
+		if l.left == 0 && err == nil {
+			err = l.done()
+		}
+		return true, err
+	}
+}
+
+// cut drops what has been taken in, once for all pieces of it: each cut moves
+// all that is left.
+func (l *line) cut() {
+	at := l.at
+	if l.at = 0; l.in == nil {
+		return
+	}
+	if l.in.Cut(at); len(l.in.Bytes()) == 0 {
+		l.set.engine.Pool.Put(l.in)
+		l.in = nil
+	}
+}
+
+// head takes in the head of an answer. All but a 200 tell the outcome at once.
+func (l *line) head(h *head) error {
+	status, ok := number(h.b)
+	if !ok || !bytes.HasPrefix(h.a, []byte("HTTP/1.")) {
+		return errMalformed
+	}
+	if status < 200 {
+		return nil // an interim answer; the real one follows
+	}
+	length, chunked, err := h.framing()
+	if err != nil {
+		return err
+	}
+	l.status, l.chunked, l.left, l.chunk = status, chunked, length, chunks{}
+	l.last = h.has("Connection", "close") || !chunked && length < 0
+	l.phase = streaming
+	if !l.probe && status != 200 {
+		var load hollyyoke.Load
+		if v := h.get("X-Backend-Load"); v != nil {
+			load = settings.Load(&l.set.core.Settings, v)
+		}
+		o := hollyyoke.Errored // 500, and what the protocol does not name: it may have run
+		if status >= 400 && status < 500 {
+			o = hollyyoke.Unusable
+		}
+		if (status == 503 || status == 504) && bytes.Equal(h.get("X-Unprocessed"), []byte("1")) {
+			o = hollyyoke.Saturated
+		}
+		l.end = &end{o, load, nil}
+	}
+	if length == 0 {
+		return l.done()
+	}
+	return nil
+}
+
+// body takes in a piece of the body. Each line of a 200 is one object.
+func (l *line) body(data []byte) error {
+	if l.probe {
+		return l.keep(data)
+	}
+	if l.status != 200 || l.attempt == 0 || l.end != nil {
+		return nil
+	}
+	for len(data) > 0 {
+		end := bytes.IndexByte(data, '\n')
+		if end < 0 {
+			return l.keep(data)
+		}
+		text := data[:end]
+		if l.text != nil {
+			if err := l.keep(text); err != nil {
+				return err
+			}
+			text = l.text.Bytes()
+		}
+		err := l.news(text)
+		l.set.engine.Pool.Put(l.text)
+		l.text = nil
+		if err != nil || l.end != nil {
+			return err
+		}
+		data = data[end+1:]
+	}
+	return nil
+}
+
+func (l *line) keep(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if l.text == nil {
+		l.text = l.set.engine.Pool.Get()
+	}
+	if !l.text.Add(data) {
+		return errBody
+	}
+	return nil
+}
+
+// news takes in one object: the start, the progress or the end of a job.
+func (l *line) news(text []byte) error {
+	if text = bytes.TrimSpace(text); len(text) == 0 {
+		return nil
+	}
+	var n struct {
+		ID     string          `json:"id"`
+		State  string          `json:"state"`
+		Share  float64         `json:"share"`
+		Result json.RawMessage `json:"result"`
+		Load   json.RawMessage `json:"load"`
+	}
+	if err := json.Unmarshal(text, &n); err != nil {
+		return err
+	}
+	if n.ID != l.job.Job.ID {
+		return errMalformed // made for another req
+	}
+	var load hollyyoke.Load
+	if len(n.Load) > 0 {
+		load = settings.Load(&l.set.core.Settings, n.Load)
+	}
+	switch n.State {
+	case "started":
+		l.set.core.Started(l.attempt)
+	case "running":
+		l.set.core.Progress(l.attempt, n.Share)
+	case "done":
+		result := []byte(n.Result)
+		var plain string
+		if json.Unmarshal(n.Result, &plain) == nil {
+			result = []byte(plain)
+		}
+		l.end = &end{hollyyoke.Completed, load, result}
+	case "failed":
+		l.end = &end{hollyyoke.Errored, load, nil}
+	case "returned":
+		l.end = &end{hollyyoke.Saturated, load, nil}
+	case "lost":
+		l.end = &end{hollyyoke.Severed, load, nil}
+	default:
+		return errMalformed
+	}
+	return nil
+}
+
+// done is told that the answer has ended. One without its last object is a reset.
+func (l *line) done() error {
+	if l.probe {
+		l.probe = false
+		l.set.core.Loop.Clear(&l.due)
+		o, load := hollyyoke.Errored, hollyyoke.Load{}
+		if l.status == 200 {
+			o = hollyyoke.Completed
+			if l.text != nil {
+				load = settings.Load(&l.set.core.Settings, l.text.Bytes())
+			}
+		}
+		l.set.core.Probed(l.b.name, o, load)
+	}
+	if l.text != nil && l.attempt != 0 && l.end == nil { // the last line may lack its line end
+		if err := l.news(l.text.Bytes()); err != nil {
+			return err
+		}
+	}
+	if l.attempt != 0 && l.end == nil {
+		l.end = &end{o: hollyyoke.Severed}
+	}
+	l.over = true
+	return nil
+}
--- /dev/null
+++ b/internal/platform/list.go
@@ -0,0 +1,248 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	stdnet "net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+)
+
+// This file owns the list of backends: how discovery words it, the list known at
+// the start, and which backends it makes known. It must never take in a part of a
+// list of which another part is wrong.
+
+// Listed tells whether there is a backend that takes new work, by what is known so far.
+func (s *Backends) Listed() bool {
+	for _, b := range s.hosts {
+		if b.state == hollyyoke.Running {
+			return true
+		}
+	}
+	return false
+}
+
+// hosts is a list of backends as discovery words it.
+type hosts struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []host `json:"hosts"`
+}
+
+type host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+}
+
+// Known takes in the list that the dispatcher had before its start. It may be
+// old: nothing is sent by it until discovery has told what has changed, or has
+// had its time. Reqs are taken meanwhile and wait for that list, since a client
+// that is let in late has nobody else to go to. In a herd of dispatchers the word
+// of discovery may be long in coming, and the list known serves at once.
+func (s *Backends) Known(raw []byte) error {
+	list := hosts{Whole: true}
+	if len(raw) > 0 {
+		if err := json.Unmarshal(raw, &list); err != nil {
+			return err
+		}
+	}
+	s.watch.seq = list.Seq
+	entries, err := s.entries(list.Hosts)
+	if err != nil {
+		return err
+	}
+	s.first = map[string]hollyyoke.Entry{}
+	for _, e := range entries {
+		if e.State != hollyyoke.Deleted {
+			s.first[e.Worker] = e
+		}
+	}
+	if s.watch.addr == "" || s.core.Settings.AskForList && s.core.Settings.Herd() { // the module says when to call
+		s.begin(nil)
+		return nil
+	}
+	s.core.Loop.Set(&s.due, s.core.Loop.Now()+freshList)
+	s.watch.open()
+	return nil
+}
+
+// begin gives the module the list known at the start, with what has changed since.
+func (s *Backends) begin(changes []hollyyoke.Entry) {
+	if s.first == nil {
+		return
+	}
+	for _, e := range changes {
+		if s.first[e.Worker] = e; e.State == hollyyoke.Deleted {
+			delete(s.first, e.Worker)
+		}
+	}
+	entries := slices.SortedFunc(maps.Values(s.first), func(a, b hollyyoke.Entry) int {
+		return strings.Compare(a.Worker, b.Worker) // a map's order would make runs differ
+	})
+	s.first = nil
+	s.core.Loop.Clear(&s.due)
+	s.core.List(s, hollyyoke.ListPersisted, entries)
+}
+
+// Tell tells where discovery is, and the list in its words, for a successor.
+func (s *Backends) Tell() (addr string, list json.RawMessage, err error) {
+	words := map[hollyyoke.WorkerState]string{hollyyoke.Running: "ready", hollyyoke.Stopping: "draining"}
+	l := hosts{Seq: s.watch.seq, Whole: true, Hosts: []host{}}
+	for _, b := range s.hosts {
+		h := b.host
+		h.Health = words[b.state]
+		l.Hosts = append(l.Hosts, h)
+	}
+	slices.SortFunc(l.Hosts, func(a, b host) int { return strings.Compare(a.Host, b.Host) })
+	list, err = json.Marshal(l)
+	return s.watch.addr, list, err
+}
+
+// Relay takes in the list that the predecessor has heard, as long as discovery
+// is silent here. Its word comes first once it speaks.
+func (s *Backends) Relay(raw json.RawMessage) error {
+	var list hosts
+	if s.watch.live {
+		return nil
+	}
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return err
+	}
+	entries, err := s.entries(list.Hosts)
+	if err != nil {
+		return err
+	}
+	s.onlyThese(entries)
+	s.watch.seq = max(s.watch.seq, list.Seq)
+	if s.first == nil {
+		s.core.List(s, hollyyoke.ListComplete, entries)
+		return nil
+	}
+	clear(s.first)
+	for _, e := range entries {
+		s.first[e.Worker] = e
+	}
+	return nil
+}
+
+// CheckList tells what is wrong with a list of backends, and takes in none of it.
+func (s *Backends) CheckList(raw []byte) error {
+	var list hosts
+	if len(raw) == 0 {
+		return nil
+	}
+	err := json.Unmarshal(raw, &list)
+	if err == nil {
+		_, err = s.parse(list.Hosts)
+	}
+	if err != nil {
+		err = fmt.Errorf("config: known: %w", err)
+	}
+	return err
+}
+
+// onlyThese marks all backends as gone that a complete list lacks.
+func (s *Backends) onlyThese(entries []hollyyoke.Entry) {
+	listed := map[string]bool{}
+	for _, e := range entries {
+		listed[e.Worker] = true
+	}
+	for name, b := range s.hosts {
+		if !listed[name] {
+			s.gone(b)
+		}
+	}
+}
+
+func (s *Backends) gone(b *backend) {
+	if b.state != hollyyoke.Deleted {
+		b.state, b.told = hollyyoke.Deleted, s.core.Loop.Now()
+	}
+	b.closeIdle()
+	delete(s.hosts, b.name)
+}
+
+// parse checks a whole list and takes in none of it.
+func (s *Backends) parse(list []host) ([]hollyyoke.Entry, error) {
+	entries := make([]hollyyoke.Entry, 0, len(list))
+	for i, h := range list {
+		at := "hosts[" + strconv.Itoa(i) + "]"
+		e := hollyyoke.Entry{
+			Worker: h.Host, Cell: h.Block, Weight: h.Share,
+			Zone: index(s.core.Settings.ZoneNames, h.Site), Kind: index(s.core.Settings.KindNames, h.Class),
+		}
+		if h.BornMs > 0 && h.BornMs < 1e13 {
+			e.LastStart = time.Duration(h.BornMs * float64(time.Millisecond))
+		}
+		switch h.Health {
+		case "ready":
+			e.State = hollyyoke.Running
+		case "draining":
+			e.State = hollyyoke.Stopping
+		case "gone":
+			e.State = hollyyoke.Deleted
+		default:
+			return nil, errors.New(at + ".health: unknown value " + strconv.Quote(h.Health))
+		}
+		if h.Host == "" {
+			return nil, errors.New(at + ".host is empty")
+		}
+		if _, _, err := stdnet.SplitHostPort(h.Dial); err != nil && e.State != hollyyoke.Deleted {
+			return nil, errors.New(at + ".dial: " + err.Error())
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+// entries takes in a list, unless some of it is wrong.
+func (s *Backends) entries(list []host) ([]hollyyoke.Entry, error) {
+	entries, err := s.parse(list)
+	if err != nil {
+		return nil, err
+	}
+	now := s.core.Loop.Now()
+	for i, e := range entries {
+		b := s.hosts[e.Worker]
+		if e.State == hollyyoke.Deleted {
+			if b != nil {
+				s.gone(b)
+			}
+			continue
+		}
+		if b == nil {
+			b = &backend{name: e.Worker, dial: list[i].Dial, state: e.State, told: now}
+			s.hosts[e.Worker] = b
+		}
+		if b.dial != list[i].Dial {
+			b.closeIdle()
+			b.dial = list[i].Dial
+		}
+		if b.host = list[i]; b.state != e.State {
+			b.state, b.told = e.State, now
+		}
+	}
+	return entries, nil
+}
+
+// index finds a name; -1 is a number that no setting names.
+func index(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,279 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/net"
+)
+
+// This file owns the discovery watch: the one open call, its patience, and what
+// a call that failed leads to. It must never take in what a former call brings.
+
+// Subscribe opens the discovery watch, unless a call is out. Guards against a
+// repeat that the module had set for the former address and that would end the
+// watch at the present one.
+func (s *Backends) Subscribe() {
+	if !s.watch.out {
+		s.watch.open()
+	}
+}
+
+// Discovery sets where discovery is before the first call.
+func (s *Backends) Discovery(addr string) { s.watch.addr = addr }
+
+// Move goes on with discovery at another address, at once. What the former one
+// has listed stands, and so does every attempt; the watch goes on where it was.
+func (s *Backends) Move(addr string) {
+	s.watch.addr = addr
+	s.watch.open()
+}
+
+// Heard tells whether the module has a list: discovery's, or the known one after its time.
+func (s *Backends) Heard() bool { return s.first == nil }
+
+// watch is the one open call to discovery, or the wait for the module to ask for it again.
+type watch struct {
+	set   *Backends
+	addr  string
+	seq   int64
+	turn  int  // counts the calls, so that what a former one brings is passed over
+	out   bool // a call is out
+	conn  *net.Conn
+	in    *net.Buffer
+	text  objects
+	seen  int  // bytes of in that hold no end of the head
+	ok    bool // the head of the answer has come
+	live  bool // and its first line
+	mute  bool // an agent that does not answer: the log tells so
+	chunk chunks
+	due   core.Deadline
+}
+
+const (
+	freshList    = time.Second // the first word of discovery is waited for so long
+	watchConnect = time.Second
+	watchCall    = 3 * time.Second // for the first line: discovery takes calls in turn
+	watchLine    = 3 * time.Second // between lines; one comes every 2 s at the latest
+
+	// Where lists are pushed, an agent on this machine has them. It answers at
+	// once and at no cost, and what it has counts as told, watch or not: a call
+	// that is not answered, and the pause to the next, must both fit into the
+	// time that a drain leaves.
+	agentCalls = 4 // part of that time that a call may take
+	agentRests = 8 // part of it from a call that failed to the next
+	leastRest  = 10 * time.Millisecond
+)
+
+// pushed tells whether lists come from an agent, which is called without the module's word.
+func (w *watch) pushed() bool { return !w.set.core.Settings.AskForList }
+
+// patience is how long a call may take up to its first line.
+func (w *watch) patience() (connect, call time.Duration) {
+	if !w.pushed() {
+		return watchConnect, watchCall
+	}
+	part := max(w.set.core.Settings.DrainGrace/agentCalls, 2*leastRest)
+	return part, part
+}
+
+// expire ends a call or a watch on which nothing has come in time. An agent may
+// have answered while the loop was late.
+func (w *watch) expire() {
+	if w.conn != nil && !w.conn.Quiet() {
+		w.set.core.Loop.Set(&w.due, w.set.core.Loop.Now()+leastRest)
+		return
+	}
+	w.fail("silent")
+}
+
+// open makes the call, in place of one that stands.
+func (w *watch) open() {
+	w.drop()
+	if w.addr == "" {
+		return
+	}
+	w.turn++
+	w.out = true
+	turn := w.turn
+	loop := w.set.core.Loop
+	connect, call := w.patience()
+	loop.Set(&w.due, loop.Now()+connect+call)
+	w.set.engine.Dial(w.addr, connect, w, func(c *net.Conn, err error) {
+		switch {
+		case turn != w.turn:
+			if c != nil {
+				c.Close()
+			}
+		case err != nil:
+			w.fail(err.Error())
+		default:
+			w.conn = c
+			loop.Set(&w.due, loop.Now()+call)
+			c.Write([]byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
+				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n"))
+		}
+	})
+}
+
+// drop forgets the present call.
+func (w *watch) drop() {
+	w.set.core.Loop.Clear(&w.due)
+	w.set.engine.Pool.Put(w.in)
+	if w.conn != nil {
+		w.conn.Close()
+	}
+	w.in, w.text, w.conn, w.out, w.ok, w.live, w.chunk, w.seen = nil, objects{}, nil, false, false, false, chunks{}, 0
+	w.turn++
+}
+
+// fail ends a call that brought nothing, or a watch that broke. The module says
+// when to ask again, but for an agent, which is called again at once: the list
+// known at the start then waits for its whole time.
+func (w *watch) fail(why string) {
+	w.drop()
+	if !w.pushed() {
+		w.set.core.Log("discovery: " + why)
+		w.set.begin(nil)
+		w.set.core.List(w.set, hollyyoke.ListError, nil)
+		return
+	}
+	if !w.mute {
+		w.mute = true // an outage has one line in the log, not one for each call
+		w.set.core.Log("discovery: " + why)
+	}
+	loop, turn := w.set.core.Loop, w.turn
+	loop.After(max(w.set.core.Settings.DrainGrace/agentRests, leastRest), func() {
+		if turn == w.turn {
+			w.open()
+		}
+	})
+}
+
+// Closed is told that discovery ended the call.
+func (w *watch) Closed(c *net.Conn, _ error) {
+	if c == w.conn {
+		w.fail("the watch ended")
+	}
+}
+
+// Data takes in what discovery sent.
+func (w *watch) Data(c *net.Conn, b *net.Buffer) {
+	if c != w.conn {
+		w.set.engine.Pool.Put(b)
+		return
+	}
+	defer w.set.engine.Pool.Put(b)
+	for w.conn == c && len(b.Bytes()) > 0 {
+		if w.in == nil {
+			w.in = w.set.engine.Pool.Get()
+		}
+		n := w.in.Fill(b.Bytes())
+		b.Cut(n)
+		err := w.read()
+		if err == nil && n == 0 {
+			err = errMalformed // no room for the end of what is a line at the most
+		}
+		if err != nil && w.conn == c {
+			w.fail(err.Error())
+			return
+		}
+	}
+}
+
+func (w *watch) read() error {
+	if !w.ok {
+		var h head
+		ok, err := parseHead(w.in.Bytes(), &h, &w.seen)
+		if !ok {
+			return err
+		}
+		if string(h.b) != "200" || !h.has("Transfer-Encoding", "chunked") {
+			return errors.New("status " + string(h.b))
+		}
+		w.ok = true
+		w.in.Cut(h.size)
+	}
+	for conn := w.conn; w.conn == conn; {
+		data, used, err := w.chunk.next(w.in.Bytes())
+		if err != nil {
+			return err
+		}
+		if w.chunk.done {
+			return errors.New("the watch ended")
+		}
+		if used == 0 {
+			return nil
+		}
+		if err := w.lines(data); err != nil {
+			return err
+		}
+		if w.conn == conn {
+			w.in.Cut(used)
+		}
+	}
+	return nil
+}
+
+func (w *watch) lines(data []byte) error {
+	for conn := w.conn; len(data) > 0 && w.conn == conn; {
+		object, used, whole, err := w.text.next(data)
+		if err != nil {
+			return err
+		}
+		if data = data[used:]; !whole {
+			continue
+		}
+		if err := w.line(object); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// line takes in one line: the list, changes, or a line that only shows liveness.
+func (w *watch) line(text []byte) error {
+	loop := w.set.core.Loop
+	loop.Set(&w.due, loop.Now()+watchLine)
+	first := !w.live
+	w.live, w.mute = true, false
+	if len(text) == 0 && w.set.first != nil {
+		w.set.begin(nil)
+		return nil
+	}
+	if len(text) == 0 {
+		if first { // nothing has changed; but the call did not fail, and the module waits for word of it
+			w.set.core.List(w.set, hollyyoke.ListChanges, nil)
+		}
+		return nil
+	}
+	var list hosts
+	if err := json.Unmarshal(text, &list); err != nil {
+		return err
+	}
+	entries, err := w.set.entries(list.Hosts)
+	if err != nil {
+		return err
+	}
+	kind := hollyyoke.ListChanges
+	if list.Whole {
+		kind = hollyyoke.ListComplete
+		w.set.onlyThese(entries)
+	}
+	w.seq = list.Seq
+	if w.set.Told != nil {
+		defer w.set.Told()
+	}
+	if w.set.first != nil && !list.Whole {
+		w.set.begin(entries)
+		return nil
+	}
+	w.set.first = nil
+	w.set.core.Loop.Clear(&w.set.due)
+	w.set.core.List(w.set, kind, entries)
+	return nil
+}
