--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -680,6 +680,22 @@
 	wg.Wait()
 }
 
+// awaitUnhealthy waits until healthz answers 503: a signal is handled some time after it is sent.
+func (w *world) awaitUnhealthy() {
+	w.t.Helper()
+	for begin := time.Now(); time.Since(begin) < patience; time.Sleep(time.Millisecond) {
+		resp, err := w.client.Get("http://" + w.listen + "/healthz")
+		if err != nil {
+			w.t.Fatalf("healthz after SIGTERM: %v", err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			return
+		}
+	}
+	w.t.Fatal("healthz does not answer 503 after SIGTERM")
+}
+
 // At a planned restart what has been taken is answered, what comes in the
 // window is served, and the program ends with 0 only after that.
 func TestPlannedRestart(t *testing.T) {
@@ -697,6 +713,7 @@
 	w.cmd.Process.Signal(syscall.SIGTERM) // said twice, it means no more
 	fresh := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	w.client, fresh = fresh, w.client
+	w.awaitUnhealthy() // the signal has been handled, so that what follows comes after it
 	if status, _, _ := w.post("status-check", "new", "x", 0); status != 200 {
 		t.Errorf("a new connection after SIGTERM: %d", status)
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -181,7 +181,8 @@
 // serve answers one whole call.
 func (k *call) serve(c platform.Call) {
 	d := k.door
-	method, act := "GET", func() {}
+	method := "GET"
+	var act func()
 	switch c.Path {
 	case "/control/ready":
 		act = func() {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,6 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 )
 
 // Schema is the version of what is written. Files of earlier ones are brought
@@ -100,7 +101,7 @@
 func open(path string, wait time.Duration) (db *bbolt.DB, err error) {
 	defer damaged(path+": ", &err)
 	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: wait, FreelistType: bbolt.FreelistMapType})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bbolterrors.ErrTimeout) {
 		return nil, fmt.Errorf("%s: another process has it open", path)
 	}
 	if err != nil {
