--- /dev/null
+++ b/internal/membership/store.go
@@ -0,0 +1,302 @@
+package membership
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// This file owns the newest state and the log of what changed when. It must
+// never go back to an older version nor take in a change in part.
+
+// Outcome says what became of a change.
+type Outcome int
+
+const (
+	Applied Outcome = iota // the state is now that of the change's version
+	Stale                  // not newer than the state: nothing changes
+	Refused                // malformed, or changes before it are missing: nothing changes
+)
+
+func (o Outcome) String() string {
+	switch o {
+	case Applied:
+		return "applied"
+	case Stale:
+		return "stale"
+	case Refused:
+		return "refused"
+	}
+	return fmt.Sprintf("Outcome(%d)", int(o))
+}
+
+// ErrGap says that a delta continues from a version that the store does not have
+// yet. The caller asks upstream again, after Resume.
+var ErrGap = errors.New("changes before this delta are missing")
+
+// entry is the newest record of one key, and its place in the log.
+type entry struct {
+	record  Record
+	version Version // that changed it last
+	logged  bool
+	older   *entry // neighbours in the log
+	newer   *entry
+	seen    Version // the last snapshot that held it
+}
+
+// Store holds the newest state and a log of the last changes, one entry a key:
+// a later change of a key takes the place of the earlier one. Deleted keys are
+// remembered as long as the log holds them.
+type Store struct {
+	limit   int // entries of the log
+	version Version
+	resume  Version // up to it nothing is missing by a refused delta
+	entries map[string]*entry
+	live    int // entries that are not deleted
+
+	oldest, newest *entry // the ends of the log, by version
+	logged         int
+
+	// What the log cannot answer: versions below floor, whose changes it no
+	// longer holds, and those between two that a snapshot skipped: what it
+	// changed is known only from the version before it.
+	floor   Version
+	skipped span
+}
+
+// span is the versions between two, both excluded.
+type span struct{ from, to Version }
+
+func (s span) holds(v Version) bool { return s.from < v && v < s.to }
+
+// NewStore gives an empty store, with a log of limit entries. It answers who is
+// further behind with a snapshot; with limit 0 it always does.
+func NewStore(limit int) *Store {
+	return &Store{limit: max(limit, 0), entries: map[string]*entry{}}
+}
+
+// Version is that of the state. 0: nothing has been applied yet.
+func (s *Store) Version() Version { return s.version }
+
+// Resume is the version to ask upstream after. It is Version, unless a refused
+// delta spanned several versions: what else it carried may be missing since,
+// and is had again by asking after Resume.
+func (s *Store) Resume() Version { return s.resume }
+
+// Len is the number of hosts and settings in the state.
+func (s *Store) Len() int { return s.live }
+
+// Get is the record of a key in the state.
+func (s *Store) Get(key string) (Record, bool) {
+	e := s.entries[key]
+	if e == nil || e.record.Deleted {
+		return Record{}, false
+	}
+	return e.record, true
+}
+
+// Apply takes in a change, whole or not at all. Only a newer version than the
+// state's is taken in. The error says why a change was refused.
+func (s *Store) Apply(c Change) (Outcome, error) {
+	if err := c.check(); err != nil {
+		return Refused, err
+	}
+	if c.Version <= s.version {
+		return Stale, nil
+	}
+	if !c.Whole && c.Base > s.version {
+		return Refused, fmt.Errorf("%w: it continues from version %d, the state is of %d", ErrGap, c.Base, s.version)
+	}
+	complete := c.Whole || s.resume == s.version || c.Base > 0 && c.Base <= s.resume
+	if c.Whole {
+		s.replace(c)
+	} else {
+		for i := range c.Records {
+			s.set(c.Records[i], c.Version)
+		}
+	}
+	s.version = c.Version
+	if complete {
+		s.resume = c.Version
+	}
+	s.trim()
+	return Applied, nil
+}
+
+func (c Change) check() error {
+	if c.Version < 0 || c.Base < 0 {
+		return errors.New("seq is negative")
+	}
+	for i := range c.Records {
+		if c.Records[i].Key == "" {
+			return fmt.Errorf("records[%d].key is empty", i)
+		}
+	}
+	return nil
+}
+
+// Refuse passes over a delta that was refused whole, here or by who would have
+// put it in force: the state stays, as if that version had changed nothing, and
+// later deltas apply. A snapshot is never passed over: the caller just drops it.
+func (s *Store) Refuse(v Version) {
+	if v <= s.version {
+		return
+	}
+	if s.resume == s.version && v == s.version+1 {
+		s.resume = v // no other change can have been lost with it
+	}
+	s.version = v
+}
+
+// replace makes the state that of a snapshot. Only what differs is logged, so
+// that a subscriber at the version before it is sent no more than that.
+func (s *Store) replace(c Change) {
+	before := make([]*entry, 0, s.live)
+	for _, e := range s.entries {
+		if !e.record.Deleted {
+			before = append(before, e)
+		}
+	}
+	for i := range c.Records {
+		s.setIfDifferent(c.Records[i], c.Version)
+	}
+	missing := slices.DeleteFunc(before, func(e *entry) bool { return e.seen == c.Version })
+	slices.SortFunc(missing, byKey) // a map's order would make logs differ
+	for _, e := range missing {
+		s.set(e.record.deletion(), c.Version)
+	}
+	s.floor = max(s.floor, s.skipped.to)
+	s.skipped = span{from: s.resume, to: c.Version}
+}
+
+func byKey(a, b *entry) int { return cmp.Compare(a.record.Key, b.record.Key) }
+
+func (s *Store) setIfDifferent(r Record, v Version) {
+	e := s.entries[r.Key]
+	if r.Deleted && (e == nil || e.record.Deleted) {
+		return
+	}
+	if e == nil || e.record.Deleted != r.Deleted || !bytes.Equal(e.record.Value, r.Value) {
+		s.set(r, v)
+		e = s.entries[r.Key]
+	}
+	e.seen = v
+}
+
+// deletion is the record that tells that a key has gone.
+func (r Record) deletion() Record {
+	r.Deleted = true
+	if isHost := len(r.Key) >= len(HostPrefix) && r.Key[:len(HostPrefix)] == HostPrefix; isHost {
+		r.Urgent = true
+		r.Value = withHealth(r.Value, healthGone)
+		return r
+	}
+	r.Value = json.RawMessage("null")
+	return r
+}
+
+// set puts a record into the state and at the end of the log.
+func (s *Store) set(r Record, v Version) {
+	e := s.entries[r.Key]
+	if e == nil {
+		e = &entry{record: Record{Deleted: true}}
+		s.entries[r.Key] = e
+	}
+	if e.record.Deleted != r.Deleted {
+		if r.Deleted {
+			s.live--
+		} else {
+			s.live++
+		}
+	}
+	e.record, e.version = r, v
+	s.unlink(e)
+	s.link(e)
+}
+
+// link puts an entry at the newer end of the log.
+func (s *Store) link(e *entry) {
+	e.logged, e.older, e.newer = true, s.newest, nil
+	if s.newest != nil {
+		s.newest.newer = e
+	} else {
+		s.oldest = e
+	}
+	s.newest = e
+	s.logged++
+}
+
+func (s *Store) unlink(e *entry) {
+	if !e.logged {
+		return
+	}
+	if e.older != nil {
+		e.older.newer = e.newer
+	} else {
+		s.oldest = e.newer
+	}
+	if e.newer != nil {
+		e.newer.older = e.older
+	} else {
+		s.newest = e.older
+	}
+	e.logged, e.older, e.newer = false, nil, nil
+	s.logged--
+}
+
+// trim drops the oldest entries beyond the log's bound.
+func (s *Store) trim() {
+	for s.logged > s.limit {
+		e := s.oldest
+		s.floor = max(s.floor, e.version)
+		s.unlink(e)
+		if e.record.Deleted {
+			delete(s.entries, e.record.Key)
+		}
+	}
+}
+
+// Since gives what a subscriber at version after lacks: of each key that changed
+// since, the newest record, in the order of the changes; a snapshot where the
+// log does not reach back so far, or after is 0. It is false where after is newer
+// than the state, or there is no state yet: then another server must be asked.
+// Its cost goes with the records that it gives.
+func (s *Store) Since(after Version) (Change, bool) {
+	if after > s.version || s.version == 0 {
+		return Change{}, false
+	}
+	if after <= 0 || after < s.floor || s.skipped.holds(after) {
+		return s.Snapshot(), true
+	}
+	count := 0
+	first := s.newest
+	for e := s.newest; e != nil && e.version > after; e = e.older {
+		first = e
+		count++
+	}
+	c := Change{Version: s.version, Base: after}
+	if count == 0 {
+		return c, true
+	}
+	c.Records = make([]Record, 0, count)
+	for e := first; e != nil; e = e.newer {
+		c.Records = append(c.Records, e.record)
+	}
+	return c, true
+}
+
+// Snapshot gives the whole state, in the order of its keys: equal states make
+// equal snapshots. Its cost goes with the state; callers keep its line by version.
+func (s *Store) Snapshot() Change {
+	c := Change{Version: s.version, Whole: true, Records: make([]Record, 0, s.live)}
+	for _, e := range s.entries {
+		if !e.record.Deleted {
+			c.Records = append(c.Records, e.record)
+		}
+	}
+	slices.SortFunc(c.Records, func(a, b Record) int { return cmp.Compare(a.Key, b.Key) })
+	return c
+}
