Membership: what a refused delta carried along is had again

A delta may be coalesced from several changes. When it is refused for one of them the others were lost until their keys changed again, and differently at each relay.

--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -46,11 +46,15 @@
 	Whole   bool    // a snapshot: what it does not hold is deleted. Otherwise a delta
 
 	// Base is the version that a delta continues from: the one that was asked
-	// for, or that of the line before it on the same watch. It is not on the
-	// wire; who receives a delta sets it. 0: the receiver vouches that nothing
-	// is missing between its state and the delta.
+	// for, or that of the line before it on the same watch, refused or not. It
+	// is not on the wire; who receives a delta sets it. 0: the receiver vouches
+	// that nothing is missing between its state and the delta.
 	Base Version
 
+	// Resume is the version up to which the sender has everything, where it has
+	// refused a change since; else 0. What it refused is missing here too.
+	Resume Version
+
 	Records []Record // at most one a key
 }
 
@@ -68,6 +72,7 @@
 type wireChange struct {
 	Seq      *Version          `json:"seq"`
 	Whole    bool              `json:"whole"`
+	Resume   Version           `json:"resume"`
 	Hosts    []json.RawMessage `json:"hosts"`
 	Settings []json.RawMessage `json:"settings"`
 }
@@ -96,34 +101,32 @@
 )
 
 // Parse reads one line. An error names the field that is wrong, and the Change
-// that comes with it has no records; its Version and Whole are set if the line
-// was readable so far, which is what Store.Refuse wants to know. Of several
-// entries with one key the last wins, as in consecutive changes. Nothing of line
-// is kept.
+// that comes with it has no records. Where only the content of hosts or settings
+// is wrong, its Version and Whole are set, as Store.Refuse wants them; else its
+// Version is 0, and nothing can follow on the connection that brought the line.
+// Of several entries with one key the last wins, as in consecutive changes.
+// Nothing of line is kept.
 func Parse(line []byte) (Change, error) {
 	var wire wireChange
 	if err := json.Unmarshal(line, &wire); err != nil {
-		return Change{}, fieldError("", err)
-	}
-	if wire.Seq == nil {
-		return Change{}, errors.New("seq: missing")
+		return Change{}, fieldError("line", err)
 	}
-	if *wire.Seq < 0 {
-		return Change{}, fmt.Errorf("seq: %d is negative", *wire.Seq)
+	if err := wire.check(); err != nil {
+		return Change{}, err
 	}
-	change := Change{Version: *wire.Seq, Whole: wire.Whole}
+	change := Change{Version: *wire.Seq, Whole: wire.Whole, Resume: wire.Resume}
 	records := make([]Record, 0, len(wire.Hosts)+len(wire.Settings))
 	for i, raw := range wire.Hosts {
-		record, err := parseHost(raw, "hosts["+strconv.Itoa(i)+"]")
+		record, err := parseHost(raw)
 		if err != nil {
-			return change, err
+			return change, fieldError("hosts["+strconv.Itoa(i)+"]", err)
 		}
 		records = append(records, record)
 	}
 	for i, raw := range wire.Settings {
-		record, err := parseSetting(raw, "settings["+strconv.Itoa(i)+"]")
+		record, err := parseSetting(raw)
 		if err != nil {
-			return change, err
+			return change, fieldError("settings["+strconv.Itoa(i)+"]", err)
 		}
 		records = append(records, record)
 	}
@@ -131,23 +134,42 @@
 	return change, nil
 }
 
-// parseHost checks one host. at names it in errors.
-func parseHost(raw json.RawMessage, at string) (Record, error) {
+func (w *wireChange) check() error {
+	switch {
+	case w.Seq == nil:
+		return errors.New("seq: missing")
+	case *w.Seq < 0:
+		return fmt.Errorf("seq: %d is negative", *w.Seq)
+	case w.Resume < 0 || w.Resume > *w.Seq:
+		return fmt.Errorf("resume: %d is not between 0 and seq", w.Resume)
+	}
+	return nil
+}
+
+// contentError is what is wrong with a field of an entry.
+type contentError struct {
+	field   string
+	problem string // with what joins it to the field's name
+}
+
+func (e *contentError) Error() string { return e.field + e.problem }
+
+func parseHost(raw json.RawMessage) (Record, error) {
 	var host wireHost
 	if err := json.Unmarshal(raw, &host); err != nil {
-		return Record{}, fieldError(at, err)
+		return Record{}, err
 	}
 	switch host.Health {
 	case healthReady, healthDraining, healthGone:
 	default:
-		return Record{}, errors.New(at + ".health: unknown value " + strconv.Quote(host.Health))
+		return Record{}, &contentError{"health", ": unknown value " + strconv.Quote(host.Health)}
 	}
 	if host.Host == "" {
-		return Record{}, errors.New(at + ".host is empty")
+		return Record{}, &contentError{"host", " is empty"}
 	}
 	if host.Health != healthGone {
 		if err := checkAddress(host.Dial); err != nil {
-			return Record{}, fmt.Errorf("%s.dial: %w", at, err)
+			return Record{}, &contentError{"dial", ": " + err.Error()}
 		}
 	}
 	return Record{
@@ -158,17 +180,18 @@
 	}, nil
 }
 
-// parseSetting checks one setting. What its value may be is for who applies it.
-func parseSetting(raw json.RawMessage, at string) (Record, error) {
+// parseSetting checks the form of a setting. What its value may be is for who
+// puts it in force.
+func parseSetting(raw json.RawMessage) (Record, error) {
 	var setting wireSetting
 	if err := json.Unmarshal(raw, &setting); err != nil {
-		return Record{}, fieldError(at, err)
+		return Record{}, err
 	}
 	if setting.Key == "" {
-		return Record{}, errors.New(at + ".key is empty")
+		return Record{}, &contentError{"key", " is empty"}
 	}
 	if setting.Value == nil {
-		return Record{}, errors.New(at + ".value: missing")
+		return Record{}, &contentError{"value", ": missing"}
 	}
 	return Record{
 		Key:     SettingPrefix + setting.Key,
@@ -177,6 +200,22 @@
 	}, nil
 }
 
+// fieldError names the field that an error is about. at is the object that holds it.
+func fieldError(at string, err error) error {
+	var content *contentError
+	if errors.As(err, &content) {
+		return fmt.Errorf("%s.%w", at, err)
+	}
+	var typeError *json.UnmarshalTypeError
+	if !errors.As(err, &typeError) {
+		return fmt.Errorf("%s: %w", at, err)
+	}
+	if typeError.Field != "" {
+		at += "." + typeError.Field
+	}
+	return errors.New(at + ": unexpected " + typeError.Value)
+}
+
 // checkAddress accepts HOST:PORT as net.SplitHostPort does, which a package
 // without I/O does not import.
 func checkAddress(address string) error {
@@ -203,25 +242,6 @@
 	return nil
 }
 
-// fieldError names the field that a JSON error is about.
-func fieldError(at string, err error) error {
-	var typeError *json.UnmarshalTypeError
-	if !errors.As(err, &typeError) {
-		if at == "" {
-			return err
-		}
-		return fmt.Errorf("%s: %w", at, err)
-	}
-	field := at
-	if typeError.Field != "" {
-		field = strings.TrimPrefix(at+"."+typeError.Field, ".")
-	}
-	if field == "" {
-		field = "line"
-	}
-	return fmt.Errorf("%s: %s in place of %s", field, typeError.Value, typeError.Type)
-}
-
 // onOneLine takes the line ends out that JSON allows between tokens.
 func onOneLine(value json.RawMessage) json.RawMessage {
 	if bytes.IndexByte(value, '\n') < 0 && bytes.IndexByte(value, '\r') < 0 {
@@ -258,6 +278,10 @@
 	dst = strconv.AppendInt(dst, int64(c.Version), 10)
 	dst = append(dst, `,"whole":`...)
 	dst = strconv.AppendBool(dst, c.Whole)
+	if c.Resume > 0 {
+		dst = append(dst, `,"resume":`...)
+		dst = strconv.AppendInt(dst, int64(c.Resume), 10)
+	}
 	dst = append(dst, `,"hosts":[`...)
 	settings, hosts := 0, 0
 	for i := range c.Records {
--- a/internal/membership/store.go
+++ b/internal/membership/store.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 )
 
 // This file owns the newest state and the log of what changed when. It must
@@ -17,7 +18,7 @@
 
 const (
 	Applied Outcome = iota // the state is now that of the change's version
-	Stale                  // not newer than the state: nothing changes
+	Stale                  // it cannot make the state newer: nothing changes
 	Refused                // malformed, or changes before it are missing: nothing changes
 )
 
@@ -34,7 +35,7 @@
 }
 
 // ErrGap says that a delta continues from a version that the store does not have
-// yet. The caller asks upstream again, after Resume.
+// yet. The caller asks upstream again, after Version.
 var ErrGap = errors.New("changes before this delta are missing")
 
 // entry is the newest record of one key, and its place in the log.
@@ -44,7 +45,7 @@
 	logged  bool
 	older   *entry // neighbours in the log
 	newer   *entry
-	seen    Version // the last snapshot that held it
+	seenIn  int // the last snapshot that held it, by count
 }
 
 // Store holds the newest state and a log of the last changes, one entry a key:
@@ -53,7 +54,7 @@
 type Store struct {
 	limit   int // entries of the log
 	version Version
-	resume  Version // up to it nothing is missing by a refused delta
+	resume  Version // up to it nothing is missing; below version after a refused delta
 	entries map[string]*entry
 	live    int // entries that are not deleted
 
@@ -61,10 +62,11 @@
 	logged         int
 
 	// What the log cannot answer: versions below floor, whose changes it no
-	// longer holds, and those between two that a snapshot skipped: what it
-	// changed is known only from the version before it.
-	floor   Version
-	skipped span
+	// longer holds, and those that the last snapshot skipped, since what it
+	// changed is known only from the state before it.
+	floor     Version
+	skipped   span
+	snapshots int // applied so far
 }
 
 // span is the versions between two, both excluded.
@@ -81,9 +83,11 @@
 // Version is that of the state. 0: nothing has been applied yet.
 func (s *Store) Version() Version { return s.version }
 
-// Resume is the version to ask upstream after. It is Version, unless a refused
-// delta spanned several versions: what else it carried may be missing since,
-// and is had again by asking after Resume.
+// Resume is the version up to which nothing is missing. It is Version, unless a
+// delta was refused since, here or by the sender of a change. Then what else it
+// carried, and what it carried along of other versions, is missing, and is had
+// by asking after Resume; once in a while will do, beside the calls after
+// Version that bring what is new.
 func (s *Store) Resume() Version { return s.resume }
 
 // Len is the number of hosts and settings in the state.
@@ -98,19 +102,23 @@
 	return e.record, true
 }
 
-// Apply takes in a change, whole or not at all. Only a newer version than the
-// state's is taken in. The error says why a change was refused.
+// Apply takes in a change, whole or not at all. It must be newer than the state;
+// or, where something is missing since Resume, of the same version and bring
+// it. The error says why a change was refused.
 func (s *Store) Apply(c Change) (Outcome, error) {
 	if err := c.check(); err != nil {
 		return Refused, err
 	}
-	if c.Version <= s.version {
+	if c.Version < s.version || c.Version == s.version && !s.repairs(c) {
 		return Stale, nil
 	}
 	if !c.Whole && c.Base > s.version {
 		return Refused, fmt.Errorf("%w: it continues from version %d, the state is of %d", ErrGap, c.Base, s.version)
 	}
-	complete := c.Whole || s.resume == s.version || c.Base > 0 && c.Base <= s.resume
+	if s.overlaps(c) && c.Resume > 0 {
+		return Stale, nil // the sender's record of a key may be older than ours
+	}
+	resume := s.resumeWith(c)
 	if c.Whole {
 		s.replace(c)
 	} else {
@@ -118,17 +126,38 @@
 			s.set(c.Records[i], c.Version)
 		}
 	}
-	s.version = c.Version
-	if complete {
-		s.resume = c.Version
-	}
+	s.version, s.resume = c.Version, resume
 	s.trim()
 	return Applied, nil
 }
 
+// overlaps tells whether a delta repeats changes that the state has taken in.
+func (s *Store) overlaps(c Change) bool { return !c.Whole && c.Base > 0 && c.Base < s.version }
+
+// repairs tells whether the change brings what is missing since Resume.
+func (s *Store) repairs(c Change) bool {
+	covers := c.Whole || c.Base > 0 && c.Base <= s.resume
+	return s.resume < s.version && c.Resume == 0 && covers
+}
+
+// resumeWith is the version up to which nothing is missing with the change.
+func (s *Store) resumeWith(c Change) Version {
+	sender := c.Version
+	if c.Resume > 0 {
+		sender = c.Resume
+	}
+	switch {
+	case c.Whole:
+		return sender
+	case s.resume == s.version || c.Base > 0 && c.Base <= s.resume:
+		return max(s.resume, sender)
+	}
+	return s.resume
+}
+
 func (c Change) check() error {
-	if c.Version < 0 || c.Base < 0 {
-		return errors.New("seq is negative")
+	if c.Version < 0 || c.Base < 0 || c.Resume < 0 {
+		return errors.New("a version is negative")
 	}
 	for i := range c.Records {
 		if c.Records[i].Key == "" {
@@ -140,20 +169,20 @@
 
 // Refuse passes over a delta that was refused whole, here or by who would have
 // put it in force: the state stays, as if that version had changed nothing, and
-// later deltas apply. A snapshot is never passed over: the caller just drops it.
+// later deltas apply. Resume stays too, since the origin goes on from a state
+// that holds the refused delta. A refused snapshot is not passed over: its
+// caller drops it, and the connection with it. Nor does a store without a state
+// pass anything over: it needs a snapshot.
 func (s *Store) Refuse(v Version) {
-	if v <= s.version {
-		return
+	if s.version > 0 {
+		s.version = max(s.version, v)
 	}
-	if s.resume == s.version && v == s.version+1 {
-		s.resume = v // no other change can have been lost with it
-	}
-	s.version = v
 }
 
 // replace makes the state that of a snapshot. Only what differs is logged, so
 // that a subscriber at the version before it is sent no more than that.
 func (s *Store) replace(c Change) {
+	s.snapshots++
 	before := make([]*entry, 0, s.live)
 	for _, e := range s.entries {
 		if !e.record.Deleted {
@@ -163,7 +192,7 @@
 	for i := range c.Records {
 		s.setIfDifferent(c.Records[i], c.Version)
 	}
-	missing := slices.DeleteFunc(before, func(e *entry) bool { return e.seen == c.Version })
+	missing := slices.DeleteFunc(before, func(e *entry) bool { return e.seenIn == s.snapshots })
 	slices.SortFunc(missing, byKey) // a map's order would make logs differ
 	for _, e := range missing {
 		s.set(e.record.deletion(), c.Version)
@@ -183,13 +212,13 @@
 		s.set(r, v)
 		e = s.entries[r.Key]
 	}
-	e.seen = v
+	e.seenIn = s.snapshots
 }
 
 // deletion is the record that tells that a key has gone.
 func (r Record) deletion() Record {
 	r.Deleted = true
-	if isHost := len(r.Key) >= len(HostPrefix) && r.Key[:len(HostPrefix)] == HostPrefix; isHost {
+	if strings.HasPrefix(r.Key, HostPrefix) {
 		r.Urgent = true
 		r.Value = withHealth(r.Value, healthGone)
 		return r
@@ -277,7 +306,7 @@
 		first = e
 		count++
 	}
-	c := Change{Version: s.version, Base: after}
+	c := Change{Version: s.version, Base: after, Resume: s.missingSince()}
 	if count == 0 {
 		return c, true
 	}
@@ -288,10 +317,23 @@
 	return c, true
 }
 
+// missingSince is what changes say of Resume: 0 if nothing is missing.
+func (s *Store) missingSince() Version {
+	if s.resume == s.version {
+		return 0
+	}
+	return s.resume
+}
+
 // Snapshot gives the whole state, in the order of its keys: equal states make
 // equal snapshots. Its cost goes with the state; callers keep its line by version.
 func (s *Store) Snapshot() Change {
-	c := Change{Version: s.version, Whole: true, Records: make([]Record, 0, s.live)}
+	c := Change{
+		Version: s.version,
+		Whole:   true,
+		Resume:  s.missingSince(),
+		Records: make([]Record, 0, s.live),
+	}
 	for _, e := range s.entries {
 		if !e.record.Deleted {
 			c.Records = append(c.Records, e.record)
