--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -51,9 +51,13 @@
 	// that nothing is missing between its state and the delta.
 	Base Version
 
-	// Resume is the version up to which the sender has everything, where it has
-	// refused a change since; else 0. What it refused is missing here too.
-	Resume Version
+	// Exact: the delta holds what differs from the state at Base, but not what
+	// had changed in between and back. It fits that state alone.
+	Exact bool
+
+	// Missing is the first version of which the sender may miss something, as it
+	// has refused a change; the receiver then misses it too. 0: it misses nothing.
+	Missing Version
 
 	Records []Record // at most one a key
 }
@@ -72,7 +76,8 @@
 type wireChange struct {
 	Seq      *Version          `json:"seq"`
 	Whole    bool              `json:"whole"`
-	Resume   Version           `json:"resume"`
+	Exact    bool              `json:"exact"`
+	Missing  Version           `json:"missing"`
 	Hosts    []json.RawMessage `json:"hosts"`
 	Settings []json.RawMessage `json:"settings"`
 }
@@ -114,7 +119,7 @@
 	if err := wire.check(); err != nil {
 		return Change{}, err
 	}
-	change := Change{Version: *wire.Seq, Whole: wire.Whole, Resume: wire.Resume}
+	change := Change{Version: *wire.Seq, Whole: wire.Whole, Exact: wire.Exact, Missing: wire.Missing}
 	records := make([]Record, 0, len(wire.Hosts)+len(wire.Settings))
 	for i, raw := range wire.Hosts {
 		record, err := parseHost(raw)
@@ -140,8 +145,8 @@
 		return errors.New("seq: missing")
 	case *w.Seq < 0:
 		return fmt.Errorf("seq: %d is negative", *w.Seq)
-	case w.Resume < 0 || w.Resume > *w.Seq:
-		return fmt.Errorf("resume: %d is not between 0 and seq", w.Resume)
+	case w.Missing < 0 || w.Missing > *w.Seq:
+		return fmt.Errorf("missing: %d is not between 0 and seq", w.Missing)
 	}
 	return nil
 }
@@ -278,9 +283,12 @@
 	dst = strconv.AppendInt(dst, int64(c.Version), 10)
 	dst = append(dst, `,"whole":`...)
 	dst = strconv.AppendBool(dst, c.Whole)
-	if c.Resume > 0 {
-		dst = append(dst, `,"resume":`...)
-		dst = strconv.AppendInt(dst, int64(c.Resume), 10)
+	if c.Exact {
+		dst = append(dst, `,"exact":true`...)
+	}
+	if c.Missing > 0 {
+		dst = append(dst, `,"missing":`...)
+		dst = strconv.AppendInt(dst, int64(c.Missing), 10)
 	}
 	dst = append(dst, `,"hosts":[`...)
 	settings, hosts := 0, 0
--- a/internal/membership/store.go
+++ b/internal/membership/store.go
@@ -61,35 +61,35 @@
 	oldest, newest *entry // the ends of the log, by version
 	logged         int
 
-	// What the log cannot answer: versions below floor, whose changes it no
-	// longer holds, and those that the last snapshot skipped, since what it
-	// changed is known only from the state before it.
-	floor     Version
-	skipped   span
-	snapshots int // applied so far
+	// What the log can answer. It lacks changes of versions up to trimmed, and
+	// what changed and changed back within the last snapshot. For the state
+	// right before that snapshot it has all that differs.
+	trimmed      Version
+	lastSnapshot Version
+	exactBase    Version // that state's version; noVersion: it was not the origin's
+	snapshots    int     // applied so far
 }
 
-// span is the versions between two, both excluded.
-type span struct{ from, to Version }
-
-func (s span) holds(v Version) bool { return s.from < v && v < s.to }
+const noVersion Version = -1
 
 // NewStore gives an empty store, with a log of limit entries. It answers who is
 // further behind with a snapshot; with limit 0 it always does.
 func NewStore(limit int) *Store {
-	return &Store{limit: max(limit, 0), entries: map[string]*entry{}}
+	return &Store{limit: max(limit, 0), entries: map[string]*entry{}, exactBase: noVersion}
 }
 
 // Version is that of the state. 0: nothing has been applied yet.
 func (s *Store) Version() Version { return s.version }
 
 // Resume is the version up to which nothing is missing. It is Version, unless a
-// delta was refused since, here or by the sender of a change. Then what else it
-// carried, and what it carried along of other versions, is missing, and is had
-// by asking after Resume; once in a while will do, beside the calls after
-// Version that bring what is new.
+// delta was refused since, here or by who sent a change. Then what that delta
+// carried is missing, and is had by asking after Resume. Once in a while will
+// do, beside the calls after Version that bring what is new.
 func (s *Store) Resume() Version { return s.resume }
 
+// complete tells whether the state is the origin's at its version.
+func (s *Store) complete() bool { return s.resume == s.version }
+
 // Len is the number of hosts and settings in the state.
 func (s *Store) Len() int { return s.live }
 
@@ -115,16 +115,19 @@
 	if !c.Whole && c.Base > s.version {
 		return Refused, fmt.Errorf("%w: it continues from version %d, the state is of %d", ErrGap, c.Base, s.version)
 	}
-	if s.overlaps(c) && c.Resume > 0 {
-		return Stale, nil // the sender's record of a key may be older than ours
+	if s.overlaps(c) && (c.Exact || c.Missing > 0) {
+		s.passOver(c)
+		return Stale, nil // for some keys its record may be older than ours
 	}
 	resume := s.resumeWith(c)
-	if c.Whole {
+	switch {
+	case c.Whole:
 		s.replace(c)
-	} else {
-		for i := range c.Records {
-			s.set(c.Records[i], c.Version)
-		}
+	case c.Exact:
+		s.skip(c.Version)
+		s.setAll(c)
+	default:
+		s.setAll(c)
 	}
 	s.version, s.resume = c.Version, resume
 	s.trim()
@@ -134,29 +137,39 @@
 // overlaps tells whether a delta repeats changes that the state has taken in.
 func (s *Store) overlaps(c Change) bool { return !c.Whole && c.Base > 0 && c.Base < s.version }
 
+// covers tells whether the change goes back to Resume.
+func (s *Store) covers(c Change) bool { return c.Whole || c.Base > 0 && c.Base <= s.resume }
+
 // repairs tells whether the change brings what is missing since Resume.
-func (s *Store) repairs(c Change) bool {
-	covers := c.Whole || c.Base > 0 && c.Base <= s.resume
-	return s.resume < s.version && c.Resume == 0 && covers
+func (s *Store) repairs(c Change) bool { return !s.complete() && c.Missing == 0 && s.covers(c) }
+
+// passOver sees to it that the next call after Resume brings no exact delta
+// again, which does not fit, but a snapshot.
+func (s *Store) passOver(c Change) {
+	if c.Exact && s.repairs(c) {
+		s.resume = min(s.resume, c.Base-1)
+	}
 }
 
 // resumeWith is the version up to which nothing is missing with the change.
 func (s *Store) resumeWith(c Change) Version {
 	sender := c.Version
-	if c.Resume > 0 {
-		sender = c.Resume
+	if c.Missing > 0 {
+		sender = c.Missing - 1
 	}
 	switch {
-	case c.Whole:
-		return sender
-	case s.resume == s.version || c.Base > 0 && c.Base <= s.resume:
+	case c.Whole || c.Exact && s.complete():
+		return sender // also where it is lower: the sender's records may be older
+	case c.Exact:
+		return min(s.resume, sender)
+	case s.complete() || s.covers(c):
 		return max(s.resume, sender)
 	}
 	return s.resume
 }
 
 func (c Change) check() error {
-	if c.Version < 0 || c.Base < 0 || c.Resume < 0 {
+	if c.Version < 0 || c.Base < 0 || c.Missing < 0 {
 		return errors.New("a version is negative")
 	}
 	for i := range c.Records {
@@ -182,6 +195,7 @@
 // replace makes the state that of a snapshot. Only what differs is logged, so
 // that a subscriber at the version before it is sent no more than that.
 func (s *Store) replace(c Change) {
+	s.skip(c.Version)
 	s.snapshots++
 	before := make([]*entry, 0, s.live)
 	for _, e := range s.entries {
@@ -197,8 +211,14 @@
 	for _, e := range missing {
 		s.set(e.record.deletion(), c.Version)
 	}
-	s.floor = max(s.floor, s.skipped.to)
-	s.skipped = span{from: s.resume, to: c.Version}
+}
+
+// skip notes that the change to version v is logged only in what differs.
+func (s *Store) skip(v Version) {
+	s.lastSnapshot, s.exactBase = v, noVersion
+	if s.complete() {
+		s.exactBase = s.version
+	}
 }
 
 func byKey(a, b *entry) int { return cmp.Compare(a.record.Key, b.record.Key) }
@@ -227,6 +247,12 @@
 	return r
 }
 
+func (s *Store) setAll(c Change) {
+	for i := range c.Records {
+		s.set(c.Records[i], c.Version)
+	}
+}
+
 // set puts a record into the state and at the end of the log.
 func (s *Store) set(r Record, v Version) {
 	e := s.entries[r.Key]
@@ -280,7 +306,7 @@
 func (s *Store) trim() {
 	for s.logged > s.limit {
 		e := s.oldest
-		s.floor = max(s.floor, e.version)
+		s.trimmed = max(s.trimmed, e.version)
 		s.unlink(e)
 		if e.record.Deleted {
 			delete(s.entries, e.record.Key)
@@ -297,7 +323,8 @@
 	if after > s.version || s.version == 0 {
 		return Change{}, false
 	}
-	if after <= 0 || after < s.floor || s.skipped.holds(after) {
+	exact := after == s.exactBase
+	if after <= 0 || after < s.trimmed || after < s.lastSnapshot && !exact {
 		return s.Snapshot(), true
 	}
 	count := 0
@@ -306,7 +333,7 @@
 		first = e
 		count++
 	}
-	c := Change{Version: s.version, Base: after, Resume: s.missingSince()}
+	c := Change{Version: s.version, Base: after, Exact: exact, Missing: s.missing()}
 	if count == 0 {
 		return c, true
 	}
@@ -317,12 +344,12 @@
 	return c, true
 }
 
-// missingSince is what changes say of Resume: 0 if nothing is missing.
-func (s *Store) missingSince() Version {
-	if s.resume == s.version {
+// missing is what changes say of Resume.
+func (s *Store) missing() Version {
+	if s.complete() {
 		return 0
 	}
-	return s.resume
+	return s.resume + 1
 }
 
 // Snapshot gives the whole state, in the order of its keys: equal states make
@@ -331,7 +358,7 @@
 	c := Change{
 		Version: s.version,
 		Whole:   true,
-		Resume:  s.missingSince(),
+		Missing: s.missing(),
 		Records: make([]Record, 0, s.live),
 	}
 	for _, e := range s.entries {
