--- /dev/null
+++ b/internal/membership/main_test.go
@@ -0,0 +1,30 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain gives the property tests a fixed seed and more rounds. What is given
+// on the command line holds instead.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	defaults := map[string]string{
+		"rapid.seed":       "27",
+		"rapid.nofailfile": "true",
+		"rapid.checks":     "1000",
+		"rapid.steps":      "60",
+	}
+	for name, value := range defaults {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/membership/store.go
+++ b/internal/membership/store.go
@@ -323,8 +323,7 @@
 	if after > s.version || s.version == 0 {
 		return Change{}, false
 	}
-	exact := after == s.exactBase
-	if after <= 0 || after < s.trimmed || after < s.lastSnapshot && !exact {
+	if s.NeedsSnapshot(after) {
 		return s.Snapshot(), true
 	}
 	count := 0
@@ -333,7 +332,7 @@
 		first = e
 		count++
 	}
-	c := Change{Version: s.version, Base: after, Exact: exact, Missing: s.missing()}
+	c := Change{Version: s.version, Base: after, Exact: after == s.exactBase, Missing: s.missing()}
 	if count == 0 {
 		return c, true
 	}
@@ -344,6 +343,12 @@
 	return c, true
 }
 
+// NeedsSnapshot tells whether Since answers a subscriber at version after with a
+// snapshot: it has nothing, or the log does not tell what it lacks.
+func (s *Store) NeedsSnapshot(after Version) bool {
+	return after <= 0 || after < s.trimmed || after < s.lastSnapshot && after != s.exactBase
+}
+
 // missing is what changes say of Resume.
 func (s *Store) missing() Version {
 	if s.complete() {
--- /dev/null
+++ b/internal/membership/store_test.go
@@ -0,0 +1,373 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func settingRecord(path, value string) Record {
+	return Record{Key: SettingPrefix + path, Value: []byte(value), Deleted: value == "null"}
+}
+
+// snapshot and delta are changes of settings, each "path=value".
+func snapshot(v Version, settings ...string) Change {
+	return Change{Version: v, Whole: true, Records: settingRecords(settings)}
+}
+
+func delta(v, base Version, settings ...string) Change {
+	return Change{Version: v, Base: base, Records: settingRecords(settings)}
+}
+
+func settingRecords(settings []string) []Record {
+	var records []Record
+	for _, setting := range settings {
+		path, value, _ := strings.Cut(setting, "=")
+		records = append(records, settingRecord(path, value))
+	}
+	return records
+}
+
+func storeWith(t *testing.T, limit int, changes ...Change) *Store {
+	t.Helper()
+	s := NewStore(limit)
+	for _, c := range changes {
+		apply(t, s, c, Applied)
+	}
+	return s
+}
+
+func apply(t *testing.T, s *Store, c Change, want Outcome) {
+	t.Helper()
+	if got, err := s.Apply(c); got != want || (err != nil) != (want == Refused) {
+		t.Fatalf("Apply of version %d to %d: %v, %v; want %v", c.Version, s.Version(), got, err, want)
+	}
+}
+
+// text is a change in short: its kind, version, and settings.
+func text(c Change) string {
+	kind := "delta"
+	switch {
+	case c.Whole:
+		kind = "snapshot"
+	case c.Exact:
+		kind = "exact delta"
+	}
+	words := []string{kind, fmt.Sprint(c.Version)}
+	if c.Missing > 0 {
+		words = append(words, fmt.Sprint("missing ", c.Missing))
+	}
+	for _, r := range c.Records {
+		words = append(words, strings.TrimPrefix(r.Key, SettingPrefix)+"="+string(r.Value))
+	}
+	return strings.Join(words, " ")
+}
+
+func expectSince(t *testing.T, s *Store, after Version, want string) {
+	t.Helper()
+	c, ok := s.Since(after)
+	if got := text(c); !ok || got != want {
+		t.Errorf("Since(%d): %q, %v; want %q", after, got, ok, want)
+	}
+	if !c.Whole && c.Base != after {
+		t.Errorf("Since(%d) continues from %d", after, c.Base)
+	}
+	if c.Whole != s.NeedsSnapshot(after) {
+		t.Errorf("NeedsSnapshot(%d) is %v", after, !c.Whole)
+	}
+}
+
+func expectState(t *testing.T, s *Store, version, resume Version, want string) {
+	t.Helper()
+	c := s.Snapshot()
+	c.Missing = 0
+	if got := text(c); got != strings.TrimSpace(fmt.Sprint("snapshot ", version, " ", want)) || s.Resume() != resume {
+		t.Errorf("state is %q up to %d, want %d %s up to %d", got, s.Resume(), version, want, resume)
+	}
+}
+
+func TestApplyTakesOnlyNewer(t *testing.T) {
+	s := storeWith(t, 10, snapshot(5, "a=1", "b=1"), delta(6, 5, "a=2"))
+	apply(t, s, delta(6, 5, "a=3"), Stale)
+	apply(t, s, delta(5, 4, "a=3"), Stale)
+	apply(t, s, snapshot(6, "a=3"), Stale)
+	apply(t, s, snapshot(3), Stale)
+	expectState(t, s, 6, 6, "a=2 b=1")
+	apply(t, s, delta(9, 0, "a=null"), Applied)
+	apply(t, s, delta(9, 0, "a=null"), Stale)
+	expectState(t, s, 9, 9, "b=1")
+}
+
+func TestApplyRefusesWhole(t *testing.T) {
+	s := storeWith(t, 10, snapshot(5, "a=1"))
+	for name, c := range map[string]Change{
+		"a gap before it":    delta(9, 7, "a=2"),
+		"a record has none":  {Version: 9, Records: []Record{settingRecord("a", "2"), {}}},
+		"a snapshot's":       {Version: 9, Whole: true, Records: []Record{settingRecord("a", "2"), {}}},
+		"a negative version": {Version: -1},
+	} {
+		outcome, err := s.Apply(c)
+		if outcome != Refused || err == nil {
+			t.Errorf("%s: %v, %v", name, outcome, err)
+		}
+		if gap := name == "a gap before it"; errors.Is(err, ErrGap) != gap {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	expectState(t, s, 5, 5, "a=1")
+}
+
+func TestEmptyStoreHasNothingToTell(t *testing.T) {
+	s := NewStore(10)
+	for _, after := range []Version{0, 1} {
+		if c, ok := s.Since(after); ok {
+			t.Errorf("Since(%d): %v", after, c)
+		}
+	}
+	s.Refuse(4)
+	if s.Version() != 0 {
+		t.Error("a store without a state has passed over a change")
+	}
+	apply(t, s, snapshot(3, "a=1"), Applied)
+	expectSince(t, s, 0, "snapshot 3 a=1")
+}
+
+func TestSinceCoalesces(t *testing.T) {
+	s := storeWith(t, 10, snapshot(1, "a=1", "b=1", "c=1"),
+		delta(2, 1, "c=2"), delta(3, 2, "a=2"), delta(5, 3, "c=3", "b=null"))
+	expectSince(t, s, 1, "delta 5 a=2 c=3 b=null")
+	expectSince(t, s, 2, "delta 5 a=2 c=3 b=null")
+	expectSince(t, s, 3, "delta 5 c=3 b=null")
+	expectSince(t, s, 4, "delta 5 c=3 b=null")
+	expectSince(t, s, 5, "delta 5")
+	expectSince(t, s, 0, "snapshot 5 a=2 c=3")
+	if _, ok := s.Since(6); ok {
+		t.Error("Since answers a version that it does not have")
+	}
+}
+
+func TestSinceBeyondTheLogIsASnapshot(t *testing.T) {
+	s := storeWith(t, 2, snapshot(1), delta(2, 1, "a=1"), delta(3, 2, "b=1"), delta(4, 3, "c=1"))
+	expectSince(t, s, 1, "snapshot 4 a=1 b=1 c=1")
+	expectSince(t, s, 2, "delta 4 b=1 c=1")
+	apply(t, s, delta(5, 4, "c=2"), Applied) // takes the place of the earlier entry
+	expectSince(t, s, 2, "delta 5 b=1 c=2")
+	expectSince(t, storeWith(t, 0, snapshot(1, "a=1"), delta(2, 1, "a=2")), 1, "snapshot 2 a=2")
+}
+
+func TestDeletedKeysAreForgottenWithTheLog(t *testing.T) {
+	s := NewStore(3)
+	for v := Version(1); v < 100; v += 2 {
+		apply(t, s, delta(v, 0, fmt.Sprint("k", v, "=1")), Applied)
+		apply(t, s, delta(v+1, 0, fmt.Sprint("k", v, "=null")), Applied)
+	}
+	if s.Len() != 0 || len(s.entries) != 3 || s.logged != 3 {
+		t.Errorf("%d live, %d entries, %d in the log", s.Len(), len(s.entries), s.logged)
+	}
+}
+
+// A snapshot is told onwards by what differs, to who has the state before it.
+func TestSnapshotIsToldByItsDifferences(t *testing.T) {
+	before := snapshot(4, "a=1", "b=1", "c=1")
+	s := storeWith(t, 10, before, snapshot(9, "a=1", "b=2", "d=1"))
+	expectSince(t, s, 4, "exact delta 9 b=2 d=1 c=null")
+	for _, after := range []Version{1, 5, 8} { // what they have is not known
+		expectSince(t, s, after, "snapshot 9 a=1 b=2 d=1")
+	}
+	apply(t, s, delta(10, 9, "a=2"), Applied)
+	expectSince(t, s, 4, "exact delta 10 b=2 d=1 c=null a=2")
+	expectSince(t, s, 9, "delta 10 a=2")
+
+	// One relay further on the same holds.
+	below := storeWith(t, 10, before)
+	c, _ := s.Since(4)
+	apply(t, below, c, Applied)
+	expectSince(t, below, 4, "exact delta 10 b=2 d=1 c=null a=2")
+	expectSince(t, below, 6, "snapshot 10 a=2 b=2 d=1")
+}
+
+// A host that a snapshot lacks has gone, and nobody may wait for that.
+func TestHostThatASnapshotLacksHasGone(t *testing.T) {
+	s := storeWith(t, 10,
+		Change{Version: 1, Whole: true, Records: []Record{hostRecord("w1", healthReady, 7), hostRecord("w2", healthReady, 7)}},
+		Change{Version: 2, Whole: true, Records: []Record{hostRecord("w2", healthReady, 7)}})
+	c, _ := s.Since(1)
+	if len(c.Records) != 1 || !c.Urgent() {
+		t.Fatalf("%+v", c)
+	}
+	read, err := Parse(c.Append(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := read.Records[0]
+	if r.Key != "host/w1" || !r.Deleted || !r.Urgent || !strings.Contains(string(r.Value), `"born_ms":7`) {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestDeletionsInASnapshotAreNoState(t *testing.T) {
+	s := storeWith(t, 10, snapshot(1, "a=1"), snapshot(2, "a=null", "b=null"))
+	expectState(t, s, 2, 2, "")
+	expectSince(t, s, 1, "exact delta 2 a=null")
+	apply(t, s, snapshot(3, "a=null"), Applied)
+	expectSince(t, s, 2, "exact delta 3")
+}
+
+func TestRefusedDeltaIsPassedOver(t *testing.T) {
+	s := storeWith(t, 10, snapshot(1, "a=1", "b=1"))
+	s.Refuse(2)
+	expectState(t, s, 2, 1, "a=1 b=1")
+	apply(t, s, delta(3, 2, "b=2"), Applied)
+	expectState(t, s, 3, 1, "a=1 b=2")
+	s.Refuse(2) // late: nothing changes
+	expectState(t, s, 3, 1, "a=1 b=2")
+	expectSince(t, s, 2, "delta 3 missing 2 b=2")
+	expectSince(t, s, 0, "snapshot 3 missing 2 a=1 b=2")
+
+	// Asked after Resume, upstream brings the rest: at the same version already.
+	apply(t, s, delta(3, 1, "a=2", "b=2"), Applied)
+	expectState(t, s, 3, 3, "a=2 b=2")
+	apply(t, s, delta(3, 1, "a=2", "b=2"), Stale)
+	expectSince(t, s, 2, "delta 3 a=2 b=2")
+}
+
+// Who is served by a store that misses something knows it.
+func TestMissingIsToldOnwards(t *testing.T) {
+	upper := storeWith(t, 10, snapshot(4, "a=1"))
+	lower := storeWith(t, 10, snapshot(4, "a=1"))
+	upper.Refuse(5)
+	apply(t, upper, delta(6, 5, "b=1"), Applied)
+	c, _ := upper.Since(4)
+	apply(t, lower, c, Applied)
+	expectState(t, lower, 6, 4, "a=1 b=1")
+
+	fresh := NewStore(10)
+	apply(t, fresh, upper.Snapshot(), Applied)
+	expectState(t, fresh, 6, 4, "a=1 b=1")
+	expectSince(t, fresh, 0, "snapshot 6 missing 5 a=1 b=1")
+}
+
+// A sender that misses something may have an older value of a key than we have.
+func TestNoKeyGoesBackByASenderThatMissesSomething(t *testing.T) {
+	s := storeWith(t, 10, snapshot(1, "a=1"))
+	s.Refuse(2)
+	apply(t, s, delta(3, 2, "a=3"), Applied)
+	for _, v := range []Version{3, 4} {
+		c := delta(v, 1, "a=2")
+		c.Missing = 3
+		apply(t, s, c, Stale)
+	}
+	expectState(t, s, 3, 1, "a=3")
+}
+
+// An exact delta fits the state at its base alone.
+func TestExactDeltaFitsOneState(t *testing.T) {
+	exact := delta(9, 4, "b=2")
+	exact.Exact = true
+	s := storeWith(t, 10, snapshot(4, "a=1"), delta(6, 4, "a=2"))
+	apply(t, s, exact, Stale)
+	expectState(t, s, 6, 6, "a=2")
+
+	// Who asks for what it misses gets a snapshot the next time.
+	s = storeWith(t, 10, snapshot(4, "a=1"))
+	s.Refuse(5)
+	apply(t, s, exact, Stale)
+	if s.Resume() != 3 {
+		t.Errorf("would ask after %d again", s.Resume())
+	}
+}
+
+// Where an exact delta comes from a sender that misses something, records may
+// have gone back below the base.
+func TestExactDeltaOfASenderThatMissesSomething(t *testing.T) {
+	for _, c := range []struct {
+		refusedBefore bool
+		missing       Version
+		resume        Version
+	}{
+		{false, 3, 2},
+		{false, 8, 7},
+		{true, 3, 2},
+		{true, 8, 5},
+		{true, 0, 5},
+	} {
+		s := storeWith(t, 10, snapshot(5, "a=1"))
+		base := Version(5)
+		if c.refusedBefore {
+			s.Refuse(6)
+			base = 6
+		}
+		exact := delta(9, base, "a=2")
+		exact.Exact, exact.Missing = true, c.missing
+		apply(t, s, exact, Applied)
+		if s.Resume() != c.resume {
+			t.Errorf("%+v: resumes after %d", c, s.Resume())
+		}
+	}
+}
+
+// A state that misses something is not the one that others have at its version:
+// what a snapshot changes in it does not tell what it changes there.
+func TestNoExactDeltaFromAStateThatMissesSomething(t *testing.T) {
+	s := storeWith(t, 10, snapshot(1, "a=1"))
+	s.Refuse(2) // a=2
+	apply(t, s, delta(3, 2, "b=1"), Applied)
+	apply(t, s, snapshot(4, "a=1", "b=1"), Applied)
+	expectState(t, s, 4, 4, "a=1 b=1")
+	for _, after := range []Version{1, 2, 3} {
+		expectSince(t, s, after, "snapshot 4 a=1 b=1")
+	}
+}
+
+// Two snapshots of one version, of which the first one missed something.
+func TestSnapshotRepairsAtTheSameVersion(t *testing.T) {
+	first := snapshot(4, "a=1", "b=1")
+	first.Missing = 3
+	s := storeWith(t, 10, first)
+	expectState(t, s, 4, 2, "a=1 b=1")
+	apply(t, s, first, Stale)
+	apply(t, s, snapshot(4, "a=2"), Applied)
+	expectState(t, s, 4, 4, "a=2")
+	expectSince(t, s, 3, "snapshot 4 a=2")
+}
+
+func TestEqualStatesMakeEqualSnapshots(t *testing.T) {
+	one := storeWith(t, 3, snapshot(1, "a=1", "b=1"), delta(2, 1, "c=1"), delta(3, 2, "a=2"))
+	other := storeWith(t, 0, snapshot(3, "c=1", "b=1", "a=2"))
+	if a, b := one.Snapshot().Append(nil), other.Snapshot().Append(nil); !slices.Equal(a, b) {
+		t.Errorf("%s\n%s", a, b)
+	}
+}
+
+func TestGet(t *testing.T) {
+	s := storeWith(t, 3, snapshot(1, "a=1", "b=1"), delta(2, 1, "b=null"))
+	if r, ok := s.Get("setting/a"); !ok || string(r.Value) != "1" {
+		t.Errorf("%v, %v", r, ok)
+	}
+	for _, key := range []string{"setting/b", "setting/c", "host/a"} {
+		if r, ok := s.Get(key); ok {
+			t.Errorf("%s: %v", key, r)
+		}
+	}
+}
+
+func TestSinceCostGoesWithWhatChanged(t *testing.T) {
+	for _, size := range benchmarkSizes {
+		s := storeWith(t, size, fleet(1, size),
+			Change{Version: 2, Base: 1, Records: []Record{hostRecord("w-1", healthDraining, 0)}})
+		if allocations := testing.AllocsPerRun(10, func() { s.Since(1) }); allocations > 1 {
+			t.Errorf("%d hosts: %v allocations for one changed host", size, allocations)
+		}
+		record := fleet(1, 1).Records
+		v := s.Version()
+		allocations := testing.AllocsPerRun(10, func() {
+			v++
+			s.Apply(Change{Version: v, Records: record})
+		})
+		if allocations > 0 {
+			t.Errorf("%d hosts: %v allocations to apply one changed host", size, allocations)
+		}
+	}
+}
