--- a/internal/membership/codec_test.go
+++ b/internal/membership/codec_test.go
@@ -3,12 +3,18 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
 )
 
-// hostRecord is a host as the origin lists it. edition makes objects of one host differ.
-func hostRecord(name, health string, edition int) Record {
-	value := fmt.Sprintf(`{"host":%q,"dial":"10.1.0.18:8080","site":"a","class":"m2","block":3,"health":%q,"share":1.0,"born_ms":%d}`,
-		name, health, edition)
+// hostRecord is a host as the origin lists it.
+func hostRecord(name, health string, bornMs int) Record {
+	value := fmt.Sprintf(`{"host":%q,"dial":"10.1.0.18:8080","site":"a","class":"m2","block":3,`+
+		`"health":%q,"share":1.0,"born_ms":%d}`, name, health, bornMs)
 	return Record{
 		Key:     HostPrefix + name,
 		Value:   json.RawMessage(value),
@@ -16,3 +22,170 @@
 		Urgent:  health != healthReady,
 	}
 }
+
+func TestParse(t *testing.T) {
+	line := `{"seq":43,"whole":false,"hosts":[
+	  {"host":"s-1","dial":"10.1.0.18:8080","health":"ready","rack": {"row" : 7}},
+	  {"host":"s-2","dial":"10.1.0.19:8080","health":"draining"},
+	  {"host":"s-3","health":"gone"}],
+	 "settings":[{"key":"projects[3].quota_per_s","value":12.5},{"key":"limits.x","value":null}], "later": {}}`
+	c, err := Parse([]byte(line))
+	want := Change{Version: 43, Records: []Record{
+		{Key: "host/s-1", Value: []byte(`{"host":"s-1","dial":"10.1.0.18:8080","health":"ready","rack": {"row" : 7}}`)},
+		{Key: "host/s-2", Value: []byte(`{"host":"s-2","dial":"10.1.0.19:8080","health":"draining"}`), Urgent: true},
+		{Key: "host/s-3", Value: []byte(`{"host":"s-3","health":"gone"}`), Deleted: true, Urgent: true},
+		{Key: "setting/projects[3].quota_per_s", Value: []byte(`12.5`)},
+		{Key: "setting/limits.x", Value: []byte(`null`), Deleted: true},
+	}}
+	if err != nil || !reflect.DeepEqual(c, want) {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
+func TestParseKeepsNothingOfTheLine(t *testing.T) {
+	line := Change{Version: 1, Records: []Record{hostRecord("a", healthReady, 0), settingRecord("b", "1")}}.Append(nil)
+	c, err := Parse(line)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := string(c.Append(nil))
+	clear(line)
+	if after := string(c.Append(nil)); after != before {
+		t.Errorf("%s", after)
+	}
+}
+
+func TestParseNamesTheField(t *testing.T) {
+	const good = `{"host":"a","dial":"h:1","health":"ready"}`
+	host := func(fields string) string { return `{"seq":7,"hosts":[` + good + `,{` + fields + `}]}` }
+	for _, c := range []struct{ line, want string }{
+		{`{"whole":true,"hosts":[]}`, `seq: missing`},
+		{`{"seq":-3}`, `seq: -3 is negative`},
+		{`{"seq":"3"}`, `line.seq: unexpected string`},
+		{`{"seq":3,"hosts":{}}`, `line.hosts: unexpected object`},
+		{`{"seq":3,"missing":4}`, `missing: 4 is not between 0 and seq`},
+		{`[]`, `line: unexpected array`},
+		{`{"seq":3,`, `line: unexpected end of JSON input`},
+		{host(`"host":"b","dial":"h:1","health":"x"`), `hosts[1].health: unknown value "x"`},
+		{host(`"host":"b","dial":"h:1"`), `hosts[1].health: unknown value ""`},
+		{host(`"dial":"h:1","health":"ready"`), `hosts[1].host is empty`},
+		{host(`"host":"b","dial":"h","health":"ready"`), `hosts[1].dial: address h: missing port in address`},
+		{host(`"host":"b","dial":"h:1","health":"ready","block":1.5`), `hosts[1].block: unexpected number 1.5`},
+		{host(`"host":"b","dial":"h:1","health":"ready","share":"1"`), `hosts[1].share: unexpected string`},
+		{host(`"host":"b","dial":"h:1","health":"ready","site":4`), `hosts[1].site: unexpected number`},
+		{`{"seq":7,"hosts":[3]}`, `hosts[0]: unexpected number`},
+		{`{"seq":7,"settings":[{"key":"a","value":1},{"value":1}]}`, `settings[1].key is empty`},
+		{`{"seq":7,"settings":[{"key":"a"}]}`, `settings[0].value: missing`},
+		{`{"seq":7,"settings":[{"key":1,"value":1}]}`, `settings[0].key: unexpected number`},
+	} {
+		change, err := Parse([]byte(c.line))
+		if err == nil || err.Error() != c.want {
+			t.Errorf("%s\n%v, want %s", c.line, err, c.want)
+		}
+		if len(change.Records) > 0 {
+			t.Errorf("%s: has records", c.line)
+		}
+		if content := strings.Contains(c.want, "["); content != (change.Version == 7) {
+			t.Errorf("%s: version %d", c.line, change.Version)
+		}
+	}
+}
+
+func TestParseTellsWhetherTheRefusedOneIsWhole(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		c, err := Parse(fmt.Appendf(nil, `{"hosts":[{}],"whole":%v,"seq":7}`, whole))
+		if err == nil || c.Version != 7 || c.Whole != whole {
+			t.Errorf("%+v, %v", c, err)
+		}
+	}
+}
+
+func TestParseLastOfOneKeyWins(t *testing.T) {
+	records := []Record{hostRecord("a", healthGone, 0), hostRecord("b", healthReady, 0), hostRecord("a", healthReady, 1)}
+	c, err := Parse(Change{Version: 1, Records: records}.Append(nil))
+	if err != nil || !reflect.DeepEqual(c.Records, records[1:]) {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
+// What is appended is one line, and parsed is what it was.
+func TestAppendAndParse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawChange(t)
+		line := c.Append([]byte("before"))
+		text := strings.TrimPrefix(string(line), "before")
+		if strings.Index(text, "\n") != len(text)-1 {
+			t.Fatalf("not one line: %q", text)
+		}
+		read, err := Parse([]byte(text))
+		if err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		c.Base = 0 // is not written
+		if !reflect.DeepEqual(read, c) {
+			t.Fatalf("%+v\nbecame %+v", c, read)
+		}
+	})
+}
+
+// drawChange draws any change of distinct keys, its hosts first.
+func drawChange(t *rapid.T) Change {
+	c := Change{
+		Version: Version(rapid.Int64Range(0, 1<<53).Draw(t, "version")),
+		Whole:   rapid.Bool().Draw(t, "whole"),
+		Exact:   rapid.Bool().Draw(t, "exact"),
+		Base:    Version(rapid.Int64Range(0, 9).Draw(t, "base")),
+		Records: []Record{},
+	}
+	c.Missing = Version(rapid.Int64Range(0, int64(c.Version)).Draw(t, "missing"))
+	for _, name := range rapid.SliceOfNDistinct(rapid.StringN(1, 8, -1), 0, 3, rapid.ID).Draw(t, "hosts") {
+		health := rapid.SampledFrom([]string{healthReady, healthDraining, healthGone}).Draw(t, "health")
+		object := map[string]any{"host": name, "health": health, "dial": "h:1"}
+		object[rapid.StringMatching("x[a-z]*").Draw(t, "field")] = rapid.String().Draw(t, "value")
+		value, _ := json.Marshal(object)
+		c.Records = append(c.Records, Record{Key: HostPrefix + name, Value: value,
+			Deleted: health == healthGone, Urgent: health != healthReady})
+	}
+	for _, path := range rapid.SliceOfNDistinct(rapid.StringN(1, 8, -1), 0, 3, rapid.ID).Draw(t, "settings") {
+		value := rapid.SampledFrom([]string{"1", `"x"`, `[1, 2]`, "null"}).Draw(t, "value")
+		c.Records = append(c.Records, settingRecord(path, value))
+	}
+	return c
+}
+
+// Addresses are right or wrong as the standard library has it.
+func TestCheckAddress(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		address := rapid.StringMatching(`[a1:.\[\]%]{0,8}`).Draw(t, "address")
+		_, _, want := net.SplitHostPort(address)
+		if got := checkAddress(address); (got == nil) != (want == nil) {
+			t.Fatalf("%q: %v, the library says %v", address, got, want)
+		}
+	})
+}
+
+func TestWithHealth(t *testing.T) {
+	got := withHealth(json.RawMessage(`{"host":"a","Health":"ready","health":"ready","rack":{"row":7}}`), healthGone)
+	if string(got) != `{"health":"gone","host":"a","rack":{"row":7}}` {
+		t.Errorf("%s", got)
+	}
+}
+
+// However a line is broken, it is refused or is a whole change.
+func FuzzParse(f *testing.F) {
+	f.Add(fleet(3, 2).Append(nil))
+	f.Add([]byte(`{"seq":1,"settings":[{"key":"a","value":null}],"exact":true,"missing":1}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		c, err := Parse(line)
+		if err != nil {
+			if len(c.Records) > 0 {
+				t.Error("has records beside an error")
+			}
+			return
+		}
+		again, err := Parse(c.Append(nil))
+		if err != nil || !reflect.DeepEqual(c, again) {
+			t.Errorf("%+v became %+v, %v", c, again, err)
+		}
+	})
+}
--- a/internal/membership/store.go
+++ b/internal/membership/store.go
@@ -224,10 +224,10 @@
 func byKey(a, b *entry) int { return cmp.Compare(a.record.Key, b.record.Key) }
 
 func (s *Store) setIfDifferent(r Record, v Version) {
-	e := s.entries[r.Key]
-	if r.Deleted && (e == nil || e.record.Deleted) {
-		return
+	if r.Deleted {
+		return // as if the snapshot did not hold it
 	}
+	e := s.entries[r.Key]
 	if e == nil || e.record.Deleted != r.Deleted || !bytes.Equal(e.record.Value, r.Value) {
 		s.set(r, v)
 		e = s.entries[r.Key]
--- a/internal/membership/store_test.go
+++ b/internal/membership/store_test.go
@@ -215,6 +215,14 @@
 	expectSince(t, s, 2, "exact delta 3")
 }
 
+func TestDeletedKeyComesBackInASnapshot(t *testing.T) {
+	deleted := settingRecord("a", "1")
+	deleted.Deleted = true
+	s := storeWith(t, 10, snapshot(1, "a=1"), Change{Version: 2, Records: []Record{deleted}}, snapshot(3, "a=1"))
+	expectState(t, s, 3, 3, "a=1")
+	expectSince(t, s, 2, "exact delta 3 a=1")
+}
+
 func TestRefusedDeltaIsPassedOver(t *testing.T) {
 	s := storeWith(t, 10, snapshot(1, "a=1", "b=1"))
 	s.Refuse(2)
@@ -249,6 +257,13 @@
 	expectSince(t, fresh, 0, "snapshot 6 missing 5 a=1 b=1")
 }
 
+// A snapshot that misses something may bring records back to before the state.
+func TestSnapshotThatMissesSomething(t *testing.T) {
+	c := snapshot(9, "a=2")
+	c.Missing = 4
+	expectState(t, storeWith(t, 10, snapshot(5, "a=5"), c), 9, 3, "a=2")
+}
+
 // A sender that misses something may have an older value of a key than we have.
 func TestNoKeyGoesBackByASenderThatMissesSomething(t *testing.T) {
 	s := storeWith(t, 10, snapshot(1, "a=1"))
