Two dials have descriptors reserved; the floor for discovery is taken by its call

The engine has one part of its descriptors for all connections that we open, and the guard took floor_backends for each of them: nothing took floor_discovery_descriptors. Engine.DialReserved takes one of two descriptors that no other dial gets, by the discovery floor where [connections] is on. The two come out of the 24 that are spare.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -103,7 +103,10 @@
 	e := &Entry{Admit: a, Budget: b, loop: loop, engine: engine, config: c, log: log, guards: true, whole: descriptors}
 	e.say503.Store(c.Say503)
 	e.due.Fire = e.look
-	engine.Guard(e, func() bool { return b.Take(admit.Backends) }, func() { b.Give(admit.Backends) })
+	quota := func(kind admit.Kind) net.Quota {
+		return net.Quota{Take: func() bool { return b.Take(kind) }, Give: func() { b.Give(kind) }}
+	}
+	engine.Guard(e, quota(admit.Backends), quota(admit.Discovery))
 	return e, nil
 }
 
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -174,12 +174,20 @@
 	Starved()                                             // the system has no descriptor left
 }
 
-// Guard sets the guard of ServeGuarded, and bounds dials by take and give in
-// place of a share of their own. It must come first.
-func (e *Engine) Guard(g Guard, take func() bool, give func()) {
+// Quota bounds connections of one kind by what others use too.
+type Quota struct {
+	Take func() bool // takes a descriptor; false: none is free
+	Give func()      // gives it back
+}
+
+// Guard sets the guard of ServeGuarded, and bounds dials, and those that have
+// their descriptors reserved, by quotas in place of a share of their own. It
+// must come first.
+func (e *Engine) Guard(g Guard, dials, reserved Quota) {
 	e.guard = g
 	e.dials.full, e.dials.most = math.MaxInt32, math.MaxInt32
-	e.dials.take, e.dials.give = take, give
+	e.dials.take, e.dials.give = dials.Take, dials.Give
+	e.reserved.take, e.reserved.give = reserved.Take, reserved.Give
 }
 
 // Engine runs all connections of the program on nbio.
@@ -192,6 +200,7 @@
 	nb        *nbio.Engine
 	conns     core.Table[Conn]
 	dials     gate       // connections that we open
+	reserved  gate       // those of them that no other can keep from being opened
 	fence     sync.Mutex // orders what add writes before what nbio's callbacks read
 	all       int        // descriptors allowed in all
 	part      float64    // of them, that are this process's at present; guarded by mu
@@ -325,11 +334,12 @@
 	g.cond.Broadcast()
 }
 
-// Of the descriptors allowed, some are for the run time, epoll, listeners and
-// the twin that a descriptor has for a moment when nbio takes it over; of the
-// rest, the larger part is for connections that others open.
+// Of the descriptors allowed, some are for the run time, epoll, listeners, the
+// reserved dials and the twin that a descriptor has for a moment when nbio takes
+// it over; of the rest, the larger part is for connections that others open.
 const (
 	spareDescriptors = 24
+	reservedDials    = 2 // one connection, and one that has been closed just now
 	acceptedShare    = 0.6
 )
 
@@ -339,8 +349,9 @@
 // NewEngine starts an engine that keeps to a number of descriptors in all.
 func NewEngine(loop *core.Loop, descriptors int) (*Engine, error) {
 	usable := max(descriptors-spareDescriptors, 8)
-	e := &Engine{Loop: loop, all: descriptors, part: 1, dials: newGate(usable-int(acceptedShare*float64(usable)), wideWindow)}
-	e.dials.cond.L, e.landed.L = &e.dials.mu, &e.flights
+	e := &Engine{Loop: loop, all: descriptors, part: 1, dials: newGate(usable-int(acceptedShare*float64(usable)), wideWindow),
+		reserved: newGate(reservedDials, wideWindow)}
+	e.dials.cond.L, e.reserved.cond.L, e.landed.L = &e.dials.mu, &e.reserved.mu, &e.flights
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = descriptors + 4096 // nbio keeps an array of that length, by descriptor
 	// Edge-triggered: level-triggered, nbio spins on a writable connection until its first partial write.
@@ -713,14 +724,30 @@
 		e.Loop.Post(func() { done(nil, ErrFull) })
 		return
 	}
+	e.dialFrom(&e.dials, addr, timeout, own, done)
+}
+
+// DialReserved is Dial with a descriptor that other connections cannot take,
+// where one of those is free. It is for the connection without which the rest is
+// of no use, one at a time.
+func (e *Engine) DialReserved(addr string, timeout time.Duration, own Owner, done func(*Conn, error)) {
+	if e.reserved.try() {
+		e.dialFrom(&e.reserved, addr, timeout, own, done)
+		return
+	}
+	e.Dial(addr, timeout, own, done) // earlier ones that are given up have not ended yet
+}
+
+// dialFrom opens a connection that has its place behind a gate.
+func (e *Engine) dialFrom(g *gate, addr string, timeout time.Duration, own Owner, done func(*Conn, error)) {
 	go func() {
 		conn, err := stdnet.DialTimeout("tcp", addr, timeout)
 		if err != nil {
-			e.dials.leave()
+			g.leave()
 			e.Loop.Post(func() { done(nil, err) })
 			return
 		}
-		e.add(conn, &e.dials, 0, func(c *Conn) Owner {
+		e.add(conn, g, 0, func(c *Conn) Owner {
 			if own == nil {
 				own = discard{e}
 			}
