Discovery is called again within 3.8 s of the last contact; local shortage fails no attempt

Cause: the wait before a repeated call is the module's, up to 3/4 of ask_within_us, and nothing bounded it by the protocol's 6 s: with 10 s and 300 dispatchers a change could be 9.5 s old after a refused call, 8 s after a watch fell silent, 47 s with 60 s. So the watch bounds the wait, from the begin of the last call or the last line. Also: a call without ask_within_us was repeated without a pause; every failure told the module set one more timer, so calls doubled in an outage; the call had no descriptor once workers' connections filled the part for dials; an attempt for which none was free ended as refused by its worker. In watch.go turn is now generation, and patience timeouts.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,7 @@
 type Core struct {
 	Loop     *Loop
 	Settings hollyyoke.Settings
+	Seed     uint64 // of the process, for what carriers draw at random
 	Log      func(text string)
 
 	// Trace tells each step of each req by the client's name for it; nil: nobody follows them.
@@ -214,7 +215,7 @@
 	var key [16]byte
 	_, _ = rand.Read(key[:]) // never fails
 	return &Core{
-		Loop: loop, Settings: s, Log: func(string) {}, module: m, listed: map[string]listing{},
+		Loop: loop, Settings: s, Seed: seed, Log: func(string) {}, module: m, listed: map[string]listing{},
 		tallies: make([]Tally, len(s.Classes)),
 		ids:     ids{key: key, open: map[uint64]int{}, past: map[uint64]struct{}{}},
 	}, nil
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -112,13 +113,14 @@
 	holdTime   = 2 * time.Millisecond
 	waryTime   = 10 * time.Second
 	anyConnect = 250 * time.Millisecond // connect time where the settings name none
+	fullPause  = 5 * time.Millisecond   // until a dial is tried again for which no descriptor was free
 )
 
 // NewBackends returns a carrier that follows discovery at addr.
 func NewBackends(c *core.Core, e *net.Engine, discovery string) *Backends {
 	s := &Backends{core: c, engine: e, hosts: map[string]*backend{}, lines: map[uint64]*line{}, hold: holdTime, calm: settleTime}
-	s.watch = watch{set: s, addr: discovery}
-	s.watch.due.Fire = s.watch.expire
+	s.watch = watch{set: s, addr: discovery, random: rand.New(rand.NewPCG(c.Seed, 0))}
+	s.watch.due.Fire, s.watch.next.Fire = s.watch.expire, s.watch.open
 	s.due.Fire = func() { s.begin(nil) }
 	c.Listen(s)
 	return s
@@ -178,11 +180,24 @@
 	l := &line{set: s, b: b}
 	l.due.Fire = l.expire
 	s.core.Loop.Set(&l.due, s.core.Loop.Now()+s.connectTime())
-	s.engine.Dial(b.dial, s.connectTime()+50*time.Millisecond, l, func(c *net.Conn, err error) {
+	l.connect()
+	return l
+}
+
+// connect dials for a line. Where no descriptor is free, which says nothing of
+// the backend, it closes idle connections and tries again within the connect time.
+func (l *line) connect() {
+	s := l.set
+	if l.lost {
+		return
+	}
+	s.engine.Dial(l.b.dial, s.connectTime()+50*time.Millisecond, l, func(c *net.Conn, err error) {
+		if errors.Is(err, net.ErrFull) {
+			s.shed()
+			s.core.Loop.After(fullPause, l.connect)
+			return
+		}
 		if err != nil {
-			if errors.Is(err, net.ErrFull) {
-				s.shed()
-			}
 			l.fail(hollyyoke.RefusedConn)
 			return
 		}
@@ -196,7 +211,6 @@
 			l.send()
 		}
 	})
-	return l
 }
 
 // Idle closes all idle connections, which cost descriptors that others need more.
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -58,7 +58,7 @@
 			return err
 		}
 	}
-	s.watch.seq = list.Seq
+	s.watch.seq, s.watch.lastContact = list.Seq, s.core.Loop.Now()
 	entries, err := s.entries(list.Hosts)
 	if err != nil {
 		return err
@@ -71,6 +71,7 @@
 	}
 	if s.watch.addr == "" || s.core.Settings.AskForList && s.core.Settings.Herd() { // the module says when to call
 		s.begin(nil)
+		s.watch.callInTime(s.watch.lastContact)
 		return nil
 	}
 	s.core.Loop.Set(&s.due, s.core.Loop.Now()+freshList)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -11,15 +12,17 @@
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
-// This file owns the discovery watch: the one open call, its patience, and what
-// a call that failed leads to. It must never take in what a former call brings.
+// This file owns the discovery watch: the one open call, its timeouts, and the
+// pause before the next call. It must never take in what an earlier call brings.
 
-// Subscribe opens the discovery watch, unless a call is out. Guards against a
-// repeat that the module had set for the former address and that would end the
-// watch at the present one.
+// Subscribe opens the discovery watch, unless a call is out: the module may have
+// set its timer before discovery moved or was called again. It makes no call
+// within leastPause of one that failed.
 func (s *Backends) Subscribe() {
-	if !s.watch.out {
-		s.watch.open()
+	w := &s.watch
+	w.awaitsModule = false
+	if now := s.core.Loop.Now(); !w.out {
+		w.callBy(max(now, w.notBefore))
 	}
 }
 
@@ -38,54 +41,95 @@
 
 // watch is the one open call to discovery, or the wait for the module to ask for it again.
 type watch struct {
-	set   *Backends
-	addr  string
-	seq   int64
-	turn  int  // counts the calls, so that what a former one brings is passed over
-	out   bool // a call is out
-	conn  *net.Conn
-	in    *net.Buffer
-	text  objects
-	seen  int  // bytes of in that hold no end of the head
-	ok    bool // the head of the answer has come
-	live  bool // and its first line
-	mute  bool // an agent that does not answer: the log tells so
-	chunk chunks
-	due   core.Deadline
+	set        *Backends
+	addr       string
+	seq        int64
+	generation int  // counts the calls, so that what an earlier one brings is ignored
+	out        bool // a call is out
+	conn       *net.Conn
+	in         *net.Buffer
+	text       objects
+	seen       int  // bytes of in that hold no end of the head
+	ok         bool // the head of the answer has come
+	live       bool // and its first line
+	mute       bool // an agent that does not answer: the log tells so
+	chunk      chunks
+	due        core.Deadline // of the present call, or of the next line
+
+	random       *rand.Rand
+	lastContact  time.Duration // when the latest call began or the latest line came
+	notBefore    time.Duration // the earliest time of the next call, after one that failed
+	next         core.Deadline // of the next call
+	nextAt       time.Duration // when that is; 0: not set
+	awaitsModule bool          // the module was told of a failure and has not subscribed since
 }
 
 const (
 	freshList    = time.Second // the first word of discovery is waited for so long
 	watchConnect = time.Second
-	watchCall    = 3 * time.Second // for the first line: discovery takes calls in turn
+	watchCall    = 3 * time.Second // from the begin of a call to its first line: discovery handles calls in turn
 	watchLine    = 3 * time.Second // between lines; one comes every 2 s at the latest
 
+	// The protocol counts a change as told notifiedWithin after discovery had it
+	// and could be reached, whatever became of the calls meanwhile. Discovery may
+	// come back just after it was last heard or called in vain: the next call
+	// begins early enough for its answer to fit in, counted from that moment,
+	// however long the module would wait.
+	notifiedWithin = 6 * time.Second
+	answerWithin   = 2200 * time.Millisecond // calls are answered, or fail, after 2 s in turn; the rest is for the way
+	nextCallWithin = notifiedWithin - answerWithin
+	leastPause     = 100 * time.Millisecond // from a call that failed to the next, where settings allow less
+
 	// Where lists are pushed, an agent on this machine has them. It answers at
 	// once and at no cost, and what it has counts as told, watch or not: a call
 	// that is not answered, and the pause to the next, must both fit into the
 	// time that a drain leaves.
-	agentCalls = 4 // part of that time that a call may take
-	agentRests = 8 // part of it from a call that failed to the next
-	leastRest  = 10 * time.Millisecond
+	agentCalls     = 4 // part of that time that a call may take
+	agentPauses    = 8 // part of it from a call that failed to the next
+	leastAgentWait = 10 * time.Millisecond
 )
 
 // pushed tells whether lists come from an agent, which is called without the module's word.
 func (w *watch) pushed() bool { return !w.set.core.Settings.AskForList }
 
-// patience is how long a call may take up to its first line.
-func (w *watch) patience() (connect, call time.Duration) {
+// timeouts are how long a call may take to connect, and in all up to its first line.
+func (w *watch) timeouts() (connect, call time.Duration) {
 	if !w.pushed() {
 		return watchConnect, watchCall
 	}
-	part := max(w.set.core.Settings.DrainGrace/agentCalls, 2*leastRest)
+	part := max(w.set.core.Settings.DrainGrace/agentCalls, 2*leastAgentWait)
 	return part, part
 }
 
+// callBy makes the next call at a time, or earlier where one is set for earlier.
+func (w *watch) callBy(at time.Duration) {
+	if at <= w.set.core.Loop.Now() {
+		w.open()
+		return
+	}
+	if w.nextAt == 0 || at < w.nextAt {
+		w.nextAt = at
+		w.set.core.Loop.Set(&w.next, at)
+	}
+}
+
+// callInTime makes the next call within nextCallWithin of the last contact with
+// discovery, unless the module asks for it earlier. The time is spread, since
+// an outage ends the watches of all dispatchers at once.
+func (w *watch) callInTime(lastContact time.Duration) {
+	if w.out || w.addr == "" {
+		return
+	}
+	now := w.set.core.Loop.Now()
+	left := max(lastContact+nextCallWithin-now, leastPause)
+	w.callBy(now + left/2 + time.Duration(w.random.Int64N(int64(left/2))))
+}
+
 // expire ends a call or a watch on which nothing has come in time. An agent may
 // have answered while the loop was late.
 func (w *watch) expire() {
 	if w.conn != nil && !w.conn.Quiet() {
-		w.set.core.Loop.Set(&w.due, w.set.core.Loop.Now()+leastRest)
+		w.set.core.Loop.Set(&w.due, w.set.core.Loop.Now()+leastAgentWait)
 		return
 	}
 	w.fail("silent")
@@ -97,15 +141,15 @@
 	if w.addr == "" {
 		return
 	}
-	w.turn++
 	w.out = true
-	turn := w.turn
+	generation := w.generation
 	loop := w.set.core.Loop
-	connect, call := w.patience()
-	loop.Set(&w.due, loop.Now()+connect+call)
-	w.set.engine.Dial(w.addr, connect, w, func(c *net.Conn, err error) {
+	w.lastContact = loop.Now()
+	connect, call := w.timeouts()
+	loop.Set(&w.due, w.lastContact+call)
+	w.set.engine.DialReserved(w.addr, connect, w, func(c *net.Conn, err error) {
 		switch {
-		case turn != w.turn:
+		case generation != w.generation:
 			if c != nil {
 				c.Close()
 			}
@@ -113,45 +157,54 @@
 			w.fail(err.Error())
 		default:
 			w.conn = c
-			loop.Set(&w.due, loop.Now()+call)
 			c.Write([]byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
 				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n"))
 		}
 	})
 }
 
-// drop forgets the present call.
+// drop forgets the present call, and the time of the next.
 func (w *watch) drop() {
 	w.set.core.Loop.Clear(&w.due)
+	w.set.core.Loop.Clear(&w.next)
 	w.set.engine.Pool.Put(w.in)
 	if w.conn != nil {
 		w.conn.Close()
 	}
 	w.in, w.text, w.conn, w.out, w.ok, w.live, w.chunk, w.seen = nil, objects{}, nil, false, false, false, chunks{}, 0
-	w.turn++
+	w.nextAt = 0
+	w.generation++
 }
 
 // fail ends a call that brought nothing, or a watch that broke. The module says
-// when to ask again, but for an agent, which is called again at once: the list
-// known at the start then waits for its whole time.
+// when to ask again, within what the protocol leaves; an agent is called again
+// at once, and the list known at the start then waits for its whole time.
 func (w *watch) fail(why string) {
+	lastContact, now := w.lastContact, w.set.core.Loop.Now()
 	w.drop()
 	if !w.pushed() {
 		w.set.core.Log("discovery: " + why)
+		w.notBefore = now + leastPause
 		w.set.begin(nil)
-		w.set.core.List(w.set, hollyyoke.ListError, nil)
+		w.tellModule()
+		w.callInTime(lastContact)
 		return
 	}
 	if !w.mute {
 		w.mute = true // an outage has one line in the log, not one for each call
 		w.set.core.Log("discovery: " + why)
 	}
-	loop, turn := w.set.core.Loop, w.turn
-	loop.After(max(w.set.core.Settings.DrainGrace/agentRests, leastRest), func() {
-		if turn == w.turn {
-			w.open()
-		}
-	})
+	w.callBy(now + max(w.set.core.Settings.DrainGrace/agentPauses, leastAgentWait))
+}
+
+// tellModule tells the module that a call failed, unless it has yet to ask again
+// after an earlier one: each word of it sets a timer of its own, which cannot be
+// withdrawn, and calls would become more and more.
+func (w *watch) tellModule() {
+	if !w.awaitsModule {
+		w.awaitsModule = true
+		w.set.core.List(w.set, hollyyoke.ListError, nil)
+	}
 }
 
 // Closed is told that discovery ended the call.
@@ -238,7 +291,8 @@
 // line takes in one line: the list, changes, or a line that only shows liveness.
 func (w *watch) line(text []byte) error {
 	loop := w.set.core.Loop
-	loop.Set(&w.due, loop.Now()+watchLine)
+	w.lastContact = loop.Now()
+	loop.Set(&w.due, w.lastContact+watchLine)
 	first := !w.live
 	w.live, w.mute = true, false
 	if len(text) == 0 && w.set.first != nil {
