Tests: ready and serving while discovery is down, late, crowded or beside idle clients

The reading found no fault there. The stand-in's watch answer is a function of its own in main_test.go, for a listener that refuses at first; no check changed.

--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -285,10 +285,13 @@
 
 func (w *world) discover(conn net.Conn) {
 	defer conn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
+	if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+		w.tell(conn, req.URL.RawQuery)
 	}
+}
+
+// tell answers a watch that asked for a query.
+func (w *world) tell(conn net.Conn, query string) {
 	chunk := func(line string) { fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(line)+1, line) }
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 	if w.first != nil {
@@ -296,7 +299,7 @@
 	} else {
 		chunk("")
 	}
-	w.watches <- req.URL.RawQuery
+	w.watches <- query
 	gone := make(chan struct{})
 	go func() { io.Copy(io.Discard, conn); close(gone) }()
 	for {
--- /dev/null
+++ b/cmd/hollyyoke/ready_test.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// These tests start the program while discovery does not answer: it is ready by
+// the list that it was told, and what is ready serves.
+
+// settingsOf words the settings of one of so many dispatchers, which ask for
+// their list or have it pushed.
+func settingsOf(peers int, discovery string) json.RawMessage {
+	text := strings.NewReplacer("CONN_IDLE", "10000000", `"peers_total":1,`, fmt.Sprintf(`"peers_total":%d,`, peers),
+		`"discovery":"ask"`, fmt.Sprintf(`"discovery":%q`, discovery)).Replace(settingsText)
+	return json.RawMessage(text)
+}
+
+// refusing is an address that refuses connections: its port is taken, and nobody listens.
+func refusing(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+}
+
+// outage is a discovery of which every call ends in one way.
+func outage(t *testing.T, end func(net.Conn)) (addr string) {
+	ln := listen(t)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					end(conn)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Whatever becomes of its calls, a process that knows a worker is ready and serves.
+func TestReadyWithoutDiscovery(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, end := range map[string]func(net.Conn){
+		"down":   nil,
+		"silent": func(net.Conn) {},
+		"late":   func(conn net.Conn) { fmt.Fprint(conn, head) },
+		"crowded": func(conn net.Conn) {
+			fmt.Fprint(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		},
+		"reset": func(conn net.Conn) {
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		},
+	} {
+		for _, peers := range []int{1, 300} {
+			for _, discovery := range []string{"ask", "push"} {
+				t.Run(fmt.Sprintf("%s/%d/%s", name, peers, discovery), func(t *testing.T) {
+					t.Parallel()
+					addr := ""
+					if end == nil {
+						addr = refusing(t)
+					} else {
+						addr = outage(t, end)
+					}
+					w := &world{t: t, config: map[string]any{"discovery": addr, "settings": settingsOf(peers, discovery)}}
+					w.backend("s-1", done)
+					w.start()
+					for i := range 3 {
+						if status, _, _ := w.post("renewal", fmt.Sprint("ready-", i), "x", 0); status != 200 {
+							t.Errorf("request %d: %d", i, status)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// A process that knows no worker is not ready, and is as soon as discovery,
+// which has been late, tells of one.
+func TestNotReadyWithoutWorkers(t *testing.T) {
+	const draining = `[{"host":"s-0","dial":"127.0.0.1:9","site":"here","class":"m","health":"draining","share":1}]`
+	for _, x := range []struct{ known, discovery string }{{`[]`, "ask"}, {draining, "ask"}, {`[]`, "push"}, {draining, "push"}} {
+		t.Run(x.discovery+" "+x.known, func(t *testing.T) {
+			other := &world{t: t, first: make(chan string, 100)}
+			ln := listen(t)
+			ln.Close()
+			w := &world{t: t, listen: ln.Addr().String(), config: map[string]any{
+				"known":     json.RawMessage(`{"seq":41,"whole":true,"hosts":` + x.known + `}`),
+				"discovery": other.discovery(), "settings": settingsOf(300, x.discovery),
+			}}
+			b := w.backend("s-1", done)
+			early, url := make(chan int, 1), "http://"+w.listen+"/healthz"
+			go func() {
+				for len(early) == 0 {
+					if resp, err := http.Get(url); err == nil {
+						resp.Body.Close()
+						early <- resp.StatusCode
+					}
+				}
+				for range cap(other.first) { // whichever call it is that stands
+					other.first <- `{"seq":42,"whole":true,"hosts":[` + b.entry("ready") + `]}`
+				}
+			}()
+			w.start()
+			if status := <-early; status != 503 {
+				t.Errorf("healthz says %d while no worker is known", status)
+			}
+			if status, _, _ := w.post("renewal", "one", "x", 0); status != 200 {
+				t.Errorf("status %d", status)
+			}
+		})
+	}
+}
+
+// Idle clients take all descriptors that they can get while discovery is down.
+// The process is ready, serves, hears of its workers once discovery is back, and
+// keeps to its limit.
+func TestReadyBesideIdleClients(t *testing.T) {
+	const most = 64
+	other := &world{t: t, watches: make(chan string, 100), changes: make(chan string, 100), first: make(chan string, 100)}
+	var back atomic.Bool
+	w := &world{t: t, config: map[string]any{
+		"limits": map[string]any{"sockets": most, "memory_mb": 192},
+		"discovery": outage(t, func(conn net.Conn) {
+			if back.Load() {
+				other.tell(conn, "")
+			} else {
+				conn.Close()
+			}
+		}),
+	}}
+	w.backend("s-1", done)
+	w.start()
+	for i := range 200 {
+		if conn, err := net.Dial("tcp", w.listen); err == nil {
+			t.Cleanup(func() { conn.Close() })
+		}
+		if i%50 < 49 {
+			continue
+		}
+		if n := descriptors(w); n > most {
+			t.Errorf("%d descriptors", n)
+		}
+		if status := w.health(); status != 200 {
+			t.Errorf("beside %d clients: healthz says %d", i, status)
+		}
+		if status, _, _ := w.post("renewal", fmt.Sprint("beside-", i), "x", 0); status != 200 {
+			t.Errorf("beside %d clients: %d", i, status)
+		}
+	}
+	fresh := w.backend("s-2", done)
+	for range cap(other.first) {
+		other.first <- `{"seq":42,"whole":true,"hosts":[` + fresh.entry("ready") + `]}`
+	}
+	back.Store(true)
+	other.watch()
+	w.until("the new worker serves", func() bool {
+		w.post("status-check", fmt.Sprint("after-", time.Now().UnixNano()), "x", 500)
+		return len(fresh.arrivals()) > 0
+	})
+}
