A delta of workers costs what its entries cost, not what the fleet does

Cause: each list event walked and copied the whole fleet (cold workers, ring, removal, counts).

Change: a worker knows its place in each list and leaves it by exchange with the last one; the counts of running, suspect and open workers are kept by difference; the ring takes in what has come or gone when it is next used, and is built anew there when that is more than a sixteenth of it. The order of draws is random as before, but removal now moves the last worker to the gap. An unknown worker that a list calls gone is passed over.

What still walks the fleet: the shares of warm workers, once a beat while there are cold ones; complete lists; the names of ejected workers for the admin API, if there are any.

Tests: five calls of lower in dispatcher_test.go pass the list's name, a new parameter; nothing else in them changed.

--- a/api.go
+++ b/api.go
@@ -305,7 +305,7 @@
 // that gets a job now and then to see whether it has come back is still among them. While most look bad the
 // trouble is not theirs: all are used, and none is named.
 func (d *Dispatcher) Ejected() (names []string) {
-	if d.trustAll() {
+	if d.suspects == 0 || d.trustAll() {
 		return nil
 	}
 	for _, w := range d.fleet {
--- /dev/null
+++ b/capacity_test.go
@@ -0,0 +1,266 @@
+package hollyyoke
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fleetSizes are a decade apart; the last is the size that the design must carry.
+var fleetSizes = []int{200, 2100, 21000}
+
+// capacityZones is over how many zones the workers of capacityRig are spread.
+const capacityZones = 17
+
+// capacityRig has a fleet over many zones, of which every coldEvery-th worker has just started; 0: none.
+func capacityRig(t testing.TB, workers, coldEvery int) (*Dispatcher, []Entry) {
+	t.Helper()
+	s := testSettings()
+	s.Peers, s.CrossZonePrice, s.TellsStart = 300, 0.05, true
+	s.Classes = append(s.Classes, Class{Worth: 1, Deadline: 5 * time.Second, Kinds: []int{1}})
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const start = time.Hour
+	list := make([]Entry, workers)
+	for i := range list {
+		list[i] = Entry{Worker: fmt.Sprintf("w%d", i), Zone: i % capacityZones, Kind: i % 3, Cell: i % 1000, State: Running}
+		if coldEvery > 0 && i%coldEvery == 0 {
+			list[i].LastStart = start
+		}
+	}
+	d.Handle(start, Event{Kind: WorkerList, List: ListPersisted, Entries: list}, nil)
+	d.perSlot, d.perRate = 1e6, 1e6 // no ceiling binds: what is measured is the pick
+	return d, list
+}
+
+// BenchmarkDelta is one worker that drains, or comes back, by a delta of its own.
+func BenchmarkDelta(b *testing.B) {
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			d, list := capacityRig(b, workers, 0)
+			var out []Action
+			entries := make([]Entry, 1)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				entries[0] = list[i%workers]
+				if i%2 == 0 {
+					entries[0].State = Stopping
+				}
+				out = d.Handle(d.now, Event{Kind: WorkerList, List: ListChanges, Entries: entries}, out[:0])
+			}
+		})
+	}
+}
+
+// BenchmarkReplace is one worker that goes and one that comes, each by a delta of its own.
+func BenchmarkReplace(b *testing.B) {
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			d, list := capacityRig(b, workers, 0)
+			var out []Action
+			entries := make([]Entry, 1)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				entries[0] = list[i/2%workers]
+				if i%2 == 0 {
+					entries[0].State = Deleted
+				}
+				out = d.Handle(d.now, Event{Kind: WorkerList, List: ListChanges, Entries: entries}, out[:0])
+			}
+		})
+	}
+}
+
+// BenchmarkPick is an arrival that is placed and answered, with all workers warm and with a tenth of them cold.
+func BenchmarkPick(b *testing.B) {
+	for _, coldEvery := range []int{0, 10} {
+		for _, workers := range fleetSizes {
+			b.Run(fmt.Sprintf("%d/cold-every-%d", workers, coldEvery), func(b *testing.B) {
+				d, _ := capacityRig(b, workers, coldEvery)
+				var out []Action
+				now := d.now
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now += time.Microsecond // the cold stay cold
+					if i%1000 == 0 {
+						out = d.Handle(now, Event{Kind: TimerDue, Timer: beatTimer}, out[:0])
+					}
+					id := uint64(i + 1)
+					out = d.Handle(now, Event{Kind: Arrival, Request: id, Slots: 1, Work: 10 * time.Millisecond,
+						Left: 5 * time.Second}, out[:0])
+					if a := find(out, Assign); a != nil {
+						out = d.Handle(now, Event{Kind: Response, Request: id, Worker: a.Worker, Outcome: Completed,
+							Settled: true}, out[:0])
+					}
+				}
+			})
+		}
+	}
+}
+
+// listsOf are the lists of a dispatcher in which each worker knows its place.
+func listsOf(d *Dispatcher) map[listID][]*worker {
+	return map[listID][]*worker{inFleet: d.fleet, inPool: d.pool, inNear: d.near, inFresh: d.fresh}
+}
+
+// A delta of one worker must take no work that goes with the fleet: it reads no other worker, but for the one that
+// takes its place in a list, and allocates nothing. All others are nil here, and a walk over them would panic.
+func TestDeltaReadsNoOtherWorker(t *testing.T) {
+	const workers, changed = 21000, "w1700" // of the own zone, cold
+	for _, state := range []WorkerState{Running, Stopping, Deleted} {
+		d, list := capacityRig(t, workers, 10)
+		w := d.workers[changed]
+		if w.place[inFresh] == 0 || w.place[inNear] == 0 {
+			t.Fatalf("%s stands in too few lists: %v", changed, w.place)
+		}
+		for id, members := range listsOf(d) {
+			for i, other := range members[:len(members)-1] { // the last one takes the place
+				if i != w.place[id]-1 {
+					delete(d.workers, other.Worker)
+					d.workers["nobody "+other.Worker] = nil
+					members[i] = nil
+				}
+			}
+		}
+		e := list[1700]
+		if e.Worker != changed {
+			t.Fatalf("%s is changed", e.Worker)
+		}
+		e.State = state
+		d.Handle(d.now, Event{Kind: WorkerList, List: ListChanges, Entries: []Entry{e}}, nil)
+		if gone := d.workers[changed] == nil; gone != (state == Deleted) {
+			t.Errorf("state %v: gone: %v", state, gone)
+		}
+	}
+}
+
+// The same for one that comes, in allocations: what it is itself, however large the fleet.
+func TestDeltaAllocatesByItsEntries(t *testing.T) {
+	allocated := map[int]float64{}
+	for _, workers := range fleetSizes {
+		d, list := capacityRig(t, workers, 0)
+		out, entries, i := make([]Action, 0, 8), make([]Entry, 1), 0
+		allocated[workers] = testing.AllocsPerRun(500, func() {
+			entries[0] = list[i/2%workers]
+			if i%2 == 0 {
+				entries[0].State = Deleted
+			}
+			i++
+			out = d.Handle(d.now, Event{Kind: WorkerList, List: ListChanges, Entries: entries}, out[:0])
+		})
+	}
+	if allocated[21000] > allocated[200]+1 {
+		t.Errorf("allocations of a delta by fleet size: %v", allocated)
+	}
+}
+
+// What is kept by difference must be what a count anew gives, whatever the lists say: names that stand twice, restarts,
+// workers that go and come, unknown ones that are gone, complete lists between deltas. Two dispatchers with one seed
+// do the same, the ring included.
+func TestListsAgreeWithACountAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := testSettings()
+		s.CrossZonePrice, s.FetchPrice = 0.05, 0.1
+		s.Classes = append(s.Classes, Class{Worth: 1, Deadline: 5 * time.Second, Kinds: []int{1}, Zones: []int{0}})
+		a, errA := New(s, 7)
+		b, errB := New(s, 7)
+		if errA != nil || errB != nil {
+			t.Fatal(errA, errB)
+		}
+		now := time.Hour
+		names := rapid.IntRange(1, 60).Draw(t, "names")
+		both := func(ev Event) []Action {
+			did := a.Handle(now, ev, nil)
+			if other := b.Handle(now, ev, nil); !slices.Equal(did, other) {
+				t.Fatalf("one seed, two ways: %v and %v", did, other)
+			}
+			return did
+		}
+		for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			var entries []Entry
+			for range rapid.IntRange(0, 8).Draw(t, "entries") {
+				entries = append(entries, Entry{
+					Worker: fmt.Sprintf("w%d", rapid.IntRange(0, names-1).Draw(t, "worker")),
+					Zone:   rapid.IntRange(0, 2).Draw(t, "zone"), Kind: rapid.IntRange(0, 2).Draw(t, "kind"),
+					State:     rapid.SampledFrom([]WorkerState{Running, Running, Stopping, Deleted}).Draw(t, "state"),
+					LastStart: now - time.Duration(rapid.IntRange(0, 12000).Draw(t, "age"))*time.Millisecond,
+				})
+			}
+			kind := rapid.SampledFrom([]ListKind{ListChanges, ListChanges, ListChanges, ListComplete}).Draw(t, "list")
+			both(Event{Kind: WorkerList, List: kind, Entries: entries})
+			if len(a.fleet) > 0 && rapid.Bool().Draw(t, "suspect") {
+				i := rapid.IntRange(0, len(a.fleet)-1).Draw(t, "which")
+				a.judge(a.fleet[i], 1, "fails")
+				b.judge(b.fleet[i], 1, "fails")
+				a.actions, b.actions = nil, nil
+			}
+			if rapid.Bool().Draw(t, "arrival") {
+				id := uint64(step + 1)
+				did := both(Event{Kind: Arrival, Request: id, Slots: 1, Work: 10 * time.Millisecond, Left: 5 * time.Second,
+					Key: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "key")})
+				if assigned := find(did, Assign); assigned != nil && rapid.Bool().Draw(t, "answered") {
+					both(Event{Kind: Response, Request: id, Worker: assigned.Worker, Outcome: Completed, Settled: true})
+				}
+			}
+			if rapid.Bool().Draw(t, "beat") {
+				both(Event{Kind: TimerDue, Timer: beatTimer})
+			}
+			countAnew(t, a)
+		}
+	})
+}
+
+// countAnew checks all that a dispatcher keeps of its workers by difference.
+func countAnew(t *rapid.T, d *Dispatcher) {
+	t.Helper()
+	if len(d.fleet) != len(d.workers) {
+		t.Fatalf("%d in the fleet, %d known", len(d.fleet), len(d.workers))
+	}
+	running, suspects, open := 0, 0, map[*Class]int{}
+	for _, w := range d.fleet {
+		if d.workers[w.Worker] != w || w.State == Deleted {
+			t.Fatalf("in the fleet and not known, or gone: %+v", w.Entry)
+		}
+		if (w.Zone == d.s.Zone) != (w.place[inNear] > 0) || w.place[inFresh] == 0 && d.warmth(w) < 1 {
+			t.Fatalf("in the wrong lists: %+v, %v", w.Entry, w.place)
+		}
+		if w.State != Running {
+			continue
+		}
+		running++
+		if w.suspect {
+			suspects++
+		}
+		for i := range d.s.Classes {
+			if c := &d.s.Classes[i]; c.mayRunOn(w) {
+				open[c]++
+			}
+		}
+	}
+	if d.running != running || d.suspects != suspects || !maps.Equal(d.open, open) {
+		t.Fatalf("%d run, %d of them suspects, open %v; counted %d, %d, %v",
+			d.running, d.suspects, d.open, running, suspects, open)
+	}
+	for id, members := range listsOf(d) {
+		for i, w := range members {
+			if w.place[id] != i+1 || d.workers[w.Worker] != w {
+				t.Fatalf("list %v: %s stands at %d and takes itself to be at %d", id, w.Worker, i, w.place[id]-1)
+			}
+		}
+	}
+	if d.updateRing(); len(d.ring) != len(d.fleet) || !slices.IsSortedFunc(d.ring, byHash) {
+		t.Fatalf("%d on the ring, of %d; in order: %v", len(d.ring), len(d.fleet), slices.IsSortedFunc(d.ring, byHash))
+	}
+	for _, w := range d.ring {
+		if d.workers[w.Worker] != w {
+			t.Fatalf("%s is on the ring and not known", w.Worker)
+		}
+	}
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -246,16 +246,17 @@
 
 func (d *Dispatcher) pick(r *request) *worker {
 	// A cold worker with room comes first. Guards against newcomers, in few own sets, idle until warm.
-	if w := d.lower(r, d.fresh); w != nil {
+	if w := d.lower(r, d.fresh, inFresh); w != nil {
 		return w
 	}
-	w := d.lower(r, d.pool)
+	w := d.lower(r, d.pool, inPool)
 	left, price := max(r.aim-d.now, 0).Seconds(), max(homeBias*d.s.FetchPrice, homeShare)
 	if n := d.lowerHome(r); n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
 		return n
 	}
 	if price = nearBias * d.s.CrossZonePrice; price > 0 && (w == nil || w.Zone != d.s.Zone) { // two near
-		if n := d.lower(r, d.near); n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
+		n := d.lower(r, d.near, inNear)
+		if n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
 			return n
 		}
 	}
@@ -265,22 +266,21 @@
 // lowerHome samples a key's homes: where a fetch has a price, the next two on a common ring, else more.
 func (d *Dispatcher) lowerHome(r *request) (w *worker) {
 	for n := d.homesFrom; n <= mostHomes && w == nil && r.home != 0; n *= 2 {
-		w = d.lower(r, d.homesOf(r.home, n))
+		w = d.lower(r, d.homesOf(r.home, n), inHomes)
 	}
 	return w
 }
 
 // lower draws workers until two are ready and returns the one with the lower expected delay. The own set, the
 // head of a random stable order, comes first, lest knowledge of all be old. Draws are bounded for CPU.
-func (d *Dispatcher) lower(r *request, from []*worker) (best *worker) {
+func (d *Dispatcher) lower(r *request, from []*worker, id listID) (best *worker) {
 	for i, found, drawn := 0, 0, 0; i < len(from) && drawn < mostDraws && found < 2; i++ {
 		span := len(from)
 		if i < d.own { // the own set first, all others only when it has not two ready
 			span = min(span, d.own)
 		}
-		j := i + d.rng.IntN(span-i)
-		w := from[j]
-		from[i], from[j] = w, from[i]
+		swap(from, id, i, i+d.rng.IntN(span-i))
+		w := from[i]
 		weight := 2 // cold ones have room seldom: all are drawn, the first with room is taken
 		if d.warmth(w) >= 1 {
 			drawn, weight = drawn+1, 1
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -991,7 +991,7 @@
 		room := r.fleet[len(r.fleet)-1]
 		room.cold = 100
 		q := &request{class: &r.s.Classes[0], slots: 1, work: 1, mean: 1, cost: 1, aim: r.now + time.Minute}
-		if w := r.lower(q, r.fresh); w != room {
+		if w := r.lower(q, r.fresh, inFresh); w != room {
 			t.Fatalf("seed %d: the one cold worker of %d that has room is not found: %v", seed, len(r.fresh), w)
 		}
 		for _, w := range r.pool {
@@ -1001,7 +1001,7 @@
 		for _, w := range r.fleet[1:] {
 			w.LastStart = 0
 		}
-		r.lower(q, r.pool)
+		r.lower(q, r.pool, inPool)
 		moved := 0
 		for i := mostDraws; i < len(first); i++ {
 			if r.pool[i] != first[i] {
@@ -1052,7 +1052,7 @@
 		r.fresh = append(r.fresh[:0], r.fleet...)
 		r.shares, r.sharesAt = map[int]float64{0: 0.1}, r.now
 		job := &request{class: &r.s.Classes[0], slots: 1, work: 0.05, cost: 0.05, mean: 0.05, aim: r.now + time.Second}
-		if picked := r.lower(job, r.fresh); picked != r.fresh[0] {
+		if picked := r.lower(job, r.fresh, inFresh); picked != r.fresh[0] {
 			t.Fatalf("seed %d: the first that had room was passed over", seed)
 		}
 	}
@@ -1567,7 +1567,7 @@
 	}
 	r.arrive(0)
 	before, moved := slices.Clone(r.pool), 0
-	r.lower(r.queue[0], r.pool)
+	r.lower(r.queue[0], r.pool, inPool)
 	for i, w := range r.pool {
 		if w != before[i] {
 			moved++
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -113,6 +113,7 @@
 	outstanding Table[outstanding]
 	sources     []Carrier // those that list backends
 	listed      map[string]listing
+	ready       int // those listed that take new work
 	pending     []hollyyoke.Event
 	actions     []hollyyoke.Action
 	handling    bool
@@ -300,14 +301,7 @@
 }
 
 // Backends is the number of backends listed that take new work.
-func (c *Core) Backends() (ready int) {
-	for _, l := range c.listed {
-		if l.entry.State == hollyyoke.Running {
-			ready++
-		}
-	}
-	return ready
-}
+func (c *Core) Backends() (ready int) { return c.ready }
 
 // Take takes a req. From now on a final answer is owed to front under token.
 // It returns the req's handle, for HangUp; the answer may come before it returns.
@@ -509,7 +503,7 @@
 	if kind == hollyyoke.ListComplete || kind == hollyyoke.ListPersisted {
 		for name, l := range c.listed {
 			if l.source == source {
-				delete(c.listed, name)
+				c.unlist(name)
 			}
 		}
 		var others []hollyyoke.Entry
@@ -528,15 +522,26 @@
 		c.Trace("", "list", "kind", kind, "entries", len(entries))
 	}
 	for _, e := range entries {
-		if e.State == hollyyoke.Deleted {
-			delete(c.listed, e.Worker)
-		} else {
+		c.unlist(e.Worker)
+		if e.State != hollyyoke.Deleted {
 			c.listed[e.Worker] = listing{e, source}
 		}
+		if e.State == hollyyoke.Running {
+			c.ready++
+		}
 	}
 	c.handle(ev)
 }
 
+// unlist forgets a backend, if it is listed.
+func (c *Core) unlist(name string) {
+	l, ok := c.listed[name]
+	if ok && l.entry.State == hollyyoke.Running {
+		c.ready--
+	}
+	delete(c.listed, name)
+}
+
 // ---- What the module wants done.
 
 // handle feeds the module. What an action brings about at once waits its turn.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -370,3 +370,41 @@
 type answers func(Answer)
 
 func (f answers) Answer(_ uint64, a Answer) { f(a) }
+
+// The number of backends that take new work is kept by difference; it must be that of a count anew.
+func TestBackendsAreCountedByDifference(t *testing.T) {
+	c, err := New(NewLoop(), hollyyoke.Settings{Classes: []hollyyoke.Class{{Deadline: time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	one, other := &model{t: t, core: c}, &model{t: t, core: c}
+	entry := func(name string, state hollyyoke.WorkerState) hollyyoke.Entry {
+		return hollyyoke.Entry{Worker: name, State: state}
+	}
+	const running, stopping, deleted = hollyyoke.Running, hollyyoke.Stopping, hollyyoke.Deleted
+	for i, step := range []struct {
+		source  *model
+		kind    hollyyoke.ListKind
+		entries []hollyyoke.Entry
+		want    int
+	}{
+		{one, hollyyoke.ListPersisted, []hollyyoke.Entry{entry("a", running), entry("b", stopping), entry("a", running)}, 1},
+		{other, hollyyoke.ListComplete, []hollyyoke.Entry{entry("c", running), entry("d", running)}, 3},
+		{one, hollyyoke.ListChanges, []hollyyoke.Entry{entry("b", running), entry("a", stopping), entry("e", deleted)}, 3},
+		{one, hollyyoke.ListChanges, []hollyyoke.Entry{entry("b", deleted), entry("b", deleted), entry("a", stopping)}, 2},
+		{other, hollyyoke.ListComplete, []hollyyoke.Entry{entry("d", running)}, 1},
+		{one, hollyyoke.ListError, nil, 1},
+		{other, hollyyoke.ListComplete, nil, 0},
+	} {
+		c.List(step.source, step.kind, step.entries)
+		anew := 0
+		for _, l := range c.listed {
+			if l.entry.State == running {
+				anew++
+			}
+		}
+		if c.Backends() != step.want || anew != step.want {
+			t.Errorf("step %d: %d backends take new work, counted anew %d, want %d", i, c.Backends(), anew, step.want)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -16,8 +16,9 @@
 // worker is what a dispatcher knows of one worker.
 type worker struct {
 	Entry
-	hash      uint64        // of its name
-	near      bool          // in the list of those of the own zone
+	hash      uint64 // of its name
+	place     [listCount]int
+	listed    uint64        // the last complete list that names it
 	out       float64       // own outstanding slots
 	unstarted int           // own attempts that have not told their start
 	waitFrom  time.Duration // since when the oldest of them waits
@@ -108,11 +109,13 @@
 	beating bool
 
 	workers   map[string]*worker
-	fleet     []*worker      // the workers in the order of the list
+	fleet     []*worker      // the workers
 	pool      []*worker      // the same, to draw from
 	near      []*worker      // those of the own zone, to draw from
 	fresh     []*worker      // those that are cold
-	ring      []*worker      // all by a hash of their name, the same at every dispatcher
+	lists     uint64         // complete lists so far
+	ring      []*worker      // all by a hash of their name, the same at every dispatcher, but for
+	unringed  []*worker      // those that have come or gone since it was last used
 	homes     []*worker      // scratch
 	homesFrom int            // how many of a key's homes are looked at first
 	own       int            // the first so many to draw make up the own set
@@ -466,12 +469,12 @@
 }
 
 // roster applies a list to the workers known. A worker that has started anew keeps only what is
-// outstanding there: all that was learned is about its old process.
+// outstanding there: all that was learned is about its old process. Changes take work that goes with their number.
 func (d *Dispatcher) roster(ev Event) {
-	if ev.List != ListChanges { // a complete list: what it lacks is gone
-		for _, w := range d.fleet {
-			w.State = Deleted
-		}
+	complete := ev.List != ListChanges
+	if complete {
+		d.lists++
+		d.sharesAt = 0
 	}
 	if d.s.LiveWeights {
 		for _, e := range ev.Entries {
@@ -479,45 +482,125 @@
 		}
 	}
 	for _, e := range ev.Entries {
-		w := d.workers[e.Worker]
-		if w == nil {
-			w = &worker{coldAt: d.now, hash: hash(e.Worker)}
-			d.workers[e.Worker] = w
-			d.fleet = append(d.fleet, w)
-			d.pool = d.shuffled(d.pool, w)
-			d.reached(e.Zone)
-		} else if e.LastStart > w.LastStart {
-			d.setSuspect(w, false)
-			d.reached(e.Zone) // a zone where workers start is there
-			*w = worker{near: w.near, hash: w.hash, out: w.out, unstarted: w.unstarted, waitFrom: d.now, coldAt: d.now}
-		}
-		if e.Zone == d.s.Zone && !w.near {
-			w.near, d.near = true, d.shuffled(d.near, w)
+		d.update(e)
+	}
+	for _, e := range ev.Entries { // only now: a list may name a worker twice, and its last word counts
+		if w := d.workers[e.Worker]; w != nil && w.State == Deleted {
+			d.remove(w)
 		}
-		w.Entry = e
-		if d.s.LiveWeights && e.Weight > 0 {
-			w.others, w.othersAt = d.nominal[e.Kind]/e.Weight-1, d.now
+	}
+	for i := len(d.fleet) - 1; complete && i >= 0; i-- { // what a complete list lacks is gone
+		if w := d.fleet[i]; w.listed != d.lists {
+			d.remove(w)
 		}
 	}
-	gone := func(w *worker) bool { return w.State == Deleted }
-	for _, w := range d.fleet {
-		if gone(w) {
-			delete(d.workers, w.Worker)
+}
+
+// update takes in what a list says of one worker.
+func (d *Dispatcher) update(e Entry) {
+	w := d.workers[e.Worker]
+	switch {
+	case w == nil && e.State == Deleted:
+		return
+	case w == nil:
+		w = &worker{coldAt: d.now, hash: hash(e.Worker)}
+		d.workers[e.Worker] = w
+		d.fleet = insert(d.fleet, inFleet, w)
+		d.pool = d.shuffled(d.pool, inPool, w)
+		d.ringChanged(w)
+		d.reached(e.Zone)
+	case e.LastStart > w.LastStart:
+		d.setSuspect(w, false)
+		d.count(w, -1)
+		d.reached(e.Zone) // a zone where workers start is there
+		*w = worker{Entry: w.Entry, place: w.place, hash: w.hash, out: w.out, unstarted: w.unstarted,
+			waitFrom: d.now, coldAt: d.now}
+	default:
+		d.count(w, -1)
+	}
+	w.Entry, w.listed = e, d.lists
+	d.count(w, 1)
+	if near := e.Zone == d.s.Zone; near && w.place[inNear] == 0 {
+		d.near = d.shuffled(d.near, inNear, w)
+	} else if !near {
+		d.near = remove(d.near, inNear, w)
+	}
+	if cold := d.warmth(w) < 1; cold && w.place[inFresh] == 0 {
+		d.fresh = insert(d.fresh, inFresh, w)
+	} else if !cold {
+		d.fresh = remove(d.fresh, inFresh, w)
+	}
+	if d.s.LiveWeights && e.Weight > 0 {
+		w.others, w.othersAt = d.nominal[e.Kind]/e.Weight-1, d.now
+	}
+}
+
+// remove forgets a worker that is gone. Attempts there go on.
+func (d *Dispatcher) remove(w *worker) {
+	d.count(w, -1)
+	w.State = Deleted
+	delete(d.workers, w.Worker)
+	d.fleet, d.pool = remove(d.fleet, inFleet, w), remove(d.pool, inPool, w)
+	d.near, d.fresh = remove(d.near, inNear, w), remove(d.fresh, inFresh, w)
+	d.ringChanged(w)
+}
+
+// count books a worker that has come, or that goes, among those that run.
+func (d *Dispatcher) count(w *worker, sign int) {
+	if w.State != Running {
+		return
+	}
+	d.running += sign
+	if w.suspect {
+		d.suspects += sign
+	}
+	for i := range d.s.Classes {
+		c := &d.s.Classes[i]
+		if !c.mayRunOn(w) {
+			continue
+		}
+		if d.open[c] += sign; d.open[c] == 0 {
+			delete(d.open, c)
 		}
 	}
-	d.fleet, d.pool = slices.DeleteFunc(d.fleet, gone), slices.DeleteFunc(d.pool, gone)
-	d.near = slices.DeleteFunc(d.near, func(w *worker) bool {
-		w.near = !gone(w) && w.Zone == d.s.Zone
-		return !w.near
-	})
-	d.fresh = append(d.fresh[:0], d.fleet...)
-	if len(d.ring) != len(d.fleet) || slices.ContainsFunc(d.ring, gone) {
-		d.ring = append(d.ring[:0], d.fleet...)
-		slices.SortFunc(d.ring, func(a, b *worker) int { return cmp.Compare(a.hash, b.hash) })
+}
+
+// listID names a list of workers. Each worker knows its place there, from 1 on, so that one leaves without a walk.
+type listID int
+
+const (
+	inFleet listID = iota
+	inPool
+	inNear
+	inFresh
+	inHomes // a list made for one use: the places are not kept
+	listCount
+)
+
+// insert adds a worker at the end of a list.
+func insert(list []*worker, id listID, w *worker) []*worker {
+	list = append(list, w)
+	w.place[id] = len(list)
+	return list
+}
+
+// remove takes a worker out of a list, if it is there. The last one takes its place.
+func remove(list []*worker, id listID, w *worker) []*worker {
+	i, last := w.place[id]-1, len(list)-1
+	if i < 0 {
+		return list
 	}
-	d.dropWarm()
-	d.recount()
-	d.sharesAt = 0
+	swap(list, id, i, last)
+	w.place[id] = 0
+	list[last] = nil
+	return list[:last]
+}
+
+// swap exchanges two workers of a list, or of a part of one.
+func swap(list []*worker, id listID, i, j int) {
+	a, b := list[i], list[j]
+	list[i], list[j] = b, a
+	a.place[id], b.place[id] = b.place[id], a.place[id]
 }
 
 // hash is the FNV-1a hash of a name, never 0, its bits mixed once more: names often differ in their end only.
@@ -529,8 +612,41 @@
 	return h ^ h>>29 | 1
 }
 
+// byHash orders the ring.
+func byHash(a, b *worker) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.Worker, b.Worker))
+}
+
+// ringChanged books that a worker has come or gone. Where that is so of many, the ring is built anew at its next use.
+func (d *Dispatcher) ringChanged(w *worker) {
+	const many = 16 // part of the ring
+	if d.unringed = append(d.unringed, w); len(d.unringed) > len(d.ring)/many {
+		d.ring, d.unringed = nil, nil
+	}
+}
+
+// updateRing puts those on the ring that have come since its last use, and takes those off that have gone.
+func (d *Dispatcher) updateRing() {
+	if len(d.ring) == 0 {
+		d.ring = slices.SortedFunc(slices.Values(d.fleet), byHash)
+	}
+	for _, w := range d.unringed {
+		at, found := slices.BinarySearchFunc(d.ring, w, byHash)
+		switch {
+		case w.State != Deleted && !found:
+			d.ring = slices.Insert(d.ring, at, w)
+		case w.State != Deleted:
+			d.ring[at] = w
+		case found && d.ring[at] == w:
+			d.ring = slices.Delete(d.ring, at, at+1)
+		}
+	}
+	d.unringed = d.unringed[:0]
+}
+
 // homesOf returns the n workers that follow a key on the ring.
 func (d *Dispatcher) homesOf(key uint64, n int) []*worker {
+	d.updateRing()
 	at, _ := slices.BinarySearchFunc(d.ring, key, func(w *worker, k uint64) int { return cmp.Compare(w.hash, k) })
 	d.homes = d.homes[:0]
 	for i := range min(n, len(d.ring)) {
@@ -540,10 +656,9 @@
 }
 
 // shuffled adds a worker to a list in random order, at a random place.
-func (d *Dispatcher) shuffled(list []*worker, w *worker) []*worker {
-	list = append(list, w)
-	i := d.rng.IntN(len(list))
-	list[i], list[len(list)-1] = w, list[i]
+func (d *Dispatcher) shuffled(list []*worker, id listID, w *worker) []*worker {
+	list = insert(list, id, w)
+	swap(list, id, d.rng.IntN(len(list)), len(list)-1)
 	return list
 }
 
@@ -636,25 +751,6 @@
 // meanTrip is the recent mean round trip in seconds, never less than a tick.
 func (d *Dispatcher) meanTrip() float64 { return max(d.roundTrip, d.s.Tick.Seconds()) }
 
-// recount counts the workers anew, after the list has changed.
-func (d *Dispatcher) recount() {
-	d.running, d.suspects = 0, 0
-	clear(d.open)
-	for _, w := range d.fleet {
-		if w.State == Running {
-			d.running++
-			for i := range d.s.Classes {
-				if c := &d.s.Classes[i]; c.mayRunOn(w) {
-					d.open[c]++
-				}
-			}
-			if w.suspect {
-				d.suspects++
-			}
-		}
-	}
-}
-
 // share is the part of the running workers that may run jobs of the class.
 func (d *Dispatcher) share(c *Class) float64 {
 	return float64(d.open[c]) / float64(max(d.running, 1))
@@ -671,7 +767,11 @@
 
 // dropWarm keeps the list of cold workers to those that still are.
 func (d *Dispatcher) dropWarm() {
-	d.fresh = slices.DeleteFunc(d.fresh, func(w *worker) bool { return d.warmth(w) >= 1 })
+	for i := len(d.fresh) - 1; i >= 0; i-- {
+		if w := d.fresh[i]; d.warmth(w) >= 1 {
+			d.fresh = remove(d.fresh, inFresh, w)
+		}
+	}
 }
 
 // warmShare is the work a second that a warm worker of the kind takes from this dispatcher: the mean of
