Settings that may change are taken over while requests are open

Need: quotas, worths, aims and the longest time to come back were read once, at the start.

Change: settings.Apply makes a set of changes or none, and names the key that is refused: one that is unknown or may not change, an index out of range, anything but a finite number that is not negative. core.Reconfigure hands the result to the module as an event, Reconfigured. Classes keep their addresses there, since open requests refer to them; those keep the value and the aim that they came with, and what a late answer is worth is read when it is late. What was learned stays.

Shown: table over settings with tenants and without; a property test that a refused set leaves all as it was and that an applied one writes to nothing shared; open requests, quotas and refused settings in the module; core.

--- a/api.go
+++ b/api.go
@@ -236,6 +236,7 @@
 	TimerDue                      // Timer
 	PeerMessage                   // ignored: dispatchers share nothing
 	ColdCharge                    // Worker, Charge: what the same dispatcher's other process, while there is one, sent
+	Reconfigured                  // Settings: those that may change while running; Event.Settings tells which
 )
 
 // ListKind tells how the entries of a WorkerList event are meant.
@@ -271,6 +272,11 @@
 	Timer       uint64
 	List        ListKind
 	Entries     []Entry
+
+	// Settings hold new values of TenantQuotas, OverQuotaWorth and MaxRetryAfter, and of the Worth, LateWorth, Aim
+	// and Stretch of Classes; all else in them is passed over. Requests that are open keep the value and the aim that
+	// they came with. Settings that New would refuse, or with other numbers of classes or tenants, change nothing.
+	Settings *Settings
 }
 
 // ActionKind tells which fields of an Action are set.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -45,13 +45,12 @@
 
 // begin derives the times from the settings and starts permissive.
 func (d *Dispatcher) begin() {
-	longest, shortest := time.Duration(0), time.Duration(math.MaxInt64)
+	longest := time.Duration(0)
 	for i, c := range d.s.Classes {
 		longest = max(longest, c.Deadline)
-		shortest = min(shortest, max(c.Aim, c.Deadline/50))
 		d.classWork[i] = max(c.Aim, d.s.Tick).Seconds()
 	}
-	d.horizon, d.beat = max(longest/4, d.s.Tick), max(shortest/2, d.s.Tick)
+	d.horizon, d.beat = max(longest/4, d.s.Tick), d.beatInterval()
 	d.bucket, d.perSlot, d.own = math.Inf(1), startSlots/float64(d.s.Peers), 2*leastOwn
 	d.perRate, d.idleSafe = d.perSlot, cmp.Or(d.s.ConnIdle, math.MaxInt64/2)
 	if d.homesFrom = mostHomes; d.s.FetchPrice > 0 {
@@ -81,6 +80,8 @@
 		d.timer(ev.Timer)
 	case ColdCharge:
 		d.charged(d.workers[ev.Worker], ev.Charge)
+	case Reconfigured:
+		d.reconfigure(ev.Settings)
 	}
 	d.drain()
 	out, d.actions = d.actions, nil
@@ -144,10 +145,7 @@
 	d.live = append(d.live, r)
 	d.startBeat()
 	d.enqueue(r)
-	for i := 0; i < min(probes, len(d.pool)) && d.s.Probing && d.s.ReportsByProbe; i++ {
-		d.probeNext++ // the own set in turn
-		d.act(Action{Kind: Probe, Worker: d.pool[d.probeNext%min(d.own, len(d.pool))].Worker})
-	}
+	d.probe()
 }
 
 // overQuota tells whether an arrival is beyond its tenant's quota: an even part, or that of the traffic here.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
 // This file owns reqs and their attempts: it turns what fronts and carriers
@@ -493,6 +494,18 @@
 	c.handle(hollyyoke.Event{Kind: hollyyoke.ProbeResult, Worker: backend, Outcome: o, Load: load})
 }
 
+// Reconfigure makes changes of the settings, all or none: an error names the key that is refused.
+// Requests that are open go on with what was decided for them.
+func (c *Core) Reconfigure(changes []settings.Change) error {
+	next := c.Settings
+	if err := settings.Apply(&next, changes); err != nil {
+		return err
+	}
+	c.Settings = next
+	c.handle(hollyyoke.Event{Kind: hollyyoke.Reconfigured, Settings: &next})
+	return nil
+}
+
 // Listen makes a carrier a source of backends.
 func (c *Core) Listen(source Carrier) { c.sources = append(c.sources, source) }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,11 +1,15 @@
 package core
 
 import (
+	"encoding/json"
+	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
 // Deadlines fire in order of time, then of setting; moved and withdrawn ones
@@ -408,3 +412,24 @@
 		}
 	}
 }
+
+// Settings change while a request is open, or not at all.
+func TestReconfigure(t *testing.T) {
+	class := hollyyoke.Class{Worth: 1, Deadline: time.Second}
+	c, err := New(NewLoop(), hollyyoke.Settings{Classes: []hollyyoke.Class{class}, TenantQuotas: []float64{5}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(key, value string) settings.Change {
+		return settings.Change{Key: key, Value: json.RawMessage(value)}
+	}
+	before := c.Settings
+	err = c.Reconfigure([]settings.Change{change("projects[0].quota_per_s", "7"), change("classes[1].worth", "2")})
+	if err == nil || !strings.Contains(err.Error(), "classes[1].worth") || !reflect.DeepEqual(c.Settings, before) {
+		t.Fatalf("%v, %+v", err, c.Settings)
+	}
+	err = c.Reconfigure([]settings.Change{change("projects[0].quota_per_s", "7"), change("classes[0].worth", "2")})
+	if err != nil || c.Settings.TenantQuotas[0] != 7 || c.Settings.Classes[0].Worth != 2 || before.TenantQuotas[0] != 5 {
+		t.Fatalf("%v, %+v, before %+v", err, c.Settings, before)
+	}
+}
--- /dev/null
+++ b/internal/settings/live_test.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hollyyoke.example/hollyyoke"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "21", "rapid.nofailfile": "true", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// shapes are settings with tenants and without.
+func shapes() map[string]hollyyoke.Settings {
+	class := hollyyoke.Class{Worth: 1, LateWorth: 0.5, Aim: time.Second, Stretch: 2, Deadline: 5 * time.Second}
+	return map[string]hollyyoke.Settings{
+		"tenants":    {Classes: []hollyyoke.Class{class, class}, TenantQuotas: []float64{5, 10, 15}, OverQuotaWorth: 0.2},
+		"no tenants": {Classes: []hollyyoke.Class{class}, MaxRetryAfter: time.Second},
+	}
+}
+
+func TestApplyByKey(t *testing.T) {
+	for _, test := range []struct {
+		shape, key, value string
+		refused           string // empty: it is applied
+		want              func(s *hollyyoke.Settings)
+	}{
+		{"tenants", "projects[2].quota_per_s", "12.5", "", func(s *hollyyoke.Settings) { s.TenantQuotas[2] = 12.5 }},
+		{"tenants", "over_share_worth", "0", "", func(s *hollyyoke.Settings) { s.OverQuotaWorth = 0 }},
+		{"tenants", "classes[1].worth", "3", "", func(s *hollyyoke.Settings) { s.Classes[1].Worth = 3 }},
+		{"no tenants", "classes[0].late_worth", "0.25", "", func(s *hollyyoke.Settings) { s.Classes[0].LateWorth = 0.25 }},
+		{"no tenants", "classes[0].slo_us", "250000", "", func(s *hollyyoke.Settings) { s.Classes[0].Aim = 250 * time.Millisecond }},
+		{"no tenants", "classes[0].aim_stretch", "1.5", "", func(s *hollyyoke.Settings) { s.Classes[0].Stretch = 1.5 }},
+		{"no tenants", "limits.max_retry_after_us", "2e6", "", func(s *hollyyoke.Settings) { s.MaxRetryAfter = 2 * time.Second }},
+		{"tenants", "projects[3].quota_per_s", "1", "out of range, there are 3", nil},
+		{"no tenants", "projects[0].quota_per_s", "1", "out of range, there are 0", nil},
+		{"no tenants", "classes[1].worth", "1", "out of range, there are 1", nil},
+		{"tenants", "projects[-1].quota_per_s", "1", "not a setting", nil},
+		{"tenants", "projects[01].quota_per_s", "1", "not a setting", nil},
+		{"tenants", "projects[1]quota_per_s", "1", "not a setting", nil},
+		{"tenants", "classes[0].deadline_us", "1", "not a setting", nil},
+		{"tenants", "limits.max_attempts", "1", "not a setting", nil},
+		{"tenants", "", "1", "not a setting", nil},
+		{"tenants", "classes[0].worth", "-1", "negative", nil},
+		{"tenants", "classes[0].worth", "1e999", "finite number", nil},
+		{"tenants", "classes[0].worth", `"3"`, "finite number", nil},
+		{"tenants", "classes[0].worth", "null", "finite number", nil},
+		{"tenants", "classes[0].worth", "", "finite number", nil},
+		{"tenants", "classes[0].slo_us", "[1]", "finite number", nil},
+	} {
+		got, want := shapes()[test.shape], shapes()[test.shape]
+		err := Apply(&got, []Change{{test.key, json.RawMessage(test.value)}})
+		if test.want != nil {
+			test.want(&want)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("%s, %s = %s: %+v, want %+v", test.shape, test.key, test.value, got, want)
+		}
+		if refused := err != nil; refused != (test.refused != "") {
+			t.Errorf("%s, %s = %s: %v", test.shape, test.key, test.value, err)
+		} else if refused && (!strings.Contains(err.Error(), test.refused) || !strings.Contains(err.Error(), test.key) ||
+			strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%s, %s = %s: %q tells not the key and %q on one line", test.shape, test.key, test.value, err, test.refused)
+		}
+	}
+}
+
+// A set of changes is made whole or not at all, and what the settings were copied from stays as it was.
+func TestApplyIsAllOrNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := rapid.SampledFrom([]string{"tenants", "no tenants"}).Draw(t, "shape")
+		got, original := shapes()[shape], shapes()[shape]
+		shared := got
+		var changes []Change
+		for range rapid.IntRange(1, 5).Draw(t, "changes") {
+			key := rapid.SampledFrom([]string{"projects[%d].quota_per_s", "classes[%d].worth", "classes[%d].late_worth",
+				"classes[%d].slo_us", "classes[%d].aim_stretch", "classes[%d].window_us"}).Draw(t, "key")
+			value := rapid.SampledFrom([]string{"1", "2.5", "0", "1e6", "-1", "null", "true", "1e400"}).Draw(t, "value")
+			changes = append(changes, Change{fmt.Sprintf(key, rapid.IntRange(-1, 3).Draw(t, "index")), json.RawMessage(value)})
+		}
+		refused := false
+		for _, change := range changes { // each alone tells whether it is refused
+			alone := shapes()[shape]
+			refused = Apply(&alone, []Change{change}) != nil || refused
+		}
+		err := Apply(&got, changes)
+		if (err != nil) != refused {
+			t.Fatalf("%v: %v, of which one alone is refused: %v", changes, err, refused)
+		}
+		if err != nil && !reflect.DeepEqual(got, original) {
+			t.Fatalf("%v is refused (%v) and changes something: %+v", changes, err, got)
+		}
+		if !reflect.DeepEqual(shared, original) {
+			t.Fatalf("%v writes to what others share", changes)
+		}
+	})
+}
--- /dev/null
+++ b/reconfigure_test.go
@@ -0,0 +1,85 @@
+package hollyyoke
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// New settings hold for what comes; open requests keep their class, value and aim.
+func TestReconfigureWhileRequestsAreOpen(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	open := r.requests[r.arrive(0)]
+	class, value, aim, beat := open.class, open.value, open.aim, r.beat
+	next := testSettings()
+	next.Classes[0].Worth, next.Classes[0].Aim, next.MaxRetryAfter = 7, 40*time.Millisecond, time.Second
+	r.at(r.now, Event{Kind: Reconfigured, Settings: &next})
+	if open.class != class || open.class != &r.s.Classes[0] || open.value != value || open.aim != aim {
+		t.Errorf("an open request changes: %+v", open)
+	}
+	later := r.requests[r.arrive(0)]
+	if later.class != class || later.value != 7*value || later.aim != aim-160*time.Millisecond {
+		t.Errorf("a later request has value %v and aim %v; the former %v and %v", later.value, later.aim, value, aim)
+	}
+	if r.beat >= beat || r.beat != r.beatInterval() || r.s.MaxRetryAfter != time.Second {
+		t.Errorf("a sweep each %v, before %v; told to come back in %v at the most", r.beat, beat, r.s.MaxRetryAfter)
+	}
+	r.respond(open.id, 0, Completed, time.Second)
+	if r.requests[open.id] != nil || r.share(class) != 1 {
+		t.Errorf("the open request cannot end as before")
+	}
+}
+
+// A quota holds from the change on, higher or lower.
+func TestReconfiguredQuota(t *testing.T) {
+	s := testSettings()
+	s.Peers, s.TenantQuotas, s.OverQuotaWorth = 1, []float64{1000, 1000}, 0.1
+	r := newRig(t, s, 2)
+	over := func() (n int) {
+		for range 100 {
+			r.now += 10 * time.Millisecond
+			if r.overQuota(Event{}) {
+				n++
+			}
+		}
+		return n
+	}
+	if n := over(); n != 0 {
+		t.Errorf("%d of 100 within the quota are beyond it", n)
+	}
+	for _, test := range []struct {
+		quota    float64
+		min, max int
+	}{{1, 90, 100}, {1000, 0, 1}} {
+		next := s
+		next.TenantQuotas = []float64{test.quota, 1000}
+		r.at(r.now, Event{Kind: Reconfigured, Settings: &next})
+		next.TenantQuotas[0] = -1 // the caller's own slice is the caller's
+		if n := over(); n < test.min || n > test.max {
+			t.Errorf("a quota of %v a second: %d of 100 in a second are beyond it", test.quota, n)
+		}
+	}
+}
+
+// Settings that are wrong, or have other numbers of classes or tenants, change nothing.
+func TestReconfigureRefuses(t *testing.T) {
+	for name, change := range map[string]func(s *Settings) *Settings{
+		"none":             func(*Settings) *Settings { return nil },
+		"a class more":     func(s *Settings) *Settings { s.Classes = append(s.Classes, s.Classes[0]); return s },
+		"a tenant":         func(s *Settings) *Settings { s.TenantQuotas = []float64{1}; return s },
+		"infinite worth":   func(s *Settings) *Settings { s.Classes[1].Worth = math.Inf(1); return s },
+		"a negative aim":   func(s *Settings) *Settings { s.Classes[1].Aim = -1; return s },
+		"no number at all": func(s *Settings) *Settings { s.OverQuotaWorth = math.NaN(); return s },
+	} {
+		r := newRig(t, testSettings(), 2)
+		before := r.s
+		before.Classes = append([]Class(nil), r.s.Classes...)
+		next := testSettings()
+		next.Classes[0].Worth = 9
+		r.at(r.now, Event{Kind: Reconfigured, Settings: change(&next)})
+		if !reflect.DeepEqual(r.s, before) || find(r.actions, Log) == nil {
+			t.Errorf("%s: taken in: %+v", name, r.s)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -231,6 +231,38 @@
 	return r, &r.attempts[ev.Attempt]
 }
 
+// beatInterval is the interval of the sweep, by the shortest aim.
+func (d *Dispatcher) beatInterval() time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for i := range d.s.Classes {
+		c := &d.s.Classes[i]
+		shortest = min(shortest, max(c.Aim, c.Deadline/50))
+	}
+	return max(shortest/2, d.s.Tick)
+}
+
+// reconfigure takes over the settings that may change while running. Classes keep their addresses: open requests,
+// refusals and counts refer to them. Of what is derived from settings only the interval of the sweep depends on these,
+// and follows with the next sweep; the horizon depends on deadlines alone, and what was learned stays.
+func (d *Dispatcher) reconfigure(s *Settings) {
+	if s == nil || len(s.Classes) != len(d.s.Classes) || len(s.TenantQuotas) != len(d.s.TenantQuotas) {
+		d.log("settings refused: the number of classes or tenants differs")
+		return
+	}
+	next := *s
+	if err := next.normalize(); err != nil {
+		d.log("settings refused: %v", err)
+		return
+	}
+	for i := range d.s.Classes {
+		c, to := &d.s.Classes[i], &next.Classes[i]
+		c.Worth, c.LateWorth, c.Aim, c.Stretch = to.Worth, to.LateWorth, to.Aim, to.Stretch
+	}
+	d.s.TenantQuotas = slices.Clone(next.TenantQuotas)
+	d.s.OverQuotaWorth, d.s.MaxRetryAfter = next.OverQuotaWorth, next.MaxRetryAfter
+	d.beat = d.beatInterval()
+}
+
 func (d *Dispatcher) startBeat() {
 	if !d.beating {
 		d.beating = true
@@ -799,6 +831,14 @@
 	return d.shares[leastOfAll]
 }
 
+// probe asks workers of the own set in turn for their load.
+func (d *Dispatcher) probe() {
+	for i := 0; i < min(probes, len(d.pool)) && d.s.Probing && d.s.ReportsByProbe; i++ {
+		d.probeNext++
+		d.act(Action{Kind: Probe, Worker: d.pool[d.probeNext%min(d.own, len(d.pool))].Worker})
+	}
+}
+
 // report keeps what a worker told of its load, if it told anything.
 func (d *Dispatcher) report(ev Event) {
 	w, l := d.workers[ev.Worker], ev.Load
