The byte bound of a subscriber counts the last minute, in place of a token bucket

Change: what was sent in the last minute is counted by the second; a change that is not urgent waits only while a minute's bytes are spent.

--- a/internal/membership/pace.go
+++ b/internal/membership/pace.go
@@ -5,58 +5,77 @@
 // This file owns the byte bound of one subscriber. It must never hold back an
 // urgent change.
 
-// paceWindow is the span over which the mean of what is sent is bounded.
-const paceWindow = time.Minute
+const (
+	paceWindow = time.Minute // the span over which the mean of what is sent is bounded
+	paceSlot   = time.Second // what is sent within one is accounted for at its end
+)
 
-// waitRounding is added to a wait, so that the debt is paid after it whatever
-// way the fractions were rounded.
-const waitRounding = time.Microsecond
-
-// Pace is a token bucket in bytes. What is not urgent waits until the bucket is
-// out of debt, and may then take it into debt by its own size. Urgent changes go
-// at once, and later ones that are not urgent wait until they are paid back. The
+// Pace bounds the mean of the bytes sent in any minute. What is not urgent waits
+// until less than a minute's bytes have been sent in the minute before, and may
+// then exceed them by its own size. Urgent changes go at once, and count. The
 // zero value bounds nothing.
 type Pace struct {
-	fillPerSecond float64
-	burst         float64
-	tokens        float64 // negative: debt
-	filled        time.Duration
+	budget float64 // bytes a minute
+	sent   []sentSlot
+	total  float64
+	latest time.Duration
+}
+
+// sentSlot is what was sent within a slot.
+type sentSlot struct {
+	end   time.Duration
+	bytes float64
 }
 
-// NewPace gives a full bucket. What is sent in any minute without being urgent
-// comes to at most 60 times bytesPerSecond and one change. The burst is part of
-// that: the bucket fills at what it leaves of the rate, and it is at most half a
-// minute's bytes, so that at least half the rate is left. A rate of 0 or less
+// NewPace gives a bound that nothing has been spent of. A rate of 0 or less
 // bounds nothing.
-func NewPace(bytesPerSecond, burst float64) Pace {
-	if bytesPerSecond <= 0 {
-		return Pace{}
-	}
-	window := paceWindow.Seconds()
-	burst = min(max(burst, 0), bytesPerSecond*window/2)
-	return Pace{fillPerSecond: bytesPerSecond - burst/window, burst: burst, tokens: burst}
+func NewPace(bytesPerSecond float64) Pace {
+	return Pace{budget: max(bytesPerSecond, 0) * paceWindow.Seconds()}
 }
 
 // Wait is how long a change must wait yet. 0: it may be sent now.
 func (p *Pace) Wait(now time.Duration, urgent bool) time.Duration {
-	p.fill(now)
-	if urgent || p.fillPerSecond <= 0 || p.tokens >= 0 {
+	now = p.forget(now)
+	if urgent || p.budget <= 0 {
 		return 0
 	}
-	return time.Duration(-p.tokens/p.fillPerSecond*float64(time.Second)) + waitRounding
+	left := p.total
+	for _, slot := range p.sent {
+		if left < p.budget {
+			break
+		}
+		left -= slot.bytes
+		if left < p.budget {
+			return slot.end + paceWindow - now
+		}
+	}
+	return 0
 }
 
 // Spend accounts for what has been sent.
 func (p *Pace) Spend(now time.Duration, bytes int) {
-	p.fill(now)
-	p.tokens -= float64(bytes)
+	if p.budget <= 0 {
+		return
+	}
+	now = p.forget(now)
+	end := now - now%paceSlot + paceSlot
+	if last := len(p.sent) - 1; last >= 0 && p.sent[last].end == end {
+		p.sent[last].bytes += float64(bytes)
+	} else {
+		p.sent = append(p.sent, sentSlot{end, float64(bytes)})
+	}
+	p.total += float64(bytes)
 }
 
-// fill adds what has come in since the last call. A clock that went back adds nothing.
-func (p *Pace) fill(now time.Duration) {
-	if now <= p.filled {
-		return
+// forget drops what was sent over a minute ago, and returns the time: a clock
+// that went back stands still.
+func (p *Pace) forget(now time.Duration) time.Duration {
+	p.latest = max(p.latest, now)
+	gone := 0
+	for gone < len(p.sent) && p.sent[gone].end+paceWindow <= p.latest {
+		p.total -= p.sent[gone].bytes
+		gone++
 	}
-	p.tokens = min(p.burst, p.tokens+(now-p.filled).Seconds()*p.fillPerSecond)
-	p.filled = now
+	p.sent = append(p.sent[:0], p.sent[gone:]...)
+	return p.latest
 }
