--- a/internal/rehearsal/emulator/emulator.go
+++ b/internal/rehearsal/emulator/emulator.go
@@ -90,11 +90,13 @@
 	workers     []*worker
 	byName      map[string]*worker
 	asked       []*request
+	work        map[string]time.Duration // of the requests asked, by their name
 	latency     *rand.Rand
 	log         io.Writer // every event, a line each; nil: only its hash is kept
 	sum         *xxhash.Digest
 	line        []byte
 	broken      []string // rules that broke, with the moment
+	coldPeak    float64  // the largest share of its limit that a cold worker has been sent
 }
 
 // stream is the chance of one model: none disturbs another's.
@@ -129,6 +131,10 @@
 	attempts map[uint64]*job // in the worker's hands, by handle
 	watch    bool
 	told     map[string]word // what discovery has told of each worker
+
+	down     bool              // its process was killed
+	restarts int               // processes it has had before this one
+	kept     []hollyyoke.Entry // the list for its next process
 }
 
 // word is what a dispatcher has been told of a worker.
@@ -139,7 +145,7 @@
 
 // New makes a day ready. log, which may be nil, gets its events.
 func New(sc Scenario, seed uint64, log io.Writer) (*Sim, error) {
-	s := &Sim{sc: sc, seed: seed, settings: sc.settings(), byName: map[string]*worker{}, log: log, sum: xxhash.New()}
+	s := &Sim{sc: sc, seed: seed, settings: sc.settings(), byName: map[string]*worker{}, work: map[string]time.Duration{}, log: log, sum: xxhash.New()}
 	s.now = epoch
 	s.latency = s.stream("latency")
 	for i := range sc.Workers.Count {
@@ -149,16 +155,9 @@
 	}
 	for i := range sc.Dispatchers {
 		d := &dispatcher{sim: s, number: i, zone: i % len(sc.Net.Zones), tokens: map[uint64]*request{}, attempts: map[uint64]*job{}, told: map[string]word{}}
-		d.loop = core.NewVirtual(func() time.Duration { return s.now })
-		settings := s.settings
-		settings.Zone = d.zone
-		c, err := core.New(d.loop, settings, seed+uint64(i))
-		if err != nil {
+		if err := d.boot(seed + uint64(i)); err != nil {
 			return nil, err
 		}
-		d.core = c
-		c.Trace = func(id, step string, more ...any) { s.tell(d.number, step, id, more...) }
-		c.Listen(d)
 		s.dispatchers = append(s.dispatchers, d)
 		s.after(0, func() {
 			d.list(hollyyoke.ListPersisted, s.entries())
@@ -166,11 +165,59 @@
 		d.arrivals()
 	}
 	for i, f := range sc.Faults {
-		s.fault(i, f)
+		s.schedule(i, f)
 	}
 	return s, nil
 }
 
+// boot gives the dispatcher a process that knows nothing.
+func (d *dispatcher) boot(seed uint64) error {
+	s := d.sim
+	settings := s.settings
+	settings.Zone = d.zone
+	d.loop = core.NewVirtual(func() time.Duration { return s.now })
+	c, err := core.New(d.loop, settings, seed)
+	if err != nil {
+		return err
+	}
+	d.core = c
+	c.Trace = func(id, step string, more ...any) { s.tell(d.number, step, id, more...) }
+	c.Listen(d)
+	return nil
+}
+
+// kill ends the dispatcher's process at once. Its clients see their connections break; what it has sent goes on.
+func (d *dispatcher) kill() {
+	s := d.sim
+	s.tell(d.number, "killed", "")
+	d.down, d.watch, d.armed = true, false, 0
+	for _, r := range d.tokens {
+		r.verdict, r.ended = core.Failed, s.now
+	}
+	clear(d.tokens)
+	clear(d.attempts)
+	for _, e := range s.entries() { // the list that it keeps is the one it was told last
+		if told, ok := d.told[e.Worker]; ok && told.left == 0 {
+			e.State, e.LastStart = hollyyoke.Running, told.started
+			d.kept = append(d.kept, e)
+		}
+	}
+}
+
+// restart starts the dispatcher's next process with the list that the last one kept. It knows nothing of what was sent.
+func (d *dispatcher) restart() {
+	s := d.sim
+	s.tell(d.number, "restarted", "")
+	d.restarts++
+	if err := d.boot(s.seed + uint64(d.number) + uint64(d.restarts*len(s.dispatchers))); err != nil {
+		s.wrong("dispatcher %d does not start: %v", d.number, err)
+		return
+	}
+	d.down = false
+	d.list(hollyyoke.ListPersisted, d.kept)
+	d.kept = nil
+}
+
 // tell logs an event. Of floats and the like only what is the same everywhere is told.
 func (s *Sim) tell(who int, step, id string, more ...any) {
 	s.line = fmt.Appendf(s.line[:0], "%d %d %s %s", s.now-epoch, who, step, id)
@@ -203,6 +250,9 @@
 			return
 		}
 		d.armed = 0
+		if d.down {
+			return
+		}
 		d.loop.Turn()
 		d.arm()
 	})
@@ -239,9 +289,9 @@
 			at -= c.Share
 		}
 		r.work = s.sc.Classes[r.class].work(random)
-		s.asked = append(s.asked, r)
+		s.asked, s.work[r.id] = append(s.asked, r), r.work
 		d.ask(r)
-		s.after(time.Duration(random.ExpFloat64()/s.sc.Load.shape(s.now-epoch, rate)*float64(time.Second)), next)
+		s.after(time.Duration(random.ExpFloat64()/s.sc.rateAt(s.now-epoch, rate)*float64(time.Second)), next)
 	}
 	s.after(time.Duration(random.ExpFloat64()/rate*float64(time.Second)), next)
 }
@@ -255,13 +305,21 @@
 	if left <= 0 {
 		return
 	}
+	if d.down { // nobody listens
+		r.verdict, r.ended = core.Failed, s.now
+		return
+	}
 	d.token++
 	d.tokens[d.token] = r
 	id := r.id
 	if n := s.sc.Load.Tries - r.left; n > 1 {
 		id = fmt.Sprintf("%s~%d", r.id, n)
 	}
-	d.core.Take(d, d.token, core.Job{ID: id, Class: r.class, Key: r.id, Work: r.work, Left: left, Since: s.now, Retry: r.left+1 < s.sc.Load.Tries})
+	hint := r.work
+	if s.sc.Load.NoHints {
+		hint = 0
+	}
+	d.core.Take(d, d.token, core.Job{ID: id, Class: r.class, Key: r.id, Work: hint, Left: left, Since: s.now, Retry: r.left+1 < s.sc.Load.Tries})
 	d.arm()
 }
 
@@ -298,7 +356,9 @@
 	d.watch = true
 	s := d.sim
 	s.after(seconds(s.sc.Discovery.LagMs/1000), func() {
-		d.list(hollyyoke.ListComplete, s.entries())
+		if !d.down {
+			d.list(hollyyoke.ListComplete, s.entries())
+		}
 	})
 }
 
@@ -322,7 +382,9 @@
 	for _, d := range s.dispatchers {
 		if d.watch {
 			s.after(seconds(s.sc.Discovery.LagMs/1000), func() {
-				d.list(hollyyoke.ListChanges, []hollyyoke.Entry{entry})
+				if !d.down {
+					d.list(hollyyoke.ListChanges, []hollyyoke.Entry{entry})
+				}
 			})
 		}
 	}
@@ -334,7 +396,7 @@
 	if left := d.told[f.Backend].left; left > 0 && s.now > left+s.settings.DrainGrace+slack {
 		s.wrong("dispatcher %d sent %s to %s, %v after it was told that it drains or is gone", d.number, f.Job.ID, f.Backend, s.now-left)
 	}
-	j := &job{id: f.Job.ID, class: f.Job.Class, work: f.Job.Work, handle: f.Handle, from: d}
+	j := &job{id: f.Job.ID, class: f.Job.Class, work: s.work[f.Job.Key], handle: f.Handle, from: d}
 	d.attempts[f.Handle] = j
 	d.core.Sent(f.Handle)
 	s.after(s.delay(d.zone, w.zone), func() { w.arrive(j) })
@@ -387,8 +449,10 @@
 			o = hollyyoke.RefusedConn
 		}
 		s.after(s.delay(d.zone, w.zone), func() {
-			d.core.Probed(backend, o, load)
-			d.arm()
+			if !d.down {
+				d.core.Probed(backend, o, load)
+				d.arm()
+			}
 		})
 	})
 }
@@ -413,6 +477,7 @@
 	Hash     string // of all events, in their order
 	Broken   []string
 	Executed int
+	ColdPeak float64 // the largest share of what it bears that a cold worker was sent; it falls above 1
 }
 
 // Run lets the day pass and judges it.
@@ -423,7 +488,7 @@
 		longest = max(longest, c.Deadline)
 	}
 	s.run(end + longest + time.Second)
-	r := Result{Scenario: s.sc.Name, Seed: s.seed, Events: s.passed, Hash: fmt.Sprintf("%016x", s.sum.Sum64())}
+	r := Result{Scenario: s.sc.Name, Seed: s.seed, Events: s.passed, Hash: fmt.Sprintf("%016x", s.sum.Sum64()), ColdPeak: s.coldPeak}
 	earned, asked := 0.0, 0.0
 	for i, c := range s.settings.Classes {
 		k := Class{Name: c.Name}
--- a/internal/rehearsal/emulator/emulator_test.go
+++ b/internal/rehearsal/emulator/emulator_test.go
@@ -38,7 +38,7 @@
 // cores there are; another seed gives others. No rule breaks on any.
 func TestSameSeedSameDay(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(0))
-	for _, name := range []string{"day", "faults", "zone"} {
+	for _, name := range []string{"day", "faults", "zone", "slow-start"} {
 		sc := scenario(t, name)
 		runtime.GOMAXPROCS(1)
 		first, log := play(t, sc, 7)
@@ -77,7 +77,8 @@
 		sc.Net.Jitter = random.Float64() * 20
 		for range random.IntN(5) {
 			sc.Faults = append(sc.Faults, Fault{Kind: faultKinds[random.IntN(len(faultKinds))], AtS: 7 * random.Float64(), ForS: 4 * random.Float64(),
-				Workers: 1 + random.IntN(sc.Workers.Count), Factor: 0.05 + 0.9*random.Float64()})
+				Workers: 1 + random.IntN(sc.Workers.Count), Factor: 0.05 + 0.9*random.Float64(),
+				Dispatchers: 1 + random.IntN(sc.Dispatchers)})
 		}
 		if err := sc.Check(); err != nil {
 			t.Fatal(err)
@@ -169,7 +170,7 @@
 			t.Fatal(err)
 		}
 		s.queue = nil
-		s.fault(0, f)
+		s.schedule(0, f)
 		w := s.workers[0]
 		j := &job{id: "j", work: work, from: &dispatcher{sim: s}}
 		s.at(epoch+at, func() { w.arrive(j) })
@@ -255,15 +256,16 @@
 	sc := scenario(t, "day")
 	sc.LengthS = 1
 	// Four slots at a third of their pace carry 4 * 0.33 / 0.572 requests of mean work a second, four times of
-	// which and three roots are 18.3.
+	// which, two roots and two are 17.3.
 	for _, x := range []struct {
 		name         string
 		jobs, told   int
 		falls, wrong bool
 	}{
-		{"as many as it bears", 18, 18, false, false},
-		{"one more", 19, 19, true, true},
-		{"one more, most from those who did not know", 19, 12, true, false},
+		{"as many as it bears", 17, 17, false, false},
+		{"one more", 18, 18, true, true},
+		{"one more, less than two thirds from those who knew", 18, 11, true, false},
+		{"one more, over two thirds from those who knew", 18, 13, true, true},
 	} {
 		s, err := New(sc, 1, nil)
 		if err != nil {
@@ -283,7 +285,7 @@
 		if w.down != x.falls || len(s.broken) > 0 != x.wrong {
 			t.Errorf("%s: down %v, broken %q", x.name, w.down, s.broken)
 		}
-		s.fault(0, Fault{Kind: "kill", AtS: 0.1, ForS: 0.1, Workers: sc.Workers.Count})
+		s.schedule(0, Fault{Kind: "kill", AtS: 0.1, ForS: 0.1, Workers: sc.Workers.Count})
 		if s.run(epoch + time.Second); w.down != x.falls {
 			t.Errorf("%s: killed and started anew, it is down: %v", x.name, w.down)
 		}
--- a/internal/rehearsal/emulator/scenario.go
+++ b/internal/rehearsal/emulator/scenario.go
@@ -56,6 +56,8 @@
 	Tries int     `toml:"tries"`      // of a client, while it has time
 	Swing float64 `toml:"swing"`      // the rate goes up and down by this share
 	EachS float64 `toml:"swing_each_s"`
+
+	NoHints bool `toml:"no_hints"` // clients do not say how much work a request is
 }
 
 // ClassOf is one class of requests.
@@ -73,15 +75,19 @@
 
 // Fault is one fault, for a time.
 type Fault struct {
-	Kind    string  `toml:"kind"` // slow, pause, kill or drain
-	AtS     float64 `toml:"at_s"`
-	ForS    float64 `toml:"for_s"`
-	Workers int     `toml:"workers"` // how many, drawn by the seed
-	Zone    string  `toml:"zone"`    // only of this zone; with workers left out: all of it
-	Factor  float64 `toml:"factor"`  // of slow
+	Kind        string  `toml:"kind"` // slow, pause, kill, drain, join, burst or restart
+	AtS         float64 `toml:"at_s"`
+	ForS        float64 `toml:"for_s"`
+	Workers     int     `toml:"workers"`     // how many, drawn by the seed
+	Zone        string  `toml:"zone"`        // only of this zone; with workers left out: all of it
+	Dispatchers int     `toml:"dispatchers"` // of restart: how many, drawn by the seed
+	Factor      float64 `toml:"factor"`      // of slow and burst
 }
 
-var faultKinds = []string{"slow", "pause", "kill", "drain"}
+var faultKinds = []string{"slow", "pause", "kill", "drain", "join", "burst", "restart"}
+
+// hitsWorkers tells whether the fault befalls workers; the others befall the dispatchers or the load.
+func (f *Fault) hitsWorkers() bool { return f.Kind != "burst" && f.Kind != "restart" }
 
 // ReadScenario reads a scenario file.
 func ReadScenario(path string) (sc Scenario, err error) {
@@ -142,8 +148,12 @@
 			return fmt.Errorf("fault[%d].kind: %q is none of %s", i, f.Kind, strings.Join(faultKinds, ", "))
 		case f.Zone != "" && !slices.Contains(sc.Net.Zones, f.Zone):
 			return fmt.Errorf("fault[%d].zone: no zone %q", i, f.Zone)
-		case f.AtS < 0 || f.ForS < 0 || f.Workers < 0 || f.Workers == 0 && f.Zone == "":
+		case f.AtS < 0 || f.ForS < 0 || f.Workers < 0 || f.hitsWorkers() && f.Workers == 0 && f.Zone == "":
 			return fmt.Errorf("fault[%d]: at_s and for_s, and workers or a zone are needed", i)
+		case f.Kind == "restart" && !(f.Dispatchers > 0 && f.Dispatchers <= sc.Dispatchers):
+			return fmt.Errorf("fault[%d].dispatchers: %d is not between 1 and %d", i, f.Dispatchers, sc.Dispatchers)
+		case f.Kind == "burst" && !(f.Factor > 0 && f.Factor <= 100):
+			return fmt.Errorf("fault[%d].factor: %g is not above 0 and up to 100", i, f.Factor)
 		case f.Kind == "slow" && !(f.Factor > 0 && f.Factor <= 1):
 			return fmt.Errorf("fault[%d].factor: %g is not above 0 and up to 1", i, f.Factor)
 		}
@@ -192,10 +202,15 @@
 	return max(seconds(mean), time.Microsecond)
 }
 
-// shape is the rate at a moment of the day, of one that is rate on average.
-func (l *Load) shape(at time.Duration, rate float64) float64 {
-	if l.EachS > 0 {
+// rateAt is the rate of arrivals at a moment of the run, where it is rate on average without bursts.
+func (sc *Scenario) rateAt(at time.Duration, rate float64) float64 {
+	if l := &sc.Load; l.EachS > 0 {
 		rate *= 1 + l.Swing*math.Sin(2*math.Pi*at.Seconds()/l.EachS)
 	}
+	for _, f := range sc.Faults {
+		if f.Kind == "burst" && at >= seconds(f.AtS) && at < seconds(f.AtS+f.ForS) {
+			rate *= f.Factor
+		}
+	}
 	return rate
 }
--- a/internal/rehearsal/emulator/worker.go
+++ b/internal/rehearsal/emulator/worker.go
@@ -115,9 +115,9 @@
 	return w.started > 0 && w.sim.now-w.started < seconds(w.sim.sc.Workers.WarmAfterS)
 }
 
-// falls counts what a cold worker is sent, also what it turns away: above N + 3 x root of N requests of mean
-// work in the window, N what the multiple of its present pace allows, it falls. The rule is broken if two
-// thirds came from those told.
+// falls counts what a cold worker is sent, also what it turns away. It falls above its budget of N requests of
+// mean work in the window, N being what the multiple of its present pace allows, and the chance allowance
+// beside it. The rule is broken if over two thirds came from dispatchers that were told of the start.
 func (w *worker) falls(j *job) bool {
 	s := w.sim
 	if !w.cold() {
@@ -135,7 +135,8 @@
 		}
 	}
 	n := s.sc.Workers.FallMultiple * w.pace() * float64(w.slots) * window.Seconds() / mean
-	if all/mean <= n+3*math.Sqrt(n) {
+	s.coldPeak = max(s.coldPeak, all/mean/(n+chanceAllowance(n)))
+	if all/mean <= n+chanceAllowance(n) {
 		return false
 	}
 	w.fell = true
@@ -149,6 +150,9 @@
 	return true
 }
 
+// chanceAllowance is how many requests beyond a budget of n are put down to chance.
+func chanceAllowance(n float64) float64 { return 2*math.Sqrt(n) + 2 }
+
 // fill starts what may run.
 func (w *worker) fill() {
 	for !w.paused && !w.down && len(w.queue) > 0 && len(w.running) < w.slots {
@@ -227,46 +231,70 @@
 	}
 }
 
-// fault plays one fault on some workers, or on those of a zone.
-func (s *Sim) fault(number int, f Fault) {
+// schedule sets the begin and the end of one fault.
+func (s *Sim) schedule(number int, f Fault) {
 	random := s.stream(fmt.Sprint("fault ", number))
-	hit := s.chosen(f, random)
-	s.at(epoch+seconds(f.AtS), func() {
-		for _, w := range hit {
-			s.tell(-1, f.Kind, w.name)
-			switch f.Kind {
-			case "slow":
-				w.change(func() { w.slow = f.Factor })
-			case "pause":
-				w.change(func() { w.paused = true })
-			case "kill":
-				w.die()
-				s.changed(w)
-			case "drain":
-				w.drains = true
-				s.changed(w)
-			}
+	begin, end := epoch+seconds(f.AtS), epoch+seconds(f.AtS+f.ForS)
+	switch f.Kind {
+	case "burst": // of the load, which looks for it
+	case "restart":
+		for _, i := range random.Perm(len(s.dispatchers))[:f.Dispatchers] {
+			d := s.dispatchers[i]
+			s.at(begin, d.kill)
+			s.at(end, d.restart)
 		}
-	})
-	s.at(epoch+seconds(f.AtS+f.ForS), func() {
-		for _, w := range hit {
-			s.tell(-1, "end of "+f.Kind, w.name)
-			switch f.Kind {
-			case "slow":
-				w.change(func() { w.slow = 1 })
-			case "pause":
-				w.change(func() { w.paused = false })
-			case "kill":
-				if !w.fell {
-					w.down, w.started = false, s.now
-					s.changed(w)
-				}
-			case "drain":
-				w.drains = false
-				s.changed(w)
+	default:
+		for _, w := range s.chosen(f, random) {
+			if f.Kind == "join" { // it is not there before
+				w.down = true
 			}
+			s.at(begin, func() { w.begin(f) })
+			s.at(end, func() { w.recover(f) })
 		}
-	})
+	}
+}
+
+// begin lets a fault befall the worker.
+func (w *worker) begin(f Fault) {
+	w.sim.tell(-1, f.Kind, w.name)
+	switch f.Kind {
+	case "slow":
+		w.change(func() { w.slow = f.Factor })
+	case "pause":
+		w.change(func() { w.paused = true })
+	case "kill":
+		w.die()
+		w.sim.changed(w)
+	case "drain":
+		w.drains = true
+		w.sim.changed(w)
+	case "join":
+		w.start()
+	}
+}
+
+// recover ends a fault of the worker's.
+func (w *worker) recover(f Fault) {
+	w.sim.tell(-1, "end of "+f.Kind, w.name)
+	switch f.Kind {
+	case "slow":
+		w.change(func() { w.slow = 1 })
+	case "pause":
+		w.change(func() { w.paused = false })
+	case "kill":
+		w.start()
+	case "drain":
+		w.drains = false
+		w.sim.changed(w)
+	}
+}
+
+// start starts the worker's process, cold, unless it fell for good.
+func (w *worker) start() {
+	if !w.fell {
+		w.down, w.started = false, w.sim.now
+		w.sim.changed(w)
+	}
 }
 
 func (s *Sim) chosen(f Fault, random *rand.Rand) (hit []*worker) {
