Slow start: work without a hint counts as the time it ran, not as the first guess

Cause: a job without a hint was booked at its worker with the class's guess, at first the whole aim, and the mean learned since is far smaller. Cold workers' budgets are shares of what warm ones took, so after a restart of most dispatchers they allowed many times the jobs that warm ones take. learnMean now corrects what was booked to the time the job ran.

--- a/state.go
+++ b/state.go
@@ -447,12 +447,16 @@
 	d.kindPace[w.Kind] = kind + (pace-kind)/fewJobs
 }
 
-// learnMean books how long a job without a hint ran: the mean of its class stands for the hints that do not come.
+// learnMean books how long a job without a hint ran: the mean of its class stands for the hints that do not
+// come. What its worker took is corrected from the guess to that: cold workers' budgets come from it, and a
+// guess far above the mean that is learned since would grant them many times the jobs that warm ones take.
 func (d *Dispatcher) learnMean(r *request, a *attempt) {
+	run := (d.now - max(a.sent, a.started)).Seconds() * d.warmth(a.w)
+	correction := fading{r.slots*run - r.cost, a.sent}
+	a.w.sent.add(d.now, d.horizon, correction.get(d.now, d.horizon))
 	for i := range d.s.Classes {
 		if &d.s.Classes[i] == r.class {
 			d.runs[i]++ // the first guess counts as one of them
-			run := (d.now - max(a.sent, a.started)).Seconds() * d.warmth(a.w)
 			d.classWork[i] += (run - d.classWork[i]) / min(d.runs[i]+1, fewJobs)
 		}
 	}
