No attempt begins for a client that the system knows to have left

Cause: on a busy loop a connect that comes up, or the timer of a held last byte, goes before the word that the client has closed, and the attempt left for nobody. The core asks the front before each attempt, and the carrier before the first byte on a new connection and before a held last byte; the front asks the system (TCP_INFO), which knows the end also behind unread bytes. A held last byte that leaves late made the time left that the head tells untrue, and left after the deadline; it begins anew, or is over. An attempt that still waits for its lease ends with its request. Tests on sockets: TestLeavingDuringADial, TestLeavingBeforeTheLastByte and TestTimeLeftIsTrueAtTheLastByte fail without it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,15 @@
 	Answer(token uint64, a Answer)
 }
 
+// Presence is a Front that can see that a client has left before the event of
+// it has come: the loop may be busy, or the end lie behind bytes nobody has read.
+type Presence interface {
+	// Left tells whether the client of a request has left.
+	Left(token uint64) bool
+	// HungUp tells that the core has hung up a request for that reason.
+	HungUp(token uint64, mayHaveRun bool)
+}
+
 // Attempt is one attempt, as a carrier sees it.
 type Attempt struct {
 	Handle   uint64
@@ -357,6 +366,28 @@
 	return false
 }
 
+// Abandoned tells whether the client of an attempt's request has left. If so, the
+// request has been hung up and the attempt stopped. A carrier asks it right
+// before the bytes that let the attempt begin.
+func (c *Core) Abandoned(handle uint64) bool {
+	f := c.outstanding.Get(handle)
+	if f == nil {
+		return true
+	}
+	r := c.reqs.Get(f.req)
+	return !r.answered && c.abandoned(r)
+}
+
+// abandoned hangs up a request whose client has left. A leased job is wanted whoever waits.
+func (c *Core) abandoned(r *req) bool {
+	front, ok := r.front.(Presence)
+	if !ok || r.job.Lease != nil || !front.Left(r.token) {
+		return false
+	}
+	front.HungUp(r.token, c.HangUp(r.handle))
+	return true
+}
+
 func (r *req) mayHaveRun() bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
 }
@@ -406,12 +437,12 @@
 }
 
 // tidy drops a req that is over. What has not left for its backend by then never
-// does, also where the settings let nothing be called off; but for a leased job,
-// which is wanted whoever waits, and whose lease is its front's. The last moment
+// does, also where the settings let nothing be called off; but for an attempt
+// that has its lease, which is wanted whoever waits, and is its front's to end. The last moment
 // stands until then: an attempt that goes on after the answer ends there too.
 func (c *Core) tidy(r *req) {
-	for i := 0; r.answered && r.job.Lease == nil && i < len(r.attempts); i++ {
-		if f := c.outstanding.Get(r.attempts[i].handle); f != nil && !f.left {
+	for i := 0; r.answered && i < len(r.attempts); i++ {
+		if f := c.outstanding.Get(r.attempts[i].handle); f != nil && !f.left && (f.leasing || r.job.Lease == nil) {
 			c.stop(r.attempts[i].handle, hollyyoke.Recalled)
 		}
 	}
@@ -633,6 +664,9 @@
 	}
 	n := len(r.attempts)
 	l, ok := c.listed[backend]
+	if !r.answered {
+		c.abandoned(r) // guards against an attempt for a client whose end has not been told yet
+	}
 	if r.answered || !ok || n >= max(c.Settings.MaxAttempts, 1) || c.Loop.Now() >= r.deadline {
 		r.attempts = append(r.attempts, attempt{neverRan: true})
 		c.handle(hollyyoke.Event{
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -270,6 +270,21 @@
 	}
 }
 
+// Left tells whether the producer of a PUSH has closed its connection.
+func (s *Server) Left(token uint64) bool {
+	n := s.sessions.Get(token)
+	return n == nil || n.conn.PeerClosed()
+}
+
+// HungUp tells that nobody wants a PUSH's job any more, as Closed would have told a little later.
+func (s *Server) HungUp(token uint64, mayHaveRun bool) {
+	if n := s.sessions.Get(token); n != nil && n.jid != "" {
+		s.jids.finish(n.jid, core.Answer{Verdict: core.Failed, MayHaveRun: mayHaveRun},
+			s.core.Settings.Classes[n.class].Repeat, s.core.Loop.Now())
+		n.push, n.jid = 0, ""
+	}
+}
+
 // Data takes in what the peer sent.
 func (n *session) Data(_ *net.Conn, b *net.Buffer) {
 	if n.gone {
@@ -448,7 +463,7 @@
 	srv.entry.Admit.Take(now, n.id)
 	srv.core.Loop.Clear(&n.due)
 	req := srv.core.Take(srv, n.token, job)
-	if n.busy {
+	if n.busy && n.jid != "" { // it has no answer yet, and its producer has not left
 		n.push = req
 	}
 }
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -6,6 +6,7 @@
 package net
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"math"
@@ -506,6 +507,29 @@
 	return bytes, end
 }
 
+// PeerClosed tells whether the peer has closed its end or the connection has
+// broken. It asks the system, so it knows before the poller has told, and also
+// where bytes lie before the end that nobody has read.
+func (c *Conn) PeerClosed() bool {
+	if c.Handle == 0 {
+		return true
+	}
+	closed := true // unless there is a descriptor to ask
+	c.control(func(fd int) {
+		info, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO) // its first four bytes
+		var bytes [4]byte
+		binary.NativeEndian.PutUint32(bytes[:], uint32(info))
+		state := bytes[0]
+		closed = err == nil && (state == tcpClosed || state == tcpCloseWait)
+	})
+	return closed
+}
+
+const ( // states of a socket as the system's TCP_INFO tells them
+	tcpClosed    = 7
+	tcpCloseWait = 8 // the peer has sent its end, and we have not
+)
+
 // control calls f with the descriptor, which is ours as long as nbio has not closed it.
 func (c *Conn) control(f func(fd int)) {
 	c.nb.Lock()
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -63,10 +63,11 @@
 	attempt uint64 // the attempt whose outcome is owed; 0: none
 	job     core.Attempt
 	probe   bool
-	mark    int64 // behind the last byte of the request
-	tail    byte  // that byte, until it is sent
-	held    bool  // it is not sent yet
-	fresh   bool  // the attempt has lost a new connection already
+	mark    int64         // behind the last byte of the request
+	tail    byte          // that byte, until it is sent
+	held    bool          // it is not sent yet
+	leaves  time.Duration // when the last byte is to leave: the time left that the request tells runs from here
+	fresh   bool          // the attempt has lost a new connection already
 	in      *net.Buffer
 	seen    int         // bytes of it that hold no end of a head
 	at      int         // bytes of it that have been taken in
@@ -110,8 +111,12 @@
 	// has never run, so that it can go elsewhere, a fragile one too. On calm days
 	// it would only cost time, so it is done for a while after a backend has
 	// closed a connection before its time.
-	holdTime   = 2 * time.Millisecond
-	waryTime   = 10 * time.Second
+	holdTime = 2 * time.Millisecond
+	waryTime = 10 * time.Second
+
+	// staleTime is how late the held last byte may leave: the head before it has
+	// told how much time is left. Beyond it the request begins anew.
+	staleTime  = 50 * time.Millisecond
 	anyConnect = 250 * time.Millisecond // connect time where the settings name none
 	fullPause  = 5 * time.Millisecond   // until a dial is tried again for which no descriptor was free
 )
@@ -207,6 +212,7 @@
 		case l.lost || l.attempt == 0 && !l.probe:
 			l.lost = false
 			l.rest()
+		case l.attempt != 0 && s.core.Abandoned(l.attempt): // it has stopped the attempt
 		default:
 			l.send()
 		}
@@ -250,6 +256,11 @@
 		l.rest()
 		return
 	}
+	l.held = !l.probe && now < s.wary
+	l.leaves = now
+	if l.held {
+		l.leaves += s.hold
+	}
 	out := s.out[:0]
 	if l.probe {
 		s.core.Loop.Set(&l.due, now+probeTime) // here, so that one on a new connection has it too
@@ -268,7 +279,7 @@
 			out = append(append(out, "\r\nIdempotency-Key: "...), j.IdempotencyKey...)
 		}
 		out = append(out, "\r\nX-Time-Left-Ms: "...)
-		out = strconv.AppendInt(out, max((l.job.Deadline-now).Milliseconds(), 1), 10)
+		out = strconv.AppendInt(out, max((l.job.Deadline-l.leaves).Milliseconds(), 1), 10)
 		out = append(out, "\r\nContent-Length: "...)
 		out = strconv.AppendInt(out, int64(len(j.Body)), 10)
 		out = append(out, "\r\n\r\n"...)
@@ -277,7 +288,7 @@
 	s.out = out
 	l.phase = waiting
 	whole := len(out)
-	if l.held = !l.probe && now < s.wary; l.held {
+	if l.held {
 		whole--
 	}
 	ok := l.conn.Write(out[:whole])
@@ -291,7 +302,7 @@
 		return
 	}
 	if l.held {
-		s.core.Loop.Set(&l.due, now+s.hold)
+		s.core.Loop.Set(&l.due, l.leaves)
 	} else {
 		l.bound()
 	}
@@ -322,16 +333,25 @@
 func (l *line) release() {
 	l.held = false
 	s := l.set
-	if l.b.late(s.core.Loop.Now(), s.core.Settings.DrainGrace) { // as in send
+	now := s.core.Loop.Now()
+	if l.b.late(now, s.core.Settings.DrainGrace) || l.job.Deadline <= now { // as in send
 		l.close()
 		l.settle(hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
 		return
 	}
-	if l.expired(s.core.Loop.Now()) {
+	if l.expired(now) {
 		l.close()
 		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
 		return
 	}
+	if s.core.Abandoned(l.attempt) { // it has stopped the attempt
+		return
+	}
+	if now-l.leaves > staleTime {
+		l.close()
+		l.unsent()
+		return
+	}
 	if !l.conn.Write([]byte{l.tail}) {
 		l.close()
 		l.unsent()
@@ -358,7 +378,7 @@
 	}
 	n.attempt, n.job, n.fresh = f, l.job, fresh
 	s.lines[f] = n
-	if n.conn != nil {
+	if n.conn != nil && !s.core.Abandoned(f) {
 		n.send()
 	}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -475,6 +475,15 @@
 	}
 }
 
+// Left tells whether the client of a request has closed its connection.
+func (f *Front) Left(token uint64) bool {
+	s := f.sessions.Get(token)
+	return s == nil || s.conn.PeerClosed()
+}
+
+// HungUp has nothing to do: the session ends once the poller has told of its client's end.
+func (f *Front) HungUp(uint64, bool) {}
+
 // Data takes in what the client sent.
 func (s *session) Data(_ *net.Conn, b *net.Buffer) {
 	if s.gone {
--- /dev/null
+++ b/internal/platform/leaving_test.go
@@ -0,0 +1,294 @@
+package platform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	stdnet "net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/core"
+)
+
+// These tests let a client leave while the loop is busy, in the very turn in which something lets an attempt of
+// its request begin, and before the loop is told of the end. The system knows that end by then: no attempt begins.
+
+// departure is a front with real backends, and a client that leaves.
+type departure struct {
+	*rig
+	t        *testing.T
+	addr     string // of the front
+	backends *Backends
+	accept   []func() (stdnet.Conn, *bufio.Reader) // the backends' next connections
+
+	listeners []stdnet.Listener
+}
+
+func newDeparture(t *testing.T, backends int, change func(*hollyyoke.Settings)) *departure {
+	t.Helper()
+	d := &departure{rig: newRig(t, change), t: t}
+	var hosts []string
+	for i := range backends {
+		ln, next := d.backendListener(t)
+		d.accept, d.listeners = append(d.accept, next), append(d.listeners, ln)
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s%d","dial":%q,"health":"ready"}`, i, ln.Addr()))
+	}
+	d.do(func() {
+		d.backends = NewBackends(d.core, d.engine, "")
+		if err := d.backends.Known(fmt.Appendf(nil, `{"hosts":[%s]}`, strings.Join(hosts, ","))); err != nil {
+			t.Error(err)
+		}
+		front := NewFront(d.core, d.engine, 64<<20, func() bool { return true })
+		d.addr, _ = front.Listen("127.0.0.1:0", 50)
+	})
+	return d
+}
+
+// hold keeps the loop from going on until the release, at the end of the test at the latest.
+func (d *departure) hold() (release func()) {
+	release = sync.OnceFunc(d.rig.hold())
+	d.t.Cleanup(release)
+	return release
+}
+
+// client sends a request and more bytes behind it.
+func (d *departure) client(path, id string, behind int) stdnet.Conn {
+	d.t.Helper()
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nX-Correlation-Id: %s\r\nX-Weight-Hint: 1000\r\nContent-Length: 4\r\n\r\nbody", path, id)
+	conn, _ := bad(d.t, d.addr, text+strings.Repeat("x", behind))
+	return conn
+}
+
+// request reads a whole request at a backend.
+func (d *departure) request(in *bufio.Reader) *http.Request {
+	d.t.Helper()
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		d.t.Fatal(err)
+	}
+	return req
+}
+
+// leave closes a client's connection and waits until the front's system has been told.
+func (d *departure) leave(conn stdnet.Conn) {
+	d.t.Helper()
+	local := conn.LocalAddr().String()
+	conn.Close()
+	until(d.t, "the client's end arrives", func() bool { return !established(d.t, d.addr, local) })
+}
+
+// sent waits until a client's end has been taken in, and returns how many attempts have left whole.
+func (d *departure) sent() (n uint64) {
+	d.t.Helper()
+	until(d.t, "the client is hung up", func() (over bool) {
+		d.do(func() {
+			over, n = d.core.Counts().HungUp == 1, d.core.Counts().Sent
+		})
+		return over
+	})
+	return n
+}
+
+func repeats(s *hollyyoke.Settings) { s.MaxAttempts = 3 }
+
+// The end arrives while the first attempt of a request is due.
+func TestLeavingBeforeTheFirstAttempt(t *testing.T) {
+	for _, behind := range []int{0, 300} {
+		d := newDeparture(t, 1, repeats)
+		on := d.hold()
+		conn := d.client("/status-check/k", "id000001", behind)
+		d.leave(conn)
+		on()
+		if n := d.sent(); n > 0 {
+			t.Errorf("%d bytes behind: %d attempts for a client that had left", behind, n)
+		}
+	}
+}
+
+// The end arrives while a request waits for another with its key, which is over just then.
+func TestLeavingInAKeysTurn(t *testing.T) {
+	d := newDeparture(t, 1, func(s *hollyyoke.Settings) { s.Classes[0].InTurn = true })
+	d.client("/status-check/k", "id000001", 0)
+	worker, in := d.accept[0]()
+	d.request(in)
+	conn := d.client("/status-check/k", "id000002", 0)
+	until(t, "the second is taken", func() (both bool) {
+		d.do(func() { both = d.core.Owed() == 2 })
+		return both
+	})
+	on := d.hold()
+	d.write(t, worker, strings.ReplaceAll(chunked(done), "IDENTITY", "id000001"))
+	d.leave(conn)
+	on()
+	if n := d.sent(); n != 1 {
+		t.Errorf("%d attempts, of which the first was wanted", n)
+	}
+}
+
+// The end arrives while the connection to a backend comes up.
+func TestLeavingDuringADial(t *testing.T) {
+	d := newDeparture(t, 1, repeats)
+	held, release := make(chan struct{}), make(chan struct{})
+	on := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(on)
+	d.do(func() {
+		d.core.Trace = func(_, step string, _ ...any) {
+			if step == "attempt" { // before the word that the connection is up
+				d.core.Loop.Post(func() { close(held); <-release })
+			}
+		}
+	})
+	conn := d.client("/status-check/k", "id000001", 0)
+	<-held
+	d.accept[0]()
+	time.Sleep(100 * time.Millisecond) // for the poller to post that it is up; were it slower, the test would only show less
+	d.leave(conn)
+	on()
+	if n := d.sent(); n > 0 {
+		t.Errorf("%d attempts for a client that had left", n)
+	}
+}
+
+// The end arrives beside a failed attempt, after which a retry is due.
+func TestLeavingBeforeARetry(t *testing.T) {
+	for _, behind := range []int{0, 300} {
+		d := newDeparture(t, 2, repeats)
+		conn := d.client("/status-check/k", "id000001", behind)
+		worker, in := d.first()
+		d.request(in)
+		on := d.hold()
+		d.write(t, worker, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+		d.leave(conn)
+		on()
+		if n := d.sent(); n != 1 {
+			t.Errorf("%d bytes behind: %d attempts, of which the first was wanted", behind, n)
+		}
+	}
+}
+
+// The end arrives while a hedge is due, since the first attempt does not start.
+func TestLeavingBeforeAHedge(t *testing.T) {
+	d := newDeparture(t, 2, func(s *hollyyoke.Settings) { s.MaxAttempts, s.SecondCopies = 3, true })
+	conn := d.client("/status-check/k", "id000001", 0)
+	_, in := d.first()
+	d.request(in)
+	on := d.hold()
+	d.leave(conn)
+	time.Sleep(300 * time.Millisecond) // beyond the sweep's interval: the hedge is due whatever the machine does
+	on()
+	if n := d.sent(); n > 1 {
+		t.Errorf("%d attempts, of which the first was wanted", n)
+	}
+}
+
+// first accepts the connection that comes first, at whichever backend.
+func (d *departure) first() (stdnet.Conn, *bufio.Reader) {
+	d.t.Helper()
+	came := make(chan stdnet.Conn, len(d.listeners))
+	for _, ln := range d.listeners {
+		go func() {
+			if conn, err := ln.Accept(); err == nil { // or the test is over
+				came <- conn
+			}
+		}()
+	}
+	conn := receive(d.t, came)
+	d.t.Cleanup(func() { conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+// The end arrives while the last byte of a request is held back.
+func TestLeavingBeforeTheLastByte(t *testing.T) {
+	d := newDeparture(t, 1, repeats)
+	d.do(func() { d.backends.wary, d.backends.hold = d.core.Loop.Now()+time.Hour, 200*time.Millisecond })
+	conn := d.client("/status-check/k", "id000001", 0)
+	_, in := d.accept[0]()
+	if _, err := in.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	on := d.hold()
+	d.leave(conn)
+	time.Sleep(220 * time.Millisecond) // the last byte is due, whatever the machine does
+	on()
+	if n := d.sent(); n > 0 {
+		t.Errorf("%d attempts for a client that had left", n)
+	}
+}
+
+// What a request tells of the time left is true when its last byte leaves: a
+// last byte that was held back for longer than planned goes nowhere, and the
+// request begins anew, or is over.
+func TestTimeLeftIsTrueAtTheLastByte(t *testing.T) {
+	const left = 3 * time.Second
+	for name, late := range map[string]time.Duration{"late": time.Second, "over": left} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeparture(t, 1, repeats)
+			d.do(func() { d.backends.wary, d.backends.hold = d.core.Loop.Now()+time.Hour, 100*time.Millisecond })
+			before := time.Now()
+			got := make(judge, 1)
+			d.core.Loop.Post(func() {
+				d.core.Take(got, 0, core.Job{ID: "id000001", Target: "/status-check/k", Body: []byte("body"), Work: 1e6, Left: left})
+			})
+			_, in := d.accept[0]()
+			if _, err := in.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			on := d.hold()
+			for time.Since(before) < late {
+				time.Sleep(time.Millisecond)
+			}
+			on()
+			if text, _ := io.ReadAll(in); strings.HasSuffix(string(text), "body") {
+				t.Error("the last byte left behind a time that is over")
+			}
+			if name == "over" {
+				if v := verdict(t, got); v == core.Served {
+					t.Errorf("after its time: %v", v)
+				}
+				return
+			}
+			again, from := d.accept[0]()
+			req := d.request(from)
+			told, err := strconv.Atoi(req.Header.Get("X-Time-Left-Ms"))
+			if rest := left - time.Since(before); err != nil || time.Duration(told)*time.Millisecond > left-late || rest < 0 {
+				t.Errorf("%d ms told where less than %v was left, %v", told, left-late, err)
+			}
+			io.WriteString(again, strings.ReplaceAll(chunked(done), "IDENTITY", "id000001"))
+			if v := verdict(t, got); v != core.Served {
+				t.Errorf("begun anew: %v", v)
+			}
+		})
+	}
+}
+
+// established tells whether the system still has a connection from one address to another as open at the far end.
+func established(t *testing.T, to, from string) bool {
+	t.Helper()
+	text, err := os.ReadFile("/proc/self/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := func(addr string) string {
+		_, p, _ := stdnet.SplitHostPort(addr)
+		n, _ := strconv.Atoi(p)
+		return fmt.Sprintf(":%04X", n)
+	}
+	const open = "01" // the state's number in that table
+	for line := range strings.Lines(string(text)) {
+		f := strings.Fields(line)
+		if len(f) > 3 && strings.HasSuffix(f[1], port(to)) && strings.HasSuffix(f[2], port(from)) && f[3] == open {
+			return true
+		}
+	}
+	return false
+}
