--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -1,6 +1,9 @@
 package hollyyoke
 
 import (
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -42,3 +45,173 @@
 		}
 	})
 }
+
+// coldFleet is 20 to 30 dispatchers before warm workers and one that starts cold, in steps of virtual time.
+type coldFleet struct {
+	t       *rapid.T
+	s       Settings
+	random  *rand.Rand
+	now     time.Duration
+	members []*coldMember
+	due     map[time.Duration][]func() // by step
+	entries []Entry
+	hints   bool
+	mean    float64 // work of a request, seconds
+	sent    []fleetSend
+	next    uint64
+}
+
+// coldMember is one dispatcher: its process, and while one hands over to the next, the other one.
+type coldMember struct{ process, other *Dispatcher }
+
+// fleetSend is work sent to the cold worker.
+type fleetSend struct {
+	at   time.Duration
+	work float64
+}
+
+const fleetStep = 10 * time.Millisecond
+
+func (f *coldFleet) after(span time.Duration, what func()) {
+	at := f.now + max(span, fleetStep).Truncate(fleetStep)
+	f.due[at] = append(f.due[at], what)
+}
+
+// start gives a member a process that knows the list and nothing else.
+func (f *coldFleet) start() *Dispatcher {
+	d, err := New(f.s, f.random.Uint64())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.handle(nil, d, Event{Kind: WorkerList, List: ListComplete, Entries: f.entries}, 0)
+	return d
+}
+
+// handle feeds a process and carries out what it wants; work is the request's at hand.
+func (f *coldFleet) handle(m *coldMember, d *Dispatcher, ev Event, work float64) {
+	for _, a := range d.Handle(f.now, ev, nil) {
+		switch a.Kind {
+		case SetTimer:
+			f.after(a.Delay, func() { f.handle(m, d, Event{Kind: TimerDue, Timer: a.Timer}, 0) })
+		case Assign:
+			f.assign(m, d, a, work)
+		}
+	}
+}
+
+// assign runs a job at its worker, in no time but its own: none of them queues.
+func (f *coldFleet) assign(m *coldMember, d *Dispatcher, a Action, work float64) {
+	run := work
+	if a.Worker == "cold" {
+		f.sent = append(f.sent, fleetSend{f.now, work})
+		run /= f.warmth()
+		if m.other != nil {
+			other := m.other
+			if other == d {
+				other = m.process
+			}
+			f.handle(m, other, Event{Kind: ColdCharge, Worker: a.Worker, Charge: a.Charge}, 0)
+		}
+	}
+	f.handle(m, d, Event{Kind: Started, Request: a.Request, Worker: a.Worker}, 0)
+	f.after(seconds(run), func() {
+		f.handle(m, d, Event{Kind: Response, Request: a.Request, Worker: a.Worker, Outcome: Completed, Settled: true}, 0)
+	})
+}
+
+// warmth is the cold worker's share of its capacity now.
+func (f *coldFleet) warmth() float64 {
+	age := (f.now - f.entries[0].LastStart).Seconds() / f.s.WarmAfter.Seconds()
+	return min(f.s.ColdFrom+(1-f.s.ColdFrom)*age, 1)
+}
+
+// arrive hands a request to one member.
+func (f *coldFleet) arrive() {
+	m := f.members[f.random.IntN(len(f.members))]
+	work := f.mean * f.random.ExpFloat64()
+	f.next++
+	ev := Event{Kind: Arrival, Request: f.next, Left: f.s.Classes[0].Deadline}
+	if f.hints {
+		ev.Work = seconds(work)
+	} else {
+		work = f.mean // of which nobody tells
+	}
+	f.handle(m, m.process, ev, work)
+}
+
+// What 20 to 30 dispatchers together send a worker that starts cold keeps, in any window, to the budget that the
+// settings give it and what is put down to chance, also in a burst and while their processes start anew.
+func TestColdBudgetsOfAFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := func(label string, lo, hi float64) float64 { return rapid.Float64Range(lo, hi).Draw(t, label) }
+		f := &coldFleet{t: t, now: time.Hour, due: map[time.Duration][]func(){}}
+		f.random = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		f.hints, f.mean = rapid.Bool().Draw(t, "hints"), share("work", 0.03, 0.3)
+		f.s = Settings{
+			Classes: []Class{{Worth: 1, Aim: 2 * time.Second, Deadline: 5 * time.Second}},
+			Peers:   rapid.IntRange(20, 30).Draw(t, "dispatchers"), Tick: time.Millisecond,
+			ColdFrom: share("cold from", 0.1, 0.6), WarmAfter: seconds(share("warm after", 4, 10)),
+			FallMultiple: share("multiple", 1.5, 6), FallWindow: seconds(share("window", 0.5, 2.5)),
+			MaxAttempts: 2, SecondCopies: true, Cancel: true, TellsStart: true,
+		}
+		warm := rapid.IntRange(4, 20).Draw(t, "warm workers")
+		rate, burst := share("rate", 30, 150), share("burst", 1, 3)
+		capacity := rate * burst * f.mean / float64(warm) / share("load in the burst", 0.3, 1) // of one worker
+		f.entries = []Entry{{Worker: "cold", State: Deleted}}
+		for i := range warm {
+			f.entries = append(f.entries, Entry{Worker: fmt.Sprint("w", i)})
+		}
+		for range f.s.Peers {
+			f.members = append(f.members, &coldMember{process: f.start()})
+		}
+		const joins, bursts, restarts, handedOver, end = 500, 550, 600, 700, 1200 // steps
+		for step := range end {
+			f.now += fleetStep
+			for _, what := range f.due[f.now] {
+				what()
+			}
+			delete(f.due, f.now)
+			switch step {
+			case joins:
+				f.entries[0] = Entry{Worker: "cold", LastStart: f.now}
+				for _, m := range f.members {
+					f.handle(m, m.process, Event{Kind: WorkerList, Entries: f.entries[:1]}, 0)
+				}
+			case restarts:
+				killed := rapid.IntRange(0, f.s.Peers).Draw(t, "killed")
+				for i, m := range f.members {
+					if i >= killed { // the others hand over
+						m.other = m.process
+					}
+					m.process = f.start()
+				}
+			case handedOver:
+				for _, m := range f.members {
+					m.other = nil
+				}
+			}
+			now := rate
+			if step >= bursts {
+				now *= burst
+			}
+			for p := now * fleetStep.Seconds(); p > 0; p-- {
+				if f.random.Float64() < p {
+					f.arrive()
+				}
+			}
+			if step < joins || f.warmth() >= 1 {
+				continue
+			}
+			sum := 0.0
+			for _, s := range f.sent {
+				if s.at > f.now-f.s.FallWindow {
+					sum += s.work / f.mean
+				}
+			}
+			n := f.s.FallMultiple * f.warmth() * capacity * f.s.FallWindow.Seconds() / f.mean
+			if sum > n+2*math.Sqrt(n)+2 {
+				t.Fatalf("step %d: sent %.1f requests of mean work, N is %.1f", step, sum, n)
+			}
+		}
+	})
+}
