Dispatchers follow versioned changes from relays or the origin

A change is checked whole before any of it is in force; answers are inflated and decoded as a stream within bounds.

--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -38,7 +38,10 @@
 	// Applied is called when a version followed has come into force; nil: nobody wants to know.
 	Applied func(v membership.Version)
 
-	followed FollowConfig
+	// reconfigure puts changed settings in force, all or none; nil: none can change.
+	reconfigure func(changes []setting) error
+
+	follower *follower // follows versioned changes in place of the watch; nil: the watch is open
 	control  ControlStats
 }
 
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -33,6 +33,10 @@
 	Seq   int64  `json:"seq"`
 	Whole bool   `json:"whole"`
 	Hosts []host `json:"hosts"`
+
+	// Settings are those that were changed up to that version. A list without them
+	// may come from one who does not know of any.
+	Settings []setting `json:"settings,omitzero"`
 }
 
 type host struct {
@@ -69,6 +73,11 @@
 			s.first[e.Worker] = e
 		}
 	}
+	if s.follower != nil {
+		s.core.Loop.Set(&s.due, s.core.Loop.Now()+freshList)
+		s.follower.start(&list)
+		return nil
+	}
 	if s.watch.addr == "" || s.core.Settings.AskForList && s.core.Settings.Herd() { // the module says when to call
 		s.begin(nil)
 		return nil
@@ -100,6 +109,11 @@
 func (s *Backends) Tell() (addr string, list json.RawMessage, err error) {
 	words := map[hollyyoke.WorkerState]string{hollyyoke.Running: "ready", hollyyoke.Stopping: "draining"}
 	l := hosts{Seq: s.watch.seq, Whole: true, Hosts: []host{}}
+	if f := s.follower; f != nil {
+		if l.Seq = int64(f.version); f.resumable {
+			l.Settings = f.inForce()
+		}
+	}
 	for _, b := range s.hosts {
 		h := b.host
 		h.Health = words[b.state]
@@ -114,27 +128,35 @@
 // is silent here. Its word comes first once it speaks.
 func (s *Backends) Relay(raw json.RawMessage) error {
 	var list hosts
-	if s.watch.live {
+	if s.watch.live || s.follower != nil && s.follower.current != nil {
 		return nil
 	}
 	if err := json.Unmarshal(raw, &list); err != nil {
 		return err
 	}
+	if s.follower != nil {
+		return s.follower.relay(&list)
+	}
 	entries, err := s.entries(list.Hosts)
 	if err != nil {
 		return err
 	}
-	s.onlyThese(entries)
 	s.watch.seq = max(s.watch.seq, list.Seq)
+	s.replace(entries)
+	return nil
+}
+
+// replace puts a complete list in the place of what is known.
+func (s *Backends) replace(entries []hollyyoke.Entry) {
+	s.onlyThese(entries)
 	if s.first == nil {
 		s.core.List(s, hollyyoke.ListComplete, entries)
-		return nil
+		return
 	}
 	clear(s.first)
 	for _, e := range entries {
 		s.first[e.Worker] = e
 	}
-	return nil
 }
 
 // CheckList tells what is wrong with a list of backends, and takes in none of it.
@@ -210,9 +232,14 @@
 // entries takes in a list, unless some of it is wrong.
 func (s *Backends) entries(list []host) ([]hollyyoke.Entry, error) {
 	entries, err := s.parse(list)
-	if err != nil {
-		return nil, err
+	if err == nil {
+		s.adopt(list, entries)
 	}
+	return entries, err
+}
+
+// adopt takes in a list that has been parsed.
+func (s *Backends) adopt(list []host, entries []hollyyoke.Entry) {
 	now := s.core.Loop.Now()
 	for i, e := range entries {
 		b := s.hosts[e.Worker]
@@ -234,7 +261,6 @@
 			b.state, b.told = e.State, now
 		}
 	}
-	return entries, nil
 }
 
 // index finds a name; -1 is a number that no setting names.
--- /dev/null
+++ b/internal/platform/relaycall.go
@@ -0,0 +1,233 @@
+package platform
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"io"
+
+	"hollyyoke.example/hollyyoke/internal/net"
+)
+
+// This file owns the answers of a server of changes: a reader that takes them
+// apart as their bytes come, and the body of a call, which is gathered as it was
+// sent. It must never hold more of a server's bytes than its bounds say.
+
+const (
+	mostInflated = 64 << 20 // bytes of a body once it is inflated; 21,000 workers have 3 MB
+	mostGathered = 16 << 20 // bytes of a body as it was sent
+	firstGather  = 64 << 10 // room that is made on the word of its length alone
+)
+
+var (
+	errInflated = fmt.Errorf("the answer has over %d MB", mostInflated>>20)
+	errGathered = fmt.Errorf("the answer has over %d MB as it was sent", mostGathered>>20)
+	errCoding   = errors.New("the answer is in a coding that was not asked for")
+	errLength   = errors.New("the answer does not say where it ends")
+)
+
+// statusError is an answer that is not a 200.
+type statusError int
+
+func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
+// answerReader takes one answer apart, whatever pieces it comes in.
+type answerReader struct {
+	in      *net.Buffer
+	seen    int  // bytes of it that hold no end of the head
+	headed  bool // the head has come
+	gzipped bool
+	last    bool // the server closes the connection behind it
+	chunked bool
+	chunk   chunks
+	left    int // of a body of known length
+	ended   bool
+}
+
+// reset makes the reader ready for the next answer.
+func (r *answerReader) reset(pool *net.Pool) {
+	pool.Put(r.in)
+	*r = answerReader{}
+}
+
+// feed takes in what has come and calls body with each piece of the answer's
+// body, which is valid during the call. ended tells that the answer is over.
+func (r *answerReader) feed(pool *net.Pool, data []byte, body func(piece []byte) error) (ended bool, err error) {
+	if r.in == nil {
+		r.in = pool.Get()
+	}
+	for len(data) > 0 {
+		n := r.in.Fill(data)
+		data = data[n:]
+		if err := r.drain(body); err != nil {
+			return false, err
+		}
+		if r.ended && (len(data) > 0 || len(r.in.Bytes()) > 0) || n == 0 {
+			return false, errMalformed // bytes behind the answer, or a frame line without end
+		}
+	}
+	return r.ended, nil
+}
+
+// drain takes what it can out of the buffer.
+func (r *answerReader) drain(body func(piece []byte) error) error {
+	at := 0
+	defer func() { r.in.Cut(at) }()
+	for !r.ended {
+		piece, used, err := r.piece(r.in.Bytes()[at:])
+		if err != nil {
+			return err
+		}
+		if used == 0 && !r.ended {
+			return nil
+		}
+		if len(piece) > 0 {
+			if err := body(piece); err != nil {
+				return err
+			}
+		}
+		at += used
+	}
+	return nil
+}
+
+// piece takes the next piece of an answer from the start of in: the head, a part
+// of the body, or bytes of its frame. used 0: more must come first.
+func (r *answerReader) piece(in []byte) (body []byte, used int, err error) {
+	switch {
+	case !r.headed:
+		var h head
+		ok, err := parseHead(in, &h, &r.seen)
+		if !ok {
+			return nil, 0, err
+		}
+		r.seen = 0
+		return nil, h.size, r.begin(&h)
+	case r.chunked:
+		body, used, err = r.chunk.next(in)
+		r.ended = r.chunk.done
+		return body, used, err
+	default:
+		used = min(len(in), r.left)
+		r.left -= used
+		r.ended = r.left == 0
+		return in[:used], used, nil
+	}
+}
+
+// begin takes in the head of the answer.
+func (r *answerReader) begin(h *head) error {
+	status, ok := number(h.b)
+	if !ok || !bytes.HasPrefix(h.a, []byte("HTTP/1.")) {
+		return errMalformed
+	}
+	if status < 200 {
+		return nil // an interim answer; the real one follows
+	}
+	if status != 200 {
+		return statusError(status)
+	}
+	length, chunked, err := h.framing()
+	if err != nil {
+		return err
+	}
+	if !chunked && length < 0 {
+		return errLength
+	}
+	coding := h.get("Content-Encoding")
+	r.gzipped = equalFold(coding, "gzip")
+	if coding != nil && !r.gzipped && !equalFold(coding, "identity") {
+		return errCoding
+	}
+	r.headed, r.chunked, r.left = true, chunked, length
+	r.last = h.has("Connection", "close")
+	r.ended = length == 0
+	return nil
+}
+
+// gathered is the body of an answer as it was sent.
+type gathered struct{ bytes []byte }
+
+// add takes in a piece of it, for an answer of which left bytes are still to come.
+func (g *gathered) add(piece []byte, left int) error {
+	if len(g.bytes)+len(piece) > mostGathered {
+		return errGathered
+	}
+	if g.bytes == nil {
+		g.bytes = make([]byte, 0, min(len(piece)+left, firstGather))
+	}
+	g.bytes = append(g.bytes, piece...)
+	return nil
+}
+
+// decode reads the one change that the body holds.
+func (g *gathered) decode(gzipped bool) (change, error) {
+	var in io.Reader = bytes.NewReader(g.bytes)
+	if gzipped {
+		inflated, err := gzip.NewReader(in)
+		if err != nil {
+			return change{}, err
+		}
+		in = &bounded{inflated, mostInflated}
+	}
+	return decodeChange(&compact{in: in})
+}
+
+// bounded reads up to a bound, and fails beyond it.
+type bounded struct {
+	in   io.Reader
+	left int
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errInflated
+	}
+	n, err := b.in.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+// compact reads JSON with each run of white space outside of strings cut down to
+// one space. Guards against megabytes of it, which a decoder that waits for the
+// next token looks at again for each piece that comes.
+type compact struct {
+	in     io.Reader
+	quoted bool // inside a string
+	masked bool // behind a backslash there
+	space  bool // the last byte was white space
+}
+
+func (c *compact) Read(p []byte) (int, error) {
+	for {
+		n, err := c.in.Read(p)
+		if n = c.squeeze(p[:n]); n > 0 || err != nil {
+			return n, err
+		}
+	}
+}
+
+// squeeze cuts p down in place and returns what is left of it.
+func (c *compact) squeeze(p []byte) (n int) {
+	for _, b := range p {
+		space := false
+		switch {
+		case c.masked:
+			c.masked = false
+		case c.quoted:
+			c.masked, c.quoted = b == '\\', b != '"'
+		case b == '"':
+			c.quoted = true
+		case b == ' ' || b == '\t' || b == '\r' || b == '\n':
+			if space = true; c.space {
+				continue
+			}
+			b = ' '
+		}
+		c.space = space
+		p[n] = b
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/platform/relaychange.go
@@ -0,0 +1,260 @@
+package platform
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/membership"
+)
+
+// This file owns versioned changes: how they are read, checked and put in force.
+// It must never put a part of a change in force of which another part is wrong,
+// nor an older version in place of a newer one.
+
+// setting is a changed setting as it stands on the wire.
+type setting struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value"`
+}
+
+// change is one object of a server: a snapshot or a delta.
+type change struct {
+	version  membership.Version
+	whole    bool
+	hosts    []host
+	settings []setting
+	wrong    error // the first field whose value has the wrong type
+}
+
+// mostElements bounds the arrays of a change: an element that takes three bytes
+// of its text takes a hundred times as many here.
+const mostElements = 200_000
+
+var errElements = fmt.Errorf("an array has over %d elements", mostElements)
+
+// decodeChange reads one object. It decodes host by host as the bytes come:
+// guards the memory, where the text of a whole snapshot has megabytes.
+func decodeChange(r io.Reader) (change, error) {
+	var c change
+	d := json.NewDecoder(r)
+	if err := expect(d, json.Delim('{')); err != nil {
+		return c, err
+	}
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return c, err
+		}
+		if err := c.field(d, key); err != nil {
+			return c, err
+		}
+	}
+	if err := expect(d, json.Delim('}')); err != nil {
+		return c, err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return c, errors.New("there is more behind the object")
+	}
+	return c, nil
+}
+
+// field reads the value of one key. Keys that are not known are passed over.
+func (c *change) field(d *json.Decoder, key json.Token) error {
+	switch key {
+	case "seq":
+		return named("seq", d.Decode(&c.version))
+	case "whole":
+		return named("whole", d.Decode(&c.whole))
+	case "hosts":
+		return array(d, "hosts", &c.hosts, &c.wrong)
+	case "settings":
+		return array(d, "settings", &c.settings, &c.wrong)
+	}
+	var skipped json.RawMessage
+	return d.Decode(&skipped)
+}
+
+// array reads an array, or null for none, element by element. One with a value of
+// the wrong type is named in wrong, unless another one is, and the rest is read.
+func array[T any](d *json.Decoder, name string, out *[]T, wrong *error) error {
+	switch token, err := d.Token(); {
+	case err != nil:
+		return err
+	case token == nil:
+		return nil
+	case token != json.Delim('['):
+		return fmt.Errorf("%s is not an array", name)
+	}
+	for d.More() {
+		var element T
+		err := d.Decode(&element)
+		if _, ok := errors.AsType[*json.UnmarshalTypeError](err); ok && *wrong == nil {
+			*wrong = named(fmt.Sprintf("%s[%d]", name, len(*out)), err)
+		} else if err != nil && !ok {
+			return err
+		}
+		if *out = append(*out, element); len(*out) > mostElements {
+			return errElements
+		}
+	}
+	return expect(d, json.Delim(']'))
+}
+
+func expect(d *json.Decoder, want json.Token) error {
+	token, err := d.Token()
+	if err != nil {
+		return err
+	}
+	if token != want {
+		return fmt.Errorf("%v stands where %v should", token, want)
+	}
+	return nil
+}
+
+// named says in which field a value of the wrong type stands.
+func named(field string, err error) error {
+	wrong, ok := errors.AsType[*json.UnmarshalTypeError](err)
+	if !ok {
+		return err
+	}
+	if wrong.Field != "" {
+		field += "." + wrong.Field
+	}
+	return fmt.Errorf("%s: a %s cannot stand here", field, wrong.Value)
+}
+
+// outcome is what a change has led to.
+type outcome uint8
+
+const (
+	applied outcome = iota // it is in force
+	stale                  // it tells nothing newer
+	refused                // some of it is wrong: none of it is in force
+)
+
+// apply puts a change in force as a whole, unless it is not newer or wrong.
+func (f *follower) apply(c change) outcome {
+	if c.version < f.version || c.version == f.version && f.resumable {
+		f.set.begin(nil) // what is known is confirmed
+		return stale
+	}
+	s := f.set
+	entries, err := f.check(c)
+	if err != nil {
+		f.refuse(c.version, err)
+		return refused
+	}
+	f.version, f.resumable = c.version, f.resumable || c.whole
+	f.keep(c.settings)
+	s.adopt(c.hosts, entries)
+	s.list(c.whole, entries)
+	f.count(c.whole)
+	return applied
+}
+
+// check checks a whole change. Its settings are in force from here on, unless
+// there is an error: they come last, since what takes them checks them itself.
+func (f *follower) check(c change) ([]hollyyoke.Entry, error) {
+	if c.wrong != nil {
+		return nil, c.wrong
+	}
+	entries, err := f.set.parse(c.hosts)
+	if err != nil {
+		return nil, err
+	}
+	return entries, f.reconfigure(c.settings)
+}
+
+// reconfigure hands changed settings to the core, which takes all or none.
+func (f *follower) reconfigure(changes []setting) error {
+	if len(changes) == 0 {
+		return nil
+	}
+	if f.set.reconfigure == nil {
+		return fmt.Errorf("settings[0]: %s cannot change while the program runs", changes[0].Key)
+	}
+	return f.set.reconfigure(changes)
+}
+
+// refuse logs a change that is wrong, once.
+func (f *follower) refuse(v membership.Version, err error) {
+	if v <= f.refused {
+		return
+	}
+	f.refused = v
+	f.set.control.Refused++
+	f.set.core.Log(fmt.Sprintf("membership: version %d is refused whole: %v; version %d stays in force", v, err, f.version))
+}
+
+// keep remembers the settings in force, for a successor.
+func (f *follower) keep(changes []setting) {
+	for _, c := range changes {
+		f.settings[c.Key] = c.Value
+	}
+}
+
+// inForce are the settings that were changed since the start, by key.
+func (f *follower) inForce() []setting {
+	out := []setting{}
+	for _, key := range slices.SortedFunc(maps.Keys(f.settings), cmp.Compare[string]) {
+		out = append(out, setting{key, f.settings[key]})
+	}
+	return out
+}
+
+func (f *follower) count(whole bool) {
+	control := &f.set.control
+	control.Applied++
+	control.Version = f.version
+	if whole {
+		control.Snapshots++
+	} else {
+		control.Deltas++
+	}
+	if f.set.Applied != nil {
+		f.set.Applied(f.version)
+	}
+	if f.set.Told != nil {
+		f.set.Told()
+	}
+	f.scheduleAcknowledgement()
+}
+
+// list tells the module of a change that has been taken in. The first one goes
+// with the list known at the start, as a change of it or in its place.
+func (s *Backends) list(whole bool, entries []hollyyoke.Entry) {
+	switch {
+	case whole:
+		s.onlyThese(entries)
+		s.first = nil
+		s.core.Loop.Clear(&s.due)
+		s.core.List(s, hollyyoke.ListComplete, entries)
+	case s.first != nil:
+		s.begin(entries)
+	case len(entries) > 0:
+		s.core.List(s, hollyyoke.ListChanges, entries)
+	}
+}
+
+// relay takes in the state that the predecessor has in force.
+func (f *follower) relay(list *hosts) error {
+	c := change{version: membership.Version(list.Seq), whole: true, hosts: list.Hosts, settings: list.Settings}
+	if c.version <= f.version {
+		return nil
+	}
+	entries, err := f.check(c)
+	if err != nil {
+		return err
+	}
+	f.version, f.resumable = c.version, list.Settings != nil
+	f.keep(c.settings)
+	f.set.adopt(c.hosts, entries)
+	f.set.replace(entries)
+	return nil
+}
--- /dev/null
+++ b/internal/platform/relaylink.go
@@ -0,0 +1,177 @@
+package platform
+
+import (
+	"errors"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/net"
+)
+
+// This file owns a connection to a server of changes, which carries one call at
+// a time and is kept for the next one. It must never take bytes that nobody has
+// asked for as an answer, nor end a call while bytes of its answer are here.
+
+const (
+	linkConnect = time.Second
+	linkSilence = 3 * time.Second // longest time without a byte of an answer; a watch has one every 2 s
+)
+
+var (
+	errSilent    = errors.New("silent")
+	errEndedLink = errors.New("the connection ended")
+)
+
+// link is a connection to a server of changes.
+type link struct {
+	set    *Backends
+	addr   string
+	fields string // header fields of a request
+
+	connected func()                   // a connection is there
+	progress  func()                   // some of an answer has come
+	body      func(piece []byte) error // takes a piece of the answer's body
+	done      func(err error)          // the answer has ended, or never will
+
+	conn    *net.Conn
+	turn    int // counts the connections, so that what a former one brings is passed over
+	request []byte
+	waiting bool // for an answer, or for the rest of it
+	kept    bool // the connection has carried an answer before: it may be dead unseen
+	answer  answerReader
+	due     core.Deadline
+}
+
+// get makes a call, on the connection that is there or on a new one.
+func (l *link) get(target string) {
+	l.request = append(l.request[:0], "GET "...)
+	l.request = append(append(l.request, target...), " HTTP/1.1\r\nHost: "...)
+	l.request = append(append(l.request, l.addr...), "\r\n"...)
+	l.request = append(append(l.request, l.fields...), "\r\n"...)
+	l.waiting = true
+	if l.conn != nil {
+		l.send()
+		return
+	}
+	l.dial()
+}
+
+func (l *link) dial() {
+	l.turn++
+	turn := l.turn
+	l.kept = false
+	l.due.Fire = l.expire
+	l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+linkConnect+linkSilence)
+	l.set.engine.Dial(l.addr, linkConnect, l, func(c *net.Conn, err error) {
+		switch {
+		case turn != l.turn:
+			if c != nil {
+				c.Close()
+			}
+		case err != nil:
+			if errors.Is(err, net.ErrFull) {
+				l.set.shed()
+			}
+			l.finish(err)
+		default:
+			l.conn = c
+			l.connected()
+			l.send()
+		}
+	})
+}
+
+func (l *link) send() {
+	l.extend()
+	if !l.conn.Write(l.request) {
+		l.broken(errEndedLink)
+		return
+	}
+	l.set.control.BytesWritten += int64(len(l.request))
+}
+
+// extend gives the server time for its next bytes.
+func (l *link) extend() { l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+linkSilence) }
+
+// expire ends a call on which nothing has come in time. The server may have
+// answered while the loop was late.
+func (l *link) expire() {
+	if l.conn != nil && !l.conn.Quiet() {
+		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+leastRest)
+		return
+	}
+	l.finish(errSilent)
+}
+
+// Data takes in what the server sent.
+func (l *link) Data(c *net.Conn, b *net.Buffer) {
+	defer l.set.engine.Pool.Put(b)
+	if c != l.conn {
+		return
+	}
+	l.set.control.BytesRead += int64(len(b.Bytes()))
+	if !l.waiting { // nothing was asked: what comes is no answer to anything
+		l.close()
+		return
+	}
+	l.extend()
+	ended, err := l.answer.feed(&l.set.engine.Pool, b.Bytes(), l.body)
+	switch {
+	case err != nil || ended:
+		l.finish(err)
+	case l.conn == c:
+		l.progress()
+	}
+}
+
+// Closed is told that the server has closed, or the connection broke.
+func (l *link) Closed(c *net.Conn, _ error) {
+	if c == l.conn {
+		l.broken(errEndedLink)
+	}
+}
+
+// broken ends a call whose connection has gone, or makes it anew where that may
+// have been dead for long.
+func (l *link) broken(err error) {
+	again := l.waiting && l.kept && l.answer.in == nil
+	if again {
+		l.drop()
+		l.dial()
+		return
+	}
+	l.finish(err)
+}
+
+// finish ends the call. The connection is kept after a whole answer.
+func (l *link) finish(err error) {
+	waiting, last := l.waiting, l.answer.last
+	gzipped := l.answer.gzipped
+	l.set.core.Loop.Clear(&l.due)
+	l.answer.reset(&l.set.engine.Pool)
+	l.answer.gzipped = gzipped // for whoever reads the body
+	l.waiting, l.kept = false, true
+	if err != nil || last {
+		l.drop()
+	}
+	if waiting {
+		l.done(err)
+	}
+}
+
+// drop forgets the connection.
+func (l *link) drop() {
+	l.set.core.Loop.Clear(&l.due)
+	l.answer.reset(&l.set.engine.Pool)
+	l.turn++
+	if conn := l.conn; conn != nil {
+		l.conn = nil
+		conn.Close()
+	}
+}
+
+// close ends the link; done is not called any more.
+func (l *link) close() {
+	l.waiting = false
+	l.drop()
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -18,7 +18,7 @@
 // repeat that the module had set for the former address and that would end the
 // watch at the present one.
 func (s *Backends) Subscribe() {
-	if !s.watch.out {
+	if !s.watch.out && s.follower == nil {
 		s.watch.open()
 	}
 }
@@ -30,7 +30,9 @@
 // has listed stands, and so does every attempt; the watch goes on where it was.
 func (s *Backends) Move(addr string) {
 	s.watch.addr = addr
-	s.watch.open()
+	if s.follower == nil {
+		s.watch.open()
+	}
 }
 
 // Heard tells whether the module has a list: discovery's, or the known one after its time.
