--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -110,7 +110,7 @@
 	words := map[hollyyoke.WorkerState]string{hollyyoke.Running: "ready", hollyyoke.Stopping: "draining"}
 	l := hosts{Seq: s.watch.seq, Whole: true, Hosts: []host{}}
 	if f := s.follower; f != nil {
-		if l.Seq = int64(f.version); f.resumable {
+		if l.Seq = int64(f.version); f.begun && f.resume == f.version {
 			l.Settings = f.inForce()
 		}
 	}
--- a/internal/platform/relaychange.go
+++ b/internal/platform/relaychange.go
@@ -27,6 +27,9 @@
 type change struct {
 	version  membership.Version
 	whole    bool
+	base     membership.Version // that a delta continues from: asked for, or told before it; not on the wire
+	exact    bool               // as of membership.Change: it fits the state at base alone
+	missing  membership.Version // likewise: the first version of which the sender misses something; 0: none
 	hosts    []host
 	settings []setting
 	wrong    error // the first field whose value has the wrong type
@@ -71,6 +74,10 @@
 		return named("seq", d.Decode(&c.version))
 	case "whole":
 		return named("whole", d.Decode(&c.whole))
+	case "exact":
+		return named("exact", d.Decode(&c.exact))
+	case "missing":
+		return named("missing", d.Decode(&c.missing))
 	case "hosts":
 		return array(d, "hosts", &c.hosts, &c.wrong)
 	case "settings":
@@ -133,31 +140,65 @@
 type outcome uint8
 
 const (
-	applied outcome = iota // it is in force
-	stale                  // it tells nothing newer
-	refused                // some of it is wrong: none of it is in force
+	applied   outcome = iota // it is in force
+	stale                    // it tells nothing newer
+	refused                  // some of it is wrong: none of it is in force
+	misfitted                // it is newer, but does not fit the state in force
 )
 
-// apply puts a change in force as a whole, unless it is not newer or wrong.
+// apply puts a change in force as a whole, unless it is not newer, wrong, or made
+// for another state.
 func (f *follower) apply(c change) outcome {
-	if c.version < f.version || c.version == f.version && f.resumable {
+	if c.version < f.version || c.version == f.version && !f.repairs(c) {
 		f.set.begin(nil) // what is known is confirmed
 		return stale
 	}
-	s := f.set
+	if !c.whole && c.base < f.version && (c.exact || c.missing > 0) {
+		if c.exact && f.repairs(c) {
+			f.resume = max(min(f.resume, c.base-1), 0) // asked for from there, it is a snapshot
+		}
+		return misfitted
+	}
 	entries, err := f.check(c)
 	if err != nil {
 		f.refuse(c.version, err)
 		return refused
 	}
-	f.version, f.resumable = c.version, f.resumable || c.whole
+	f.resume = f.resumeWith(c)
+	f.version, f.begun = c.version, true
 	f.keep(c.settings)
-	s.adopt(c.hosts, entries)
-	s.list(c.whole, entries)
+	f.set.adopt(c.hosts, entries)
+	f.set.list(c.whole, entries)
 	f.count(c.whole)
 	return applied
 }
 
+// covers tells whether a change goes back to where something may be missing.
+func (f *follower) covers(c change) bool { return c.whole || c.base <= f.resume }
+
+// repairs tells whether a change brings what is missing.
+func (f *follower) repairs(c change) bool {
+	return f.resume < f.version && c.missing == 0 && f.covers(c)
+}
+
+// resumeWith is the version up to which nothing is missing with a change, as in
+// membership.Store.
+func (f *follower) resumeWith(c change) membership.Version {
+	sender := c.version
+	if c.missing > 0 {
+		sender = c.missing - 1
+	}
+	switch {
+	case c.whole || c.exact && f.resume == f.version && c.base == f.version:
+		return sender
+	case c.exact:
+		return min(f.resume, sender)
+	case f.covers(c):
+		return max(f.resume, sender)
+	}
+	return f.resume
+}
+
 // check checks a whole change. Its settings are in force from here on, unless
 // there is an error: they come last, since what takes them checks them itself.
 func (f *follower) check(c change) ([]hollyyoke.Entry, error) {
@@ -252,7 +293,10 @@
 	if err != nil {
 		return err
 	}
-	f.version, f.resumable = c.version, list.Settings != nil
+	f.version, f.resume = c.version, 0
+	if list.Settings != nil {
+		f.resume, f.begun = c.version, true
+	}
 	f.keep(c.settings)
 	f.set.adopt(c.hosts, entries)
 	f.set.replace(entries)
--- a/internal/platform/relaysubscription.go
+++ b/internal/platform/relaysubscription.go
@@ -22,6 +22,10 @@
 var (
 	errLine     = errors.New("an object of the watch does not end")
 	errWatchEnd = errors.New("the watch ended")
+
+	// errMisfitted ends a watch whose server goes on from a state that is not the
+	// one in force here. A new call tells it which one is.
+	errMisfitted = errors.New("a delta does not fit the version in force")
 )
 
 // subscription is what stands with one server.
@@ -52,7 +56,7 @@
 	t.calls = link{set: set, addr: t.server.Address, fields: "Accept-Encoding: gzip\r\n",
 		body: t.gather, progress: t.receives, connected: t.connected}
 	t.watch = link{set: set, addr: t.server.Address, body: t.lines, progress: t.watching, connected: t.connected, done: t.watchEnded}
-	t.call(t.caughtUp)
+	t.call(t.follower.after(), t.caughtUp)
 }
 
 func (t *subscription) close() {
@@ -79,10 +83,20 @@
 		"&name=" + url.QueryEscape(t.follower.config.Name)
 }
 
-// call asks for what is newer than the version in force, which acknowledges that one.
-func (t *subscription) call(then func(c change, err error)) {
+// incomplete is what a call says where something is missing up to the version
+// that it tells: only the version before that is in force.
+func (t *subscription) incomplete(after membership.Version) string {
+	resume := t.follower.resume
+	if resume >= after {
+		return ""
+	}
+	return "&acked=" + strconv.FormatInt(int64(resume), 10) + "&fleet=1"
+}
+
+// call asks for what is newer than a version, which acknowledges that one.
+func (t *subscription) call(after membership.Version, then func(c change, err error)) {
 	t.calling = true
-	t.asked = t.follower.after()
+	t.asked = after
 	t.calls.done = func(err error) {
 		t.calling = false
 		body := t.body
@@ -90,10 +104,11 @@
 		var c change
 		if err == nil {
 			c, err = body.decode(t.calls.answer.gzipped)
+			c.base = after
 		}
 		then(c, err)
 	}
-	t.calls.get(t.target("", t.asked))
+	t.calls.get(t.target("", after) + t.incomplete(after))
 }
 
 func (t *subscription) gather(piece []byte) error { return t.body.add(piece, t.calls.answer.left) }
@@ -110,7 +125,10 @@
 	}
 	t.noteAfter(c)
 	t.version = c.version
-	f.apply(c)
+	if f.apply(c) == misfitted {
+		f.failed(t, errMisfitted.Error())
+		return
+	}
 	t.promise = t.now() + answerStagger
 	t.watch.get(t.target("watch=1&", c.version))
 }
@@ -207,7 +225,10 @@
 	if c.version < t.version {
 		return fmt.Errorf("version %d behind version %d on one watch", c.version, t.version)
 	}
+	c.base = t.version
 	t.version = c.version
-	t.follower.apply(c)
+	if t.follower.apply(c) == misfitted {
+		return errMisfitted
+	}
 	return nil
 }
--- a/internal/platform/relaywatch.go
+++ b/internal/platform/relaywatch.go
@@ -48,7 +48,7 @@
 
 	defaultAcknowledge = time.Second
 	idleAcknowledge    = 30 * time.Second // with nothing new, so that the subscriber counts as live
-	retrySnapshot      = 5 * time.Minute  // where a snapshot was refused
+	repairSnapshot     = 5 * time.Minute  // between calls for a snapshot in place of one that was refused
 	mostAckFailures    = 3                // in a row; then the server counts as failed
 )
 
@@ -59,10 +59,11 @@
 	selector *membership.Selector
 	rng      *rand.Rand
 
-	version   membership.Version // in force
-	resumable bool               // a delta from there on lacks nothing: what is in force came with its settings
-	refused   membership.Version // the newest that was refused
-	settings  map[string]json.RawMessage
+	version  membership.Version // in force
+	resume   membership.Version // up to it nothing is missing; below version after a refused change
+	begun    bool               // it came from a server, settings and all, and not from a mere list
+	refused  membership.Version // the newest that was refused
+	settings map[string]json.RawMessage
 
 	current *subscription   // in use; nil: none
 	trials  []*subscription // that may come into use
@@ -73,6 +74,7 @@
 	acknowledged membership.Version // that the server in use was told last
 	calledAt     time.Duration      // when it was told
 	ackPending   bool               // the next call has its time because of a change
+	repairedAt   time.Duration      // when what may be missing was asked for last
 	ack          core.Deadline
 }
 
@@ -119,7 +121,7 @@
 			f.set.core.Log("membership: the list known at the start: " + err.Error())
 		} else {
 			f.keep(list.Settings)
-			f.resumable = true
+			f.resume, f.begun = f.version, true
 		}
 	}
 	f.step()
@@ -127,7 +129,7 @@
 
 // after is the version from which a server is asked to go on; 0: all of it.
 func (f *follower) after() membership.Version {
-	if !f.resumable {
+	if !f.begun {
 		return 0
 	}
 	return f.version
@@ -216,7 +218,7 @@
 		s.core.Log("membership: follows " + t.server.Address + " in zone " + t.server.Zone)
 	}
 	f.former, f.mute = t.server.Address, false
-	f.acknowledged, f.calledAt, f.ackPending = t.asked, now, false
+	f.acknowledged, f.calledAt, f.repairedAt, f.ackPending = t.asked, now, now, false
 	f.scheduleAcknowledgement()
 	f.step()
 }
@@ -256,26 +258,31 @@
 	}
 	loop := f.set.core.Loop
 	now := loop.Now()
-	switch {
-	case !f.resumable: // it would be answered by a snapshot, of which one was refused
-		loop.Set(&f.ack, max(f.calledAt+retrySnapshot, now))
-	case f.version == f.acknowledged && t.failed == 0:
+	if f.version == f.acknowledged && t.failed == 0 || !f.begun {
 		loop.Set(&f.ack, max(f.calledAt+idleAcknowledge, now))
-	default:
-		f.ackPending = true
-		spread := time.Duration(f.rng.Int64N(int64(f.config.Acknowledge)))
-		loop.Set(&f.ack, max(f.calledAt+f.config.Acknowledge, now+spread))
+		return
 	}
+	f.ackPending = true
+	spread := time.Duration(f.rng.Int64N(int64(f.config.Acknowledge)))
+	loop.Set(&f.ack, max(f.calledAt+f.config.Acknowledge, now+spread))
 }
 
 // acknowledge calls the server in use. What the answer holds that the watch has
-// missed is applied.
+// missed is applied. Now and then it asks for what a refused change left out.
 func (f *follower) acknowledge() {
 	f.ackPending = false
 	t := f.current
 	if t == nil || t.calling || t.ignoresAfter {
 		return
 	}
-	f.calledAt = f.set.core.Loop.Now()
-	t.call(t.acknowledged)
+	now := f.set.core.Loop.Now()
+	f.calledAt = now
+	after, every := f.version, idleAcknowledge
+	if f.resume == 0 {
+		every = repairSnapshot
+	}
+	if f.resume < f.version && now-f.repairedAt >= every {
+		f.repairedAt, after = now, f.resume
+	}
+	t.call(after, t.acknowledged)
 }
