Operator table [membership]: which servers of versioned changes are followed

Off by default; a wrong key or zone is one line that names it and stops the start or leaves a reload without effect; SIGHUP takes over other servers and another zone. hollyyoke check prints the keys.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	backends *platform.Backends
 	fronts   fronts
 	entry    *entry.Entry       // who decides on connections; nil: nobody
+	follows  bool               // versioned changes are followed in place of the discovery watch
 	config   config             // in force
 	told     hollyyoke.Settings // as the file words them
 	listener stdnet.Listener
@@ -462,9 +463,10 @@
 // ---- What is told anew, and the planned end.
 
 // reload takes over from a file read anew what can change while the program
-// runs: where discovery is. A file of which any part is wrong changes nothing;
-// what needs a restart is named in the log.
-func (n *node) reload(next config, now hollyyoke.Settings, table settings.Connections, err error) {
+// runs: where discovery is, the bounds on connections, and from which servers
+// versioned changes are followed. A file of which any part is wrong changes
+// nothing; what needs a restart is named in the log.
+func (n *node) reload(next config, now hollyyoke.Settings, operator settings.Operator, err error) {
 	d, b, c := n.core, n.backends, n.config
 	if err == nil {
 		err = b.CheckList(next.Known)
@@ -474,9 +476,17 @@
 			err = fmt.Errorf("config: %w", err)
 		}
 	}
+	var servers platform.FollowConfig
+	if err == nil && operator.Membership.On != n.follows {
+		err = errors.New("membership.on: only a restart turns it on or off")
+	}
+	if err == nil {
+		servers, err = follow(&operator.Membership, &n.config, &n.told)
+	}
 	var g entry.Config
+	table := &operator.Connections
 	if err == nil && n.entry != nil {
-		if g, err = guard(&table, n.config.clients()); err == nil && !table.On {
+		if g, err = guard(table, n.config.clients()); err == nil && !table.On {
 			err = errors.New("connections.on: only a restart turns it off")
 		}
 		if err == nil {
@@ -490,6 +500,10 @@
 	if n.entry != nil {
 		d.Log("reload: bounds on connections are as the operator's file says")
 	}
+	if n.follows {
+		b.Follow(servers)
+		d.Log(fmt.Sprintf("reload: versioned changes come from %d servers, zone %q first", len(servers.Servers), servers.Zone))
+	}
 	var restart []string
 	for name, changed := range map[string]bool{
 		"name": next.Name != c.Name, "listen": next.Listen != c.Listen, "admin_addr": next.Admin != c.Admin, "limits": next.Limits != c.Limits,
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -47,6 +47,7 @@
 	faktory     faktory.Config
 	hasFaktory  bool
 	connections settings.Connections
+	membership  settings.Membership
 }
 
 func load(f Files, env func(string) string) (l loaded, err error) {
@@ -60,7 +61,7 @@
 		if err != nil {
 			return l, fmt.Errorf("%s: %w", f.Operator, err)
 		}
-		l.connections = o.Connections
+		l.connections, l.membership = o.Connections, o.Membership
 		if o.HasFaktory && f.Faktory != "" {
 			return l, fmt.Errorf("%s: faktory: --faktory names a file for it too", f.Operator)
 		}
@@ -97,6 +98,15 @@
 	return g, nil
 }
 
+// follow makes what the table [membership] says ready for use.
+func follow(m *settings.Membership, c *config, s *hollyyoke.Settings) (f platform.FollowConfig, err error) {
+	if f.Zone, f.Servers, f.Acknowledge, err = m.Ready(s); err != nil {
+		return f, fmt.Errorf("membership.%w", err)
+	}
+	f.Name, f.Seed = c.Name, c.seed()
+	return f, nil
+}
+
 // Check reads what Serve would read, and tells it. An error names what is wrong.
 func Check(f Files, env func(string) string, out io.Writer) error {
 	l, err := load(f, env)
@@ -132,7 +142,11 @@
 		if _, err := guard(&l.connections, c.clients()); err != nil {
 			return fmt.Errorf("%s: %w", f.Operator, err)
 		}
+		if _, err := follow(&l.membership, c, &l.settings); err != nil {
+			return fmt.Errorf("%s: %w", f.Operator, err)
+		}
 		l.connections.Explain(out)
+		l.membership.Explain(out)
 	}
 	fmt.Fprintln(out, "good")
 	return nil
@@ -313,6 +327,14 @@
 		return err
 	}
 	n := &node{core: d, engine: engine, backends: backends, config: c, told: told}
+	if l.membership.On {
+		servers, err := follow(&l.membership, &c, &told)
+		if err != nil {
+			return fmt.Errorf("%s: %w", f.Operator, err)
+		}
+		backends.Follow(servers)
+		n.follows = true
+	}
 	if l.connections.On {
 		g, err := guard(&l.connections, c.clients())
 		if err == nil {
@@ -380,7 +402,7 @@
 					err = fmt.Errorf("%s: %w", f.Operator, err)
 				}
 			}
-			loop.Post(func() { n.reload(next, now, o.Connections, err) })
+			loop.Post(func() { n.reload(next, now, o, err) })
 		}
 	}()
 	go func() {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -23,6 +23,7 @@
 // Operator is the operator's file.
 type Operator struct {
 	Connections Connections
+	Membership  Membership
 	HasFaktory  bool // it has a table [faktory]
 }
 
@@ -86,6 +87,7 @@
 	}
 	var file struct {
 		Connections Connections     `toml:"connections"`
+		Membership  Membership      `toml:"membership"`
 		Faktory     *toml.Primitive `toml:"faktory"`
 	}
 	meta, err := toml.Decode(string(text), &file)
@@ -110,6 +112,10 @@
 	if _, _, _, _, err := o.Connections.Ready(1000); err != nil {
 		return o, fmt.Errorf("connections.%w", err)
 	}
+	o.Membership = file.Membership
+	if err := o.Membership.Check(); err != nil {
+		return o, fmt.Errorf("membership.%w", err)
+	}
 	return o, nil
 }
 
@@ -182,15 +188,18 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Explain prints a table's keys, their values and what they are for.
-func (c *Connections) Explain(w io.Writer) {
-	v := reflect.ValueOf(*c)
+// Explain prints the table's keys, their values and what they are for.
+func (c *Connections) Explain(w io.Writer) { explain(w, "connections", *c) }
+
+// explain prints a table's keys, their values and what they are for.
+func explain(w io.Writer, table string, value any) {
+	v := reflect.ValueOf(value)
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
 		help := f.Tag.Get("help")
 		if help == "" {
 			help = "(as for an address)"
 		}
-		fmt.Fprintf(w, "connections.%s = %v  # %s\n", f.Tag.Get("toml"), v.Field(i).Interface(), help)
+		fmt.Fprintf(w, "%s.%s = %v  # %s\n", table, f.Tag.Get("toml"), v.Field(i).Interface(), help)
 	}
 }
--- /dev/null
+++ b/internal/settings/operator_test.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/membership"
+)
+
+func operatorFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// A table that is wrong is told by its key, also while it is off.
+func TestMembershipTableNamesTheKey(t *testing.T) {
+	const server = "[[membership.servers]]\naddress = "
+	for text, want := range map[string]string{
+		"on = true":              "membership.servers: none",
+		"on = 1":                 "membership.on",
+		"follow = true":          "membership.follow: unknown key",
+		"acknowledge_ms = -1":    "membership.acknowledge_ms: -1",
+		"acknowledge_ms = 60000": "membership.acknowledge_ms: 60000",
+		server + `"10.0.0.1"`:    "membership.servers[0].address",
+		server + `"10.0.0.1:0"`:  "membership.servers[0].address",
+		server + `":8601"`:       "membership.servers[0].address",
+		server + `"a:1"` + "\n" + server + `"a:1"`:           "membership.servers[1].address: a:1 stands there twice",
+		server + `"a:1"` + "\n[[membership.servers]]\nx = 1": "membership.servers.x: unknown key",
+	} {
+		_, err := ReadOperator(operatorFile(t, "[membership]\n"+text+"\n"), nil)
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+}
+
+func TestMembershipTable(t *testing.T) {
+	o, err := ReadOperator(operatorFile(t, `
+[membership]
+on = true
+[[membership.servers]]
+zone = "z2"
+address = "127.0.0.1:8601"
+[[membership.servers]]
+address = "127.0.0.1:8600"
+`), nil)
+	if err != nil || !o.Membership.On {
+		t.Fatalf("%+v, %v", o.Membership, err)
+	}
+	s := hollyyoke.Settings{Zone: 1, ZoneNames: []string{"z1", "z2"}}
+	zone, servers, acknowledge, err := o.Membership.Ready(&s)
+	want := []membership.Server{{Zone: "z2", Address: "127.0.0.1:8601"}, {Address: "127.0.0.1:8600"}}
+	if zone != "z2" || acknowledge != time.Second || err != nil || len(servers) != 2 || servers[0] != want[0] || servers[1] != want[1] {
+		t.Errorf("%q %v %v %v", zone, servers, acknowledge, err)
+	}
+	o.Membership.Servers[0].Zone = "z3"
+	if _, _, _, err := o.Membership.Ready(&s); err == nil || !strings.Contains(err.Error(), `servers[0].zone: the settings have no zone "z3"`) {
+		t.Errorf("an unknown zone: %v", err)
+	}
+	o.Membership.Zone = "z4"
+	if _, _, _, err := o.Membership.Ready(&s); err == nil || !strings.Contains(err.Error(), "zone: ") {
+		t.Errorf("an unknown zone: %v", err)
+	}
+	if o, err = ReadOperator(operatorFile(t, "[connections]\non = false\n"), nil); err != nil || o.Membership.On {
+		t.Errorf("without the table: %+v, %v", o.Membership, err)
+	}
+}
