--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -40,6 +40,9 @@
 	Service func(out bool) error    // out of service or back in; an error is a no, worded for the caller
 	Entry   *entry.Entry            // who decides on connections; nil: nobody
 	Jobs    func() *durable.Service // the durable jobs; nil: there are none here
+
+	// Membership tells how the dispatcher hears of workers and settings; nil: not told.
+	Membership func() platform.ControlStats
 }
 
 // Door is the operators' door. It belongs to the loop's goroutine.
@@ -198,6 +201,8 @@
 		method, act = "PUT", func() { k.service(true) }
 	case "/control/in-service":
 		method, act = "PUT", func() { k.service(false) }
+	case "/control/membership":
+		act = k.membership
 	case "/control/connections":
 		act = k.connections
 	case "/control/connections/bar":
@@ -324,6 +329,15 @@
 	k.door.desk.Jobs().Snapshot(values.Get("name"), k.done)
 }
 
+// membership tells which version of the list is in force, and what it took to hear of it.
+func (k *call) membership() {
+	if k.door.desk.Membership == nil {
+		k.answer(409, "membership is not told here\n", "")
+		return
+	}
+	k.tell(k.door.desk.Membership())
+}
+
 const undecided = "connections are not decided on: no operator's file says so\n"
 
 // connections tells who is there and who was refused.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -384,7 +384,11 @@
 		}
 	}
 	if c.Admin != "" {
-		door := control.New(d, engine, backends, control.Desk{Ready: n.ready, Service: n.service, Entry: n.entry, Jobs: func() *durable.Service { return n.fronts.faktory.Jobs() }})
+		desk := control.Desk{
+			Ready: n.ready, Service: n.service, Entry: n.entry, Membership: backends.ControlStats,
+			Jobs: func() *durable.Service { return n.fronts.faktory.Jobs() },
+		}
+		door := control.New(d, engine, backends, desk)
 		addr, err := door.Listen(c.Admin)
 		if err != nil {
 			return fmt.Errorf("config: admin_addr: %w", err)
--- a/internal/platform/relaychange.go
+++ b/internal/platform/relaychange.go
@@ -252,7 +252,6 @@
 func (f *follower) count(whole bool) {
 	control := &f.set.control
 	control.Applied++
-	control.Version = f.version
 	if whole {
 		control.Snapshots++
 	} else {
--- a/internal/platform/relaywatch.go
+++ b/internal/platform/relaywatch.go
@@ -100,15 +100,21 @@
 	s.follower = f
 }
 
-// ControlStats tells what the control connections have carried.
+// ControlStats tells what the control connections have carried: those to servers of
+// versioned changes, or the discovery watch, of which only the bytes are counted.
 func (s *Backends) ControlStats() ControlStats {
 	stats := s.control
-	if f := s.follower; f != nil {
-		stats.Version = f.version
-		if f.current != nil {
-			stats.Server = f.current.server.Address
+	f := s.follower
+	switch {
+	case f == nil:
+		if stats.Version = membership.Version(s.watch.seq); s.watch.live {
+			stats.Server = s.watch.addr
 		}
+		return stats
+	case f.current != nil:
+		stats.Server = f.current.server.Address
 	}
+	stats.Version = f.version
 	return stats
 }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -116,8 +116,10 @@
 		default:
 			w.conn = c
 			loop.Set(&w.due, loop.Now()+call)
-			c.Write([]byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
-				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n"))
+			call := []byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
+				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n")
+			w.set.control.BytesWritten += int64(len(call))
+			c.Write(call)
 		}
 	})
 }
@@ -170,6 +172,7 @@
 		return
 	}
 	defer w.set.engine.Pool.Put(b)
+	w.set.control.BytesRead += int64(len(b.Bytes()))
 	for w.conn == c && len(b.Bytes()) > 0 {
 		if w.in == nil {
 			w.in = w.set.engine.Pool.Get()
