--- /dev/null
+++ b/cmd/hollyyoke/membership_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/standin"
+)
+
+// A dispatcher whose operator's file says so follows versioned changes from the
+// servers in it. SIGHUP takes over other servers; a table that is wrong changes
+// nothing; and the admin API tells the version in force.
+func TestFollowsVersionedChanges(t *testing.T) {
+	w := operate(t, keep(t))
+	a, b := w.backend("s-1", done), w.backend("s-2", done)
+	origin := func(hosts ...*backend) *standin.Discovery {
+		d, err := standin.StartDiscovery(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { d.Close() })
+		for range 50 { // ahead of the list known at the start
+			d.Set()
+		}
+		for _, h := range hosts {
+			d.Set(listedHost(t, h))
+		}
+		return d
+	}
+	first, second := origin(a), origin(a, b)
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	table := func(text string) {
+		if err := os.WriteFile(path, []byte("[membership]\n"+text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server := func(d *standin.Discovery) string {
+		return fmt.Sprintf("on = true\n[[membership.servers]]\naddress = %q\n", d.Addr)
+	}
+	table(server(first))
+	w.start("-operator", path)
+	follows := func(d *standin.Discovery, version int) func() bool {
+		return func() bool {
+			var stats struct {
+				Version int
+				Server  string
+			}
+			_, text := w.door("GET", "/control/membership")
+			return json.Unmarshal([]byte(text), &stats) == nil && stats.Version == version && stats.Server == d.Addr
+		}
+	}
+	w.until("the first server is followed", follows(first, 51))
+	for text, want := range map[string]string{
+		"on = false": "membership.on: only a restart", "on = true": "membership.servers: none",
+		server(second) + "zone = \"nowhere\"\n": "membership.servers[0].zone",
+	} {
+		table(text)
+		w.signal(syscall.SIGHUP)
+		w.says(want)
+	}
+	if !follows(first, 51)() {
+		t.Error("a wrong table has changed something")
+	}
+	table(server(second))
+	w.signal(syscall.SIGHUP)
+	w.until("the second server is followed", follows(second, 52))
+	second.Set(standin.Host{Host: "s-1", Dial: "127.0.0.1:9", Health: "gone"})
+	w.until("its change is in force", follows(second, 53))
+	before := len(a.arrivals())
+	for i := range 10 {
+		if status, _, _ := w.post("renewal", fmt.Sprint("job-", i), "x", 0); status != 200 {
+			t.Errorf("job %d: %d", i, status)
+		}
+	}
+	if len(a.arrivals()) != before || len(b.arrivals()) != 10 {
+		t.Errorf("%d jobs went to the one that has gone, %d to the other", len(a.arrivals())-before, len(b.arrivals()))
+	}
+	select {
+	case q := <-w.watches:
+		t.Error("the discovery watch is open too: ", q)
+	default:
+	}
+	w.signal(syscall.SIGTERM)
+	if code := w.ended(); code != 0 || strings.Contains(w.log.String(), "panic") {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// listedHost is a backend as a stand-in for discovery lists it.
+func listedHost(t *testing.T, b *backend) (h standin.Host) {
+	t.Helper()
+	if err := json.Unmarshal([]byte(b.entry("ready")), &h); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
--- a/internal/platform/relaywatch_test.go
+++ b/internal/platform/relaywatch_test.go
@@ -10,6 +10,7 @@
 	"io"
 	stdnet "net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -42,9 +43,13 @@
 	gzip  bool
 }
 
+// serverHost is an address of the loopback network that this process has to
+// itself: a port of a server that is down must be free when it comes back.
+var serverHost = fmt.Sprintf("127.88.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+
 func newServer(t *testing.T) *server {
 	t.Helper()
-	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	ln, err := stdnet.Listen("tcp", serverHost+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
