--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -38,8 +38,7 @@
 	// Applied is called when a version followed has come into force; nil: nobody wants to know.
 	Applied func(v membership.Version)
 
-	// reconfigure puts changed settings in force, all or none; nil: none can change.
-	reconfigure func(changes []setting) error
+	reconfigure func(changes []setting) error // puts changed settings in force, all or none
 
 	follower *follower // follows versioned changes in place of the watch; nil: the watch is open
 	control  ControlStats
@@ -129,6 +128,7 @@
 	s := &Backends{core: c, engine: e, hosts: map[string]*backend{}, lines: map[uint64]*line{}, hold: holdTime, calm: settleTime}
 	s.watch = watch{set: s, addr: discovery}
 	s.watch.due.Fire = s.watch.expire
+	s.reconfigure = s.reconfigureCore
 	s.due.Fire = func() { s.begin(nil) }
 	c.Listen(s)
 	return s
--- a/internal/platform/relaychange.go
+++ b/internal/platform/relaychange.go
@@ -11,6 +11,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/membership"
+	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
 // This file owns versioned changes: how they are read, checked and put in force.
@@ -212,17 +213,27 @@
 	return entries, f.reconfigure(c.settings)
 }
 
-// reconfigure hands changed settings to the core, which takes all or none.
+// reconfigure hands changed settings on; all are taken or none.
 func (f *follower) reconfigure(changes []setting) error {
 	if len(changes) == 0 {
 		return nil
 	}
-	if f.set.reconfigure == nil {
-		return fmt.Errorf("settings[0]: %s cannot change while the program runs", changes[0].Key)
-	}
 	return f.set.reconfigure(changes)
 }
 
+// reconfigureCore hands changed settings to the core. The list that goes with them
+// follows in the same turn of the loop.
+func (s *Backends) reconfigureCore(changes []setting) error {
+	list := make([]settings.Change, 0, len(changes))
+	for _, c := range changes {
+		list = append(list, settings.Change(c))
+	}
+	if err := s.core.Reconfigure(list); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return nil
+}
+
 // refuse logs a change that is wrong, once.
 func (f *follower) refuse(v membership.Version, err error) {
 	if v <= f.refused {
--- a/internal/platform/relaywatch_test.go
+++ b/internal/platform/relaywatch_test.go
@@ -582,6 +582,26 @@
 	}
 }
 
+// Settings of a change come into force in the core, and one that may not change
+// while the program runs refuses the whole change.
+func TestSettingsReachTheCore(t *testing.T) {
+	home := newServer(t)
+	s := follow(t, 0, home).known(``)
+	watch := home.serveFirst(0, state(5, true, "a=ready"), 5)
+	watch.tell(`{"seq":6,"whole":false,"hosts":[],"settings":[{"key":"over_share_worth","value":0.25}]}`)
+	s.reaches(6, "a=ready")
+	watch.tell(`{"seq":7,"whole":false,"hosts":[{"host":"a","health":"gone"}],"settings":[{"key":"over_share_worth","value":0.5},{"key":"limits.max_attempts","value":9}]}`)
+	until(t, "it is refused", func() bool { return s.stats().Refused == 1 })
+	s.do(func() {
+		if worth := s.core.Settings.OverQuotaWorth; worth != 0.25 {
+			t.Errorf("the worth is %v", worth)
+		}
+	})
+	if got := s.hosts(); s.version() != 6 || got != "a=ready" || s.logged("limits.max_attempts") != 1 {
+		t.Errorf("version %d: %s; %q", s.version(), got, s.lines)
+	}
+}
+
 // onlyWorth takes changes of one setting, all or none, and tells them.
 func onlyWorth(told func()) func([]setting) error {
 	return func(changes []setting) error {
