--- a/internal/platform/relaywatch_test.go
+++ b/internal/platform/relaywatch_test.go
@@ -818,3 +818,71 @@
 		}
 	})
 }
+
+// After a refused change only the version before it is acknowledged as in force,
+// until a call brings what was left out.
+func TestWhatARefusedChangeLeftOut(t *testing.T) {
+	home := newServer(t)
+	s := follow(t, 0, home).known(``)
+	watch := home.serveFirst(0, state(5, true, "a=ready"), 5)
+	home.expect("after=5&name=d+1").answer(state(5, false))
+	until(t, "it is acknowledged", func() bool { return s.stats().Acknowledged == 1 })
+	watch.tell(state(6, false, "a=draining", "b=asleep"))
+	watch.tell(state(7, false, "c=ready"))
+	s.reaches(7, "a=ready c=ready")
+	home.expect("after=7&name=d+1&acked=5&fleet=1").answer(state(7, false))
+	until(t, "it is acknowledged", func() bool { return s.stats().Acknowledged == 2 })
+	s.do(func() { // the time of the next look at what is missing
+		s.backends.follower.repairedAt -= idleAcknowledge
+		s.backends.follower.acknowledge()
+	})
+	home.expect("after=5&name=d+1").answer(state(7, false, "a=draining", "b=ready", "c=ready"))
+	until(t, "what was left out is in force", func() bool { return s.hosts() == "a=draining b=ready c=ready" })
+	watch.tell(state(8, false, "c=gone"))
+	s.reaches(8, "a=draining b=ready")
+	home.expect("after=8&name=d+1")
+	s.do(func() {
+		if f := s.backends.follower; f.resume != 8 || s.backends.control.Refused != 1 {
+			t.Errorf("complete up to %d, %d refused", f.resume, s.backends.control.Refused)
+		}
+	})
+}
+
+// A delta that fits one state alone is not taken in by another: the server is
+// asked again.
+func TestDeltaForAnotherState(t *testing.T) {
+	home := newServer(t)
+	s := follow(t, 0, home).known(``)
+	watch := home.serveFirst(0, state(5, true, "a=ready", "b=ready"), 5)
+	home.expect("after=5&name=d+1").answer(state(6, false, "b=draining")) // the watch is still at 5
+	s.reaches(6, "a=ready b=draining")
+	exact := strings.Replace(state(8, false, "a=draining"), `"whole":false`, `"whole":false,"exact":true`, 1)
+	watch.tell(exact) // b has changed back meanwhile, which a delta from 5 does not tell
+	again := home.expect("after=6&name=d+1")
+	if s.version() != 6 || s.hosts() != "a=ready b=draining" {
+		t.Fatalf("version %d: %s", s.version(), s.hosts())
+	}
+	until(t, "the snapshot is in force", func() bool {
+		again.answer(state(8, true, "a=draining", "b=ready"))
+		select {
+		case again = <-home.came: // the first one may have been an acknowledgement that the watch's end overtook
+		default:
+		}
+		return s.version() == 8
+	})
+	s.reaches(8, "a=draining b=ready")
+}
+
+// An exact delta that fits is taken in as any other.
+func TestExactDeltaThatFits(t *testing.T) {
+	home := newServer(t)
+	s := follow(t, 0, home).known(``)
+	watch := home.serveFirst(0, state(5, true, "a=ready", "b=ready"), 5)
+	watch.tell(strings.Replace(state(8, false, "a=draining"), `"whole":false`, `"whole":false,"exact":true`, 1))
+	s.reaches(8, "a=draining b=ready")
+	s.do(func() {
+		if f := s.backends.follower; f.resume != 8 {
+			t.Errorf("complete up to %d", f.resume)
+		}
+	})
+}
