--- /dev/null
+++ b/internal/relay/config.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Config is the table [relay] of a relay's options file. Load fills in the defaults.
+type Config struct {
+	Name           string   `toml:"name" help:"this relay's name, unique among all subscribers of its upstream"`
+	Zone           string   `toml:"zone" help:"the zone it serves"`
+	Listen         string   `toml:"listen" help:"address for subscribers"`
+	AdminAddr      string   `toml:"admin_addr" help:"address of the admin API; empty: off"`
+	Upstreams      []string `toml:"upstreams" help:"addresses of discovery or of other relays, tried in order; read again on SIGHUP"`
+	LogChanges     int      `toml:"log_changes" help:"changed entries kept for resumption; older versions get a snapshot"`
+	BatchMs        int      `toml:"batch_ms" help:"least time between two deltas to a subscriber"`
+	UrgentBatchMs  int      `toml:"urgent_batch_ms" help:"the same for deltas with a worker that drains or has gone"`
+	BytesPerS      float64  `toml:"bytes_per_s" help:"sent to a subscriber, in the mean"`
+	BurstS         float64  `toml:"burst_s" help:"seconds of bytes_per_s that may be sent at once"`
+	AckExpiryS     int      `toml:"ack_expiry_s" help:"after which a silent subscriber no longer counts"`
+	StaleAfterMs   int      `toml:"stale_after_ms" help:"without an upstream after which watches are ended, so that subscribers try another server"`
+	WriteTimeoutMs int      `toml:"write_timeout_ms" help:"for one answer or line, after which a subscriber that does not read is disconnected"`
+	MaxSubscribers int      `toml:"max_subscribers" help:"open watches; further ones are answered 503"`
+}
+
+// Defaults returns the options that apply where the file has none.
+func Defaults() Config {
+	return Config{
+		LogChanges: 20_000, BatchMs: 50, UrgentBatchMs: 20, BytesPerS: 6000, BurstS: 60, AckExpiryS: 90,
+		StaleAfterMs: 2000, WriteTimeoutMs: 5000, MaxSubscribers: 2000,
+	}
+}
+
+// Load reads and checks an options file. Every error is one line that names the key.
+func Load(path string) (Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, err
+	}
+	file := struct {
+		Relay Config `toml:"relay"`
+	}{Defaults()}
+	meta, err := toml.Decode(string(text), &file)
+	if err != nil {
+		line, _, _ := strings.Cut(err.Error(), "\n")
+		return Config{}, errors.New(line)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return Config{}, fmt.Errorf("%s: unknown key", unknown[0])
+	}
+	if err := file.Relay.Check(); err != nil {
+		return Config{}, fmt.Errorf("relay.%w", err)
+	}
+	return file.Relay, nil
+}
+
+const maxName = 128 // bytes of a relay's or subscriber's name
+
+// Check refuses options that make no sense. The error names the key.
+func (c *Config) Check() error {
+	if err := checkName(c.Name); err != nil {
+		return fmt.Errorf("name: %w", err)
+	}
+	if err := checkAddress(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if c.AdminAddr != "" {
+		if err := checkAddress(c.AdminAddr); err != nil {
+			return fmt.Errorf("admin_addr: %w", err)
+		}
+	}
+	if err := checkUpstreams(c.Upstreams); err != nil {
+		return err
+	}
+	return c.checkNumbers()
+}
+
+func (c *Config) checkNumbers() error {
+	for _, n := range []struct {
+		key                string
+		value, least, most float64
+	}{
+		{"log_changes", float64(c.LogChanges), 1, 10_000_000},
+		{"batch_ms", float64(c.BatchMs), 0, 5000},
+		{"urgent_batch_ms", float64(c.UrgentBatchMs), 0, 200},
+		{"bytes_per_s", c.BytesPerS, 100, 1e9},
+		{"burst_s", c.BurstS, 1, 3600},
+		{"ack_expiry_s", float64(c.AckExpiryS), 5, 3600},
+		{"stale_after_ms", float64(c.StaleAfterMs), 100, 60_000},
+		{"write_timeout_ms", float64(c.WriteTimeoutMs), 10, 60_000},
+		{"max_subscribers", float64(c.MaxSubscribers), 1, 100_000},
+	} {
+		if !(n.value >= n.least && n.value <= n.most) {
+			return fmt.Errorf("%s: %g is not between %g and %g", n.key, n.value, n.least, n.most)
+		}
+	}
+	return nil
+}
+
+func checkUpstreams(upstreams []string) error {
+	if len(upstreams) == 0 {
+		return errors.New("upstreams: at least one is needed")
+	}
+	seen := map[string]bool{}
+	for i, address := range upstreams {
+		if err := checkAddress(address); err != nil {
+			return fmt.Errorf("upstreams[%d]: %w", i, err)
+		}
+		if seen[address] {
+			return fmt.Errorf("upstreams[%d]: %s is listed twice", i, address)
+		}
+		seen[address] = true
+	}
+	return nil
+}
+
+func checkAddress(address string) error {
+	_, port, err := net.SplitHostPort(address)
+	if err == nil && port == "" {
+		err = errors.New("no port")
+	}
+	if err != nil {
+		return fmt.Errorf("%q is no HOST:PORT", address)
+	}
+	return nil
+}
+
+func checkName(name string) error {
+	if name == "" {
+		return errors.New("is empty")
+	}
+	if len(name) > maxName {
+		return fmt.Errorf("is longer than %d bytes", maxName)
+	}
+	for _, c := range []byte(name) {
+		if c <= ' ' || c > '~' {
+			return fmt.Errorf("%q holds a character that is not printable ASCII", name)
+		}
+	}
+	return nil
+}
+
+// Explain prints each option with its value and what it is for.
+func (c *Config) Explain(out io.Writer) {
+	value := reflect.ValueOf(*c)
+	for i := range value.NumField() {
+		field := value.Type().Field(i)
+		if key := field.Tag.Get("toml"); key != "" {
+			fmt.Fprintf(out, "relay.%s = %v  # %s\n", key, value.Field(i).Interface(), field.Tag.Get("help"))
+		}
+	}
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
