--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -34,6 +35,8 @@
 	cancel    context.CancelFunc // ends the follower
 	followed  chan struct{}      // closed when it has ended
 	stopState chan struct{}
+	closing   sync.Once
+	closed    error
 }
 
 // Start listens and starts to follow the first upstream. Until it has a first
@@ -109,6 +112,11 @@
 // Close ends watches in order, refuses further calls and waits until all is
 // answered, for a bounded time.
 func (r *Relay) Close() error {
+	r.closing.Do(func() { r.closed = r.close() })
+	return r.closed
+}
+
+func (r *Relay) close() error {
 	r.cancel()
 	<-r.followed
 	r.state.send(endMessage{})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -211,7 +211,7 @@
 	out.Write(append(text, '\n'))
 }
 
-// boundedListener closes connections beyond a limit at once.
+// boundedListener is a TCP listener that closes connections beyond a limit at once.
 type boundedListener struct {
 	net.Listener
 	limit int64
@@ -229,15 +229,15 @@
 			conn.Close()
 			continue
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			tcp.SetWriteBuffer(sendBuffer) // else the kernel's default holds
-		}
-		return &boundedConn{Conn: conn, listener: l}, nil
+		tcp := conn.(*net.TCPConn)
+		tcp.SetWriteBuffer(sendBuffer) // else the kernel's default holds
+		return &boundedConn{TCPConn: tcp, listener: l}, nil
 	}
 }
 
+// boundedConn is a TCP connection, so that the server can end its sending first.
 type boundedConn struct {
-	net.Conn
+	*net.TCPConn
 	listener *boundedListener
 	closed   atomic.Bool
 }
@@ -246,5 +246,5 @@
 	if !c.closed.Swap(true) {
 		c.listener.open.Add(-1)
 	}
-	return c.Conn.Close()
+	return c.TCPConn.Close()
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -13,7 +13,7 @@
 // its messages and its timer.
 
 const (
-	snapshotReuse   = time.Second            // a snapshot is given out that long, with deltas to follow
+	snapshotReuse   = 250 * time.Millisecond // a snapshot is given out that long, with deltas to follow
 	scanInterval    = 5 * time.Millisecond   // least time between two looks at what is due, but for a change's arrival
 	upkeepInterval  = 100 * time.Millisecond // of acknowledgements, expiry and upstream's absence
 	maxPeersPerOpen = 4                      // names remembered for each watch that may be open
