--- /dev/null
+++ b/internal/membership/failover_test.go
@@ -0,0 +1,85 @@
+package membership
+
+import (
+	"testing"
+	"time"
+)
+
+func TestFailoverTriesTheNextAtOnce(t *testing.T) {
+	f := NewFailover([]string{"a", "b", "c"}, 1)
+	for _, want := range []string{"a", "b", "c"} {
+		server, wait := f.Next(0)
+		if server != want || wait != 0 {
+			t.Errorf("%s after %v, not %s at once", server, wait, want)
+		}
+		f.Failed(0)
+	}
+	if server, wait := f.Next(0); server != "a" || wait < firstBackoff/2 || wait > firstBackoff {
+		t.Errorf("after a round: %s after %v", server, wait)
+	}
+}
+
+func TestFailoverKeepsWhatWorks(t *testing.T) {
+	f := NewFailover([]string{"a", "b"}, 1)
+	f.Failed(0)
+	f.Working()
+	if server, wait := f.Next(0); server != "b" || wait != 0 {
+		t.Errorf("%s after %v", server, wait)
+	}
+	f.Failed(0)
+	if server, wait := f.Next(0); server != "a" || wait != 0 {
+		t.Errorf("%s after %v", server, wait)
+	}
+}
+
+// The pause is bounded, so that 6 s hold from the moment an upstream is reachable.
+func TestFailoverBackoffIsBounded(t *testing.T) {
+	f := NewFailover([]string{"a"}, 1)
+	now := time.Duration(0)
+	for range 1000 {
+		f.Failed(now)
+		_, wait := f.Next(now)
+		if wait < firstBackoff/2 || wait > mostBackoff {
+			t.Fatalf("wait %v", wait)
+		}
+		now += wait
+	}
+	if now < 500*time.Second {
+		t.Errorf("a thousand failures take %v: it does not back off", now)
+	}
+}
+
+func TestFailoverReportsThatAllAreBehind(t *testing.T) {
+	f := NewFailover([]string{"a", "b"}, 1)
+	f.Behind(0)
+	f.Behind(0)
+	if f.AllBehind(behindLimit) {
+		t.Error("reported within the limit")
+	}
+	if !f.AllBehind(behindLimit+1) || f.AllBehind(behindLimit+2) {
+		t.Error("not reported exactly once")
+	}
+	f.Working()
+	f.Behind(2 * behindLimit)
+	f.Failed(2 * behindLimit) // that it cannot be reached does not make it behind
+	if f.AllBehind(4 * behindLimit) {
+		t.Error("reported though one is only unreachable")
+	}
+}
+
+func TestFailoverReplace(t *testing.T) {
+	f := NewFailover([]string{"a", "b"}, 1)
+	f.Failed(0)
+	if !f.Replace([]string{"c", "b"}) {
+		t.Error("b is still listed")
+	}
+	if server, _ := f.Next(0); server != "b" {
+		t.Errorf("%s is called", server)
+	}
+	if f.Replace([]string{"d", "e"}) {
+		t.Error("b is no longer listed")
+	}
+	if server, wait := f.Next(0); server != "d" || wait != 0 {
+		t.Errorf("%s after %v", server, wait)
+	}
+}
--- /dev/null
+++ b/internal/relay/config_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "relay.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const goodOptions = `[relay]
+name = "r"
+listen = "127.0.0.1:0"
+upstreams = ["127.0.0.1:1"]
+`
+
+func TestLoadFillsInDefaults(t *testing.T) {
+	config, err := Load(write(t, goodOptions+"batch_ms = 70\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Defaults()
+	if config.BatchMs != 70 || config.BytesPerS != want.BytesPerS || config.LogChanges != want.LogChanges {
+		t.Errorf("%+v", config)
+	}
+}
+
+func TestLoadNamesTheKey(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{goodOptions + "burst = 3\n", "relay.burst: unknown key"},
+		{goodOptions + "[other]\nx = 1\n", "other: unknown key"},
+		{"[relay]\nlisten = \"127.0.0.1:0\"\nupstreams = [\"127.0.0.1:1\"]\n", "relay.name: is empty"},
+		{strings.Replace(goodOptions, `"r"`, `"a b"`, 1), "relay.name: "},
+		{strings.Replace(goodOptions, "127.0.0.1:0", "127.0.0.1", 1), "relay.listen: "},
+		{strings.Replace(goodOptions, `["127.0.0.1:1"]`, "[]", 1), "relay.upstreams: at least one"},
+		{strings.Replace(goodOptions, `["127.0.0.1:1"]`, `["127.0.0.1:"]`, 1), "relay.upstreams[0]: "},
+		{strings.Replace(goodOptions, `["127.0.0.1:1"]`, `["h:1", "h:1"]`, 1), "relay.upstreams[1]: h:1 is listed twice"},
+		{goodOptions + "admin_addr = \"x\"\n", "relay.admin_addr: "},
+		{goodOptions + "batch_ms = -1\n", "relay.batch_ms: "},
+		{goodOptions + "batch_ms = \"soon\"\n", "batch_ms"},
+		{goodOptions + "bytes_per_s = nan\n", "relay.bytes_per_s: "},
+		{goodOptions + "urgent_batch_ms = 900\n", "relay.urgent_batch_ms: "},
+		{goodOptions + "max_subscribers = 0\n", "relay.max_subscribers: "},
+	} {
+		_, err := Load(write(t, c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, not %q", c.text, err, c.want)
+		}
+	}
+}
+
+func TestDeployedOptions(t *testing.T) {
+	config, err := Load("../../deploy/relay.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if config.BatchMs != Defaults().BatchMs || config.MaxSubscribers != Defaults().MaxSubscribers {
+		t.Error("what the file calls defaults are not")
+	}
+	var out bytes.Buffer
+	config.Explain(&out)
+	if !strings.Contains(out.String(), `relay.name = relay-z1  # `) {
+		t.Errorf("%s", &out)
+	}
+}
