--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -254,9 +254,9 @@
 
 // refuse notes a change that was refused whole. The last good state stays.
 func (s *state) refuse(upstream string, version membership.Version, reason error) {
-	s.refusedCount++
 	repeated := len(s.refused) > 0 && s.refused[len(s.refused)-1].sameAs(upstream, version, reason)
-	if !repeated { // an upstream that repeats itself has one line in the log
+	if !repeated { // an upstream that repeats itself is counted and logged once
+		s.refusedCount++
 		s.log.Error("change refused, the last good one stays in force", "upstream", upstream, "version", version, "reason", reason)
 		s.refused = append(s.refused, Refusal{Time: time.Now(), Upstream: upstream, Version: version, Reason: reason.Error()})
 	}
--- a/internal/relay/status.go
+++ b/internal/relay/status.go
@@ -15,6 +15,7 @@
 	Zone          string             `json:"zone"`
 	Version       membership.Version `json:"version"`
 	Entries       int                `json:"entries"`
+	Complete      bool               `json:"complete"`     // nothing is missing by a refused change
 	AgeSeconds    float64            `json:"newest_age_s"` // since the newest version arrived
 	Upstream      string             `json:"upstream"`     // empty: none answers
 	UpstreamSince time.Time          `json:"upstream_since"`
@@ -58,6 +59,7 @@
 	have, _ := s.acks.InForce(now, s.store.Version())
 	status := Status{
 		Name: s.config.Name, Zone: s.config.Zone, Version: s.store.Version(), Entries: s.store.Len(),
+		Complete: s.store.Resume() == s.store.Version(),
 		Upstream: s.upstream, UpstreamSince: s.upstreamSince,
 		Subscribers: summary.Subscribers, Watches: s.subscribers.Len(), Lowest: summary.Lowest, HaveNewest: have,
 		Refused: append([]Refusal{}, s.refused...), RefusedCount: s.refusedCount,
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -27,7 +27,7 @@
 	answerTimeout   = 2500 * time.Millisecond // up to the head of an answer: discovery takes calls in turn
 	silenceTimeout  = 3 * time.Second         // between bytes; a watch has a line every 2 s at the latest
 	acknowledgeTime = time.Second             // between acknowledgements, where something has changed
-	repairTime      = 10 * time.Second        // between calls for what a refused change left out
+	repairTime      = 5 * time.Second         // between calls for what a refused change left out
 	mostObject      = 64 << 20                // bytes of one object, uncompressed
 )
 
