--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -19,7 +19,7 @@
 const generous = 60 * time.Second
 
 // eventually waits for a condition.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(generous); !condition(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -57,7 +57,7 @@
 }
 
 // startRelay starts a relay that ends with the test.
-func startRelay(t *testing.T, config Config) (*Relay, *logText) {
+func startRelay(t testing.TB, config Config) (*Relay, *logText) {
 	t.Helper()
 	text := &logText{}
 	r, err := Start(config, slog.New(slog.NewTextHandler(text, nil)))
--- a/internal/relay/upstream_test.go
+++ b/internal/relay/upstream_test.go
@@ -14,7 +14,7 @@
 // scriptedUpstream is an upstream that a test moves step by step, on raw
 // sockets. It shares no code with the relay.
 type scriptedUpstream struct {
-	t        *testing.T
+	t        testing.TB
 	listener net.Listener
 	watches  chan *scriptedWatch // each watch that is opened
 
@@ -31,7 +31,7 @@
 }
 
 // startScripted starts one at an address; a body answers all plain calls.
-func startScripted(t *testing.T, address, body string) *scriptedUpstream {
+func startScripted(t testing.TB, address, body string) *scriptedUpstream {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
