--- /dev/null
+++ b/cmd/hollyyoke-relay/bench_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/standin"
+)
+
+// BenchmarkRelay meters a relay's process from outside: what a change of one
+// worker costs it with a list of 21,000, by the number of its subscribers, and
+// its peak resident memory.
+func BenchmarkRelay(b *testing.B) {
+	for _, subscribers := range []int{13, 130, 1300} {
+		b.Run(strconv.Itoa(subscribers), func(b *testing.B) { benchmarkRelay(b, subscribers) })
+	}
+}
+
+func benchmarkRelay(b *testing.B, subscribers int) {
+	const workers = 21_000
+	hosts := make([]standin.Host, workers)
+	for i := range hosts {
+		hosts[i] = standin.Host{Host: fmt.Sprintf("s-%08x", i*0x9e3779b1), Dial: fmt.Sprintf("10.%d.%d.1:8080", i/250, i%250),
+			Site: "a", Class: "m2", Block: i / 40, Health: "ready", Share: 1, BornMs: 1_700_000_000_000 + int64(i)*977}
+	}
+	origin := discovery(b)
+	origin.Set(hosts...)
+	p := start(b, options(origin.Addr))
+	eventually(b, "snapshot", func() bool { return p.status().Version == 1 })
+	arrived := make(chan struct{}, subscribers)
+	for i := range subscribers {
+		follow(b, p.address, i, arrived)
+	}
+	before := p.status()
+	used := processorTime(b, p.command.Process.Pid)
+	b.ResetTimer()
+	for i := range b.N {
+		hosts[0].BornMs = int64(i)
+		origin.Set(hosts[0])
+		for range subscribers {
+			<-arrived
+		}
+	}
+	b.StopTimer()
+	used = processorTime(b, p.command.Process.Pid) - used
+	after := p.status()
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-µs/change")
+	b.ReportMetric(float64(after.SentBytes-before.SentBytes)/float64(b.N*subscribers), "B/change/subscriber")
+	b.ReportMetric(peakMemory(b, p.command.Process.Pid)/1e6, "peak-MB")
+}
+
+// follow makes the calls of a dispatcher that starts, and tells of each change
+// that its watch brings.
+func follow(b *testing.B, address string, number int, arrived chan<- struct{}) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { conn.Close() })
+	fmt.Fprintf(conn, "GET /v1/servers?watch=1&after=1&name=d%d HTTP/1.1\r\nHost: relay\r\n\r\n", number)
+	in := bufio.NewReader(conn)
+	nextLine := func() error {
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil || strings.HasPrefix(line, "{") {
+				return err
+			}
+		}
+	}
+	if err := nextLine(); err != nil { // the first one is empty
+		b.Fatal(err)
+	}
+	go func() {
+		for nextLine() == nil {
+			arrived <- struct{}{}
+		}
+	}()
+}
+
+// processorTime is what a process has used.
+func processorTime(b *testing.B, pid int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		b.Skip(err)
+	}
+	_, rest, _ := strings.Cut(string(text), ") ") // behind the name
+	fields := strings.Fields(rest)
+	const user, system, tick = 11, 12, 10 * time.Millisecond
+	ticks := 0
+	for _, field := range []int{user, system} {
+		n, err := strconv.Atoi(fields[field])
+		if err != nil {
+			b.Fatal(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * tick
+}
+
+// peakMemory is the most that was resident, in bytes.
+func peakMemory(b *testing.B, pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		b.Skip(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	kilobytes, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return kilobytes * 1024
+}
--- a/cmd/hollyyoke-relay/main_test.go
+++ b/cmd/hollyyoke-relay/main_test.go
@@ -35,7 +35,7 @@
 // generous is how long a condition may take; no verdict depends on less.
 const generous = 60 * time.Second
 
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(generous); !condition(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -46,7 +46,7 @@
 
 // process is a relay in a process of its own.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	command *exec.Cmd
 	options string // path of its options file
 	address string
@@ -77,7 +77,7 @@
 }
 
 // start runs one and waits until it listens.
-func start(t *testing.T, text string) *process {
+func start(t testing.TB, text string) *process {
 	t.Helper()
 	p := &process{t: t, options: filepath.Join(t.TempDir(), "relay.toml")}
 	p.write(text)
@@ -125,7 +125,7 @@
 	return status
 }
 
-func discovery(t *testing.T, hosts ...string) *standin.Discovery {
+func discovery(t testing.TB, hosts ...string) *standin.Discovery {
 	t.Helper()
 	d, err := standin.StartDiscovery(nil)
 	if err != nil {
--- a/internal/membership/store.go
+++ b/internal/membership/store.go
@@ -357,12 +357,6 @@
 	return s.resume + 1
 }
 
-// NeedsSnapshot tells whether Since answers a subscriber at version after with a
-// snapshot: it has nothing, or the log does not tell what it lacks.
-func (s *Store) NeedsSnapshot(after Version) bool {
-	return after <= 0 || after < s.trimmed || after < s.lastSnapshot && after != s.exactBase
-}
-
 // Snapshot gives the whole state, in the order of its keys: equal states make
 // equal snapshots. Its cost goes with the state; callers keep its line by version.
 func (s *Store) Snapshot() Change {
