--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -9,6 +9,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/membership"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
@@ -33,6 +34,15 @@
 
 	// Told is called when discovery has told something; nil: nobody wants to know.
 	Told func()
+
+	// Applied is called when a version followed has come into force; nil: nobody wants to know.
+	Applied func(v membership.Version)
+
+	// reconfigure puts changed settings in force, all or none; nil: none can change.
+	reconfigure func(changes []setting) error
+
+	follower *follower // follows versioned changes in place of the watch; nil: the watch is open
+	control  ControlStats
 }
 
 // backend is one backend as discovery told it last.
