--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,8 @@
 	if [ -n "$$bad" ]; then echo "fronts do not import each other, but one imports $$bad" >&2; exit 1; fi
 	@bad=$$(go list -deps ./internal/rehearsal/standin ./internal/rehearsal/hostile | grep -E 'internal/(platform|faktory|core|net)$$'); \
 	if [ -n "$$bad" ]; then echo "stand-ins must not share code with the fronts, but import $$bad" >&2; exit 1; fi
+	@bad=$$(go list -deps ./cmd/hollyyoke-relay | grep -E 'internal/(rehearsal|platform|faktory|core|net)$$|internal/rehearsal/'); \
+	if [ -n "$$bad" ]; then echo "the relay must link neither the kit nor the dispatcher, but imports $$bad" >&2; exit 1; fi
 
 # The daemon with the Faktory front on loopback, nothing else needed.
 run: build
--- a/internal/membership/failover.go
+++ b/internal/membership/failover.go
@@ -13,9 +13,9 @@
 	firstBackoff = 100 * time.Millisecond
 	mostBackoff  = time.Second
 
-	// steadyTime is how long an upstream works before its loss counts as the
+	// steadyUpstream is how long an upstream works before its loss counts as the
 	// first failure, so that ones that flap are called with growing pauses.
-	steadyTime = 2 * time.Second
+	steadyUpstream = 2 * time.Second
 
 	// behindLimit is how long all upstreams may be older before that is reported.
 	behindLimit = time.Minute
@@ -71,7 +71,7 @@
 }
 
 func (f *Failover) advance(now time.Duration) {
-	if f.working && now-f.workingFrom >= steadyTime {
+	if f.working && now-f.workingFrom >= steadyUpstream {
 		f.failures = 0
 	}
 	f.working = false
--- a/internal/membership/failover_test.go
+++ b/internal/membership/failover_test.go
@@ -23,12 +23,12 @@
 	f := NewFailover([]string{"a", "b"}, 1)
 	f.Failed(0)
 	f.Working(0)
-	f.Working(steadyTime)
-	if server, wait := f.Next(steadyTime); server != "b" || wait != 0 {
+	f.Working(steadyUpstream)
+	if server, wait := f.Next(steadyUpstream); server != "b" || wait != 0 {
 		t.Errorf("%s after %v", server, wait)
 	}
-	f.Failed(steadyTime)
-	if server, wait := f.Next(steadyTime); server != "a" || wait != 0 {
+	f.Failed(steadyUpstream)
+	if server, wait := f.Next(steadyUpstream); server != "a" || wait != 0 {
 		t.Errorf("%s after %v", server, wait)
 	}
 }
