Relays do not follow each other in a circle

Two relays that list each other behind the origin followed each other once it was gone: each took the other's blank lines for life, and neither called the origin again. A watch's Via header now names the relays that its changes came by; a relay leaves an upstream that names it, and has the relays below open their watches again when its own path changes.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -69,6 +69,9 @@
 	if err := checkName(c.Name); err != nil {
 		return fmt.Errorf("name: %w", err)
 	}
+	if strings.Contains(c.Name, ",") {
+		return fmt.Errorf("name: %q holds a comma", c.Name) // relays name each other in lists
+	}
 	if err := checkAddress(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"hollyyoke.example/hollyyoke/internal/membership"
@@ -26,18 +27,23 @@
 type openMessage struct {
 	name  string
 	after membership.Version
+	relay bool           // the caller is a relay
 	reply chan openReply // has room for one
 }
 
 type openReply struct {
 	id    membership.SubscriberID
 	watch *watch
+	path  []string // the relays that changes came by, this one first
 	err   error
 }
 
 func (m openMessage) handle(s *state) {
 	id, w, err := s.openWatch(m.name, m.after)
-	m.reply <- openReply{id, w, err}
+	if err == nil {
+		w.relay = m.relay
+	}
+	m.reply <- openReply{id, w, append([]string{s.config.Name}, s.path...), err}
 }
 
 // writtenMessage tells that a watch's line has been written.
@@ -185,10 +191,18 @@
 	m.reply <- position{s.store.Version(), s.store.Resume(), summary.Lowest, summary.Subscribers}
 }
 
-// upstreamMessage tells that an upstream brings changes; empty: none does.
-type upstreamMessage struct{ address string }
+// upstreamMessage tells that an upstream brings changes, by way of the relays
+// named, the nearest first. An empty address: none does.
+type upstreamMessage struct {
+	address string
+	path    []string
+}
 
 func (m upstreamMessage) handle(s *state) {
+	if m.address != "" && !slices.Equal(m.path, s.path) {
+		s.path = m.path
+		s.endRelayWatches()
+	}
 	if m.address == s.upstream {
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -604,6 +604,46 @@
 	eventually(t, "the other upstream", func() bool { return s.at(2) && r.Status().Upstream == b.address() })
 }
 
+// Two relays that may follow each other do not vouch for each other when the
+// origin is gone, and both find it again.
+func TestRelaysDoNotFollowEachOther(t *testing.T) {
+	origin := startScripted(t, "127.0.0.1:0", listJSON(1, true, hostJSON("x", "ready")))
+	address := origin.address()
+	relays := make([]*Relay, 3)
+	for i := range relays {
+		config := testConfig(address)
+		config.Name, config.StaleAfterMs = fmt.Sprintf("relay-%d", i), 100
+		relays[i], _ = startRelay(t, config)
+		eventually(t, "snapshot", relays[i].has(1))
+	}
+	for i, r := range relays {
+		next := relays[(i+1)%len(relays)].Addr().String()
+		if err := r.SetUpstreams([]string{address, next}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	origin.stop()
+	eventually(t, "none has an upstream", func() bool {
+		for _, r := range relays {
+			if status := r.Status(); status.Upstream != "" {
+				return false
+			}
+		}
+		return true
+	})
+	startScripted(t, address, listJSON(2, true, hostJSON("x", "draining")))
+	for _, r := range relays {
+		eventually(t, "the origin again", r.has(2))
+	}
+}
+
+func TestVia(t *testing.T) {
+	path := []string{"relay-a", "relay-b"}
+	if got := parseVia([]string{formatVia(path), "HTTP/1.0 proxy"}); !slices.Equal(got, path) {
+		t.Errorf("%q", got)
+	}
+}
+
 // An upstream that is silent for 3 s is left for the next one.
 func TestSilentUpstream(t *testing.T) {
 	a := startScripted(t, "127.0.0.1:0", listJSON(1, true, hostJSON("x", "ready")))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -146,7 +146,7 @@
 // watch answers with changes as they come, until the caller leaves, reads too
 // slowly, or the state ends it.
 func (h *handler) watch(out http.ResponseWriter, in *http.Request, call callMessage) {
-	open := openMessage{name: call.name, after: call.after, reply: make(chan openReply, 1)}
+	open := openMessage{name: call.name, after: call.after, relay: call.relay, reply: make(chan openReply, 1)}
 	if !h.state.send(open) {
 		refuse(out, errEnding)
 		return
@@ -158,12 +158,33 @@
 	}
 	defer h.state.send(closedMessage{opened.id})
 	out.Header().Set("Content-Type", "application/json")
+	out.Header().Set("Via", formatVia(opened.path))
 	if http.NewResponseController(out).Flush() != nil {
 		return
 	}
 	h.lines(out, in, opened)
 }
 
+// protocolVersion stands before each name in a Via header.
+const protocolVersion = "1.1 "
+
+// formatVia names the relays that changes came by.
+func formatVia(path []string) string {
+	return protocolVersion + strings.Join(path, ", "+protocolVersion)
+}
+
+// parseVia reads what formatVia wrote. Other forms name no relay.
+func parseVia(headers []string) (path []string) {
+	for _, header := range headers {
+		for via := range strings.SplitSeq(header, ",") {
+			if name, ok := strings.CutPrefix(strings.TrimSpace(via), protocolVersion); ok {
+				path = append(path, name)
+			}
+		}
+	}
+	return path
+}
+
 func (h *handler) lines(out http.ResponseWriter, in *http.Request, opened openReply) {
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -46,6 +46,7 @@
 
 	upstream      string // empty: none
 	upstreamSince time.Time
+	path          []string // the relays between it and the origin, the nearest first
 	upstreamLost  time.Duration
 	refused       []Refusal // oldest first
 	refusedCount  int
@@ -66,6 +67,7 @@
 // watch is an open watch. Its handler reads lines until ended is closed.
 type watch struct {
 	peer  *peer
+	relay bool       // its caller is a relay
 	lines chan *body // holds one line at most: the next one is due when it has been written
 	ended chan struct{}
 }
@@ -226,6 +228,17 @@
 	}
 }
 
+// endRelayWatches has the relays below open their watches again, so that they
+// learn by which relays changes come, and none follows itself over others.
+func (s *state) endRelayWatches() {
+	for id, w := range s.watches {
+		if w.relay {
+			close(w.ended)
+			s.remove(id, w)
+		}
+	}
+}
+
 func (s *state) remove(id membership.SubscriberID, w *watch) {
 	delete(s.watches, id)
 	s.subscribers.Remove(id)
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -28,6 +29,7 @@
 	silenceTimeout  = 3 * time.Second         // between bytes; a watch has a line every 2 s at the latest
 	acknowledgeTime = time.Second             // between acknowledgements, where something has changed
 	repairTime      = 5 * time.Second         // between calls for what a refused change left out
+	mostRelays      = 8                       // between the origin and this one
 	mostObject      = 64 << 20                // bytes of one object, uncompressed
 )
 
@@ -37,6 +39,9 @@
 // errRefusedSnapshot says that a snapshot, or what cannot be passed over, was refused.
 var errRefusedSnapshot = errors.New("its state was refused")
 
+// errLoop says that an upstream follows this relay, if over others.
+var errLoop = errors.New("it follows this relay")
+
 // errDoesNotFit says that a delta continues from another state than this relay's.
 var errDoesNotFit = errors.New("its delta does not fit")
 
@@ -63,12 +68,15 @@
 		IdleConnTimeout:       time.Minute,
 	}
 	return &follower{
-		state: s, name: config.Name, log: log, client: &http.Client{Transport: transport},
+		state: s, name: config.Name, log: log, client: &http.Client{Transport: transport, CheckRedirect: noRedirect},
 		failover: membership.NewFailover(config.Upstreams, seed.Sum64()), servers: make(chan []string),
 		working: make(chan struct{}), plain: map[string]bool{},
 	}
 }
 
+// noRedirect takes a redirect for what it is: not an answer.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // run follows until the context ends.
 func (f *follower) run(ctx context.Context) {
 	defer f.client.CloseIdleConnections()
@@ -154,10 +162,10 @@
 	}
 }
 
-// works tells that the present upstream brings changes.
-func (f *follower) works(server string) {
+// works tells that the present upstream brings changes, by way of other relays.
+func (f *follower) works(server string, path []string) {
 	f.working <- struct{}{}
-	f.state.send(upstreamMessage{server})
+	f.state.send(upstreamMessage{server, path})
 }
 
 // follow gets up to date with an upstream and watches it.
@@ -267,27 +275,31 @@
 	if !ok {
 		return net.ErrClosed
 	}
-	query := url.Values{"watch": {"1"}, "name": {f.name}, "after": {formatVersion(at.version)}}
+	query := url.Values{"watch": {"1"}, "name": {f.name}, "after": {formatVersion(at.version)}, "fleet": {strconv.Itoa(at.fleet)}}
 	response, err := f.get(ctx, server, query, "identity")
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
+	path := parseVia(response.Header.Values("Via"))
+	if slices.Contains(path, f.name) || len(path) > mostRelays {
+		return errLoop
+	}
 	alive := newWatchdog(response.Body, cancel)
 	defer alive.stop()
 	if !f.plain[server] { // else its version is known from its first line
-		f.works(server)
+		f.works(server, path)
 	}
 	var acknowledging sync.WaitGroup
 	defer acknowledging.Wait()
 	defer cancel()
 	acknowledging.Go(func() { f.acknowledge(ctx, server) })
-	return f.lines(server, at, alive)
+	return f.lines(server, path, at, alive)
 }
 
 // lines applies the objects of a watch. An object that is refused whole is
 // passed over; one that cannot be read ends the watch.
-func (f *follower) lines(server string, at position, in *watchdog) error {
+func (f *follower) lines(server string, path []string, at position, in *watchdog) error {
 	objects := json.NewDecoder(in)
 	base := at.version
 	first := true
@@ -320,7 +332,7 @@
 			return errDoesNotFit
 		}
 		if first {
-			f.works(server)
+			f.works(server, path)
 		}
 		base, first = max(base, change.Version), false
 	}
