--- a/dispatcher.go
+++ b/dispatcher.go
@@ -45,13 +45,12 @@
 
 // begin derives the times from the settings and starts permissive.
 func (d *Dispatcher) begin() {
-	longest, shortest := time.Duration(0), time.Duration(math.MaxInt64)
+	longest := time.Duration(0)
 	for i, c := range d.s.Classes {
 		longest = max(longest, c.Deadline)
-		shortest = min(shortest, max(c.Aim, c.Deadline/50))
 		d.classWork[i] = max(c.Aim, d.s.Tick).Seconds()
 	}
-	d.horizon, d.beat = max(longest/4, d.s.Tick), max(shortest/2, d.s.Tick)
+	d.horizon, d.beat = max(longest/4, d.s.Tick), d.beatInterval()
 	d.bucket, d.perSlot, d.own = math.Inf(1), startSlots/float64(d.s.Peers), 2*leastOwn
 	d.perRate, d.idleSafe = d.perSlot, cmp.Or(d.s.ConnIdle, math.MaxInt64/2)
 	if d.homesFrom = mostHomes; d.s.FetchPrice > 0 {
@@ -81,6 +80,8 @@
 		d.timer(ev.Timer)
 	case ColdCharge:
 		d.charged(d.workers[ev.Worker], ev.Charge)
+	case Reconfigured:
+		d.reconfigure(ev.Settings)
 	}
 	d.drain()
 	out, d.actions = d.actions, nil
@@ -144,10 +145,7 @@
 	d.live = append(d.live, r)
 	d.startBeat()
 	d.enqueue(r)
-	for i := 0; i < min(probes, len(d.pool)) && d.s.Probing && d.s.ReportsByProbe; i++ {
-		d.probeNext++ // the own set in turn
-		d.act(Action{Kind: Probe, Worker: d.pool[d.probeNext%min(d.own, len(d.pool))].Worker})
-	}
+	d.probe()
 }
 
 // overQuota tells whether an arrival is beyond its tenant's quota: an even part, or that of the traffic here.
@@ -246,16 +244,17 @@
 
 func (d *Dispatcher) pick(r *request) *worker {
 	// A cold worker with room comes first. Guards against newcomers, in few own sets, idle until warm.
-	if w := d.lower(r, d.fresh); w != nil {
+	if w := d.lower(r, d.fresh, inFresh); w != nil {
 		return w
 	}
-	w := d.lower(r, d.pool)
+	w := d.lower(r, d.pool, inPool)
 	left, price := max(r.aim-d.now, 0).Seconds(), max(homeBias*d.s.FetchPrice, homeShare)
 	if n := d.lowerHome(r); n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
 		return n
 	}
 	if price = nearBias * d.s.CrossZonePrice; price > 0 && (w == nil || w.Zone != d.s.Zone) { // two near
-		if n := d.lower(r, d.near); n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
+		n := d.lower(r, d.near, inNear)
+		if n != nil && (w == nil || d.delay(r, n)-d.delay(r, w) < price*left) {
 			return n
 		}
 	}
@@ -265,22 +264,21 @@
 // lowerHome samples a key's homes: where a fetch has a price, the next two on a common ring, else more.
 func (d *Dispatcher) lowerHome(r *request) (w *worker) {
 	for n := d.homesFrom; n <= mostHomes && w == nil && r.home != 0; n *= 2 {
-		w = d.lower(r, d.homesOf(r.home, n))
+		w = d.lower(r, d.homesOf(r.home, n), inHomes)
 	}
 	return w
 }
 
 // lower draws workers until two are ready and returns the one with the lower expected delay. The own set, the
 // head of a random stable order, comes first, lest knowledge of all be old. Draws are bounded for CPU.
-func (d *Dispatcher) lower(r *request, from []*worker) (best *worker) {
+func (d *Dispatcher) lower(r *request, from []*worker, id listID) (best *worker) {
 	for i, found, drawn := 0, 0, 0; i < len(from) && drawn < mostDraws && found < 2; i++ {
 		span := len(from)
 		if i < d.own { // the own set first, all others only when it has not two ready
 			span = min(span, d.own)
 		}
-		j := i + d.rng.IntN(span-i)
-		w := from[j]
-		from[i], from[j] = w, from[i]
+		swap(from, id, i, i+d.rng.IntN(span-i))
+		w := from[i]
 		weight := 2 // cold ones have room seldom: all are drawn, the first with room is taken
 		if d.warmth(w) >= 1 {
 			drawn, weight = drawn+1, 1
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
 // This file owns reqs and their attempts: it turns what fronts and carriers
@@ -113,6 +114,7 @@
 	outstanding Table[outstanding]
 	sources     []Carrier // those that list backends
 	listed      map[string]listing
+	ready       int // those listed that take new work
 	pending     []hollyyoke.Event
 	actions     []hollyyoke.Action
 	handling    bool
@@ -300,14 +302,7 @@
 }
 
 // Backends is the number of backends listed that take new work.
-func (c *Core) Backends() (ready int) {
-	for _, l := range c.listed {
-		if l.entry.State == hollyyoke.Running {
-			ready++
-		}
-	}
-	return ready
-}
+func (c *Core) Backends() (ready int) { return c.ready }
 
 // Take takes a req. From now on a final answer is owed to front under token.
 // It returns the req's handle, for HangUp; the answer may come before it returns.
@@ -499,6 +494,18 @@
 	c.handle(hollyyoke.Event{Kind: hollyyoke.ProbeResult, Worker: backend, Outcome: o, Load: load})
 }
 
+// Reconfigure makes changes of the settings, all or none: an error names the key that is refused.
+// Requests that are open go on with what was decided for them.
+func (c *Core) Reconfigure(changes []settings.Change) error {
+	next := c.Settings
+	if err := settings.Apply(&next, changes); err != nil {
+		return err
+	}
+	c.Settings = next
+	c.handle(hollyyoke.Event{Kind: hollyyoke.Reconfigured, Settings: &next})
+	return nil
+}
+
 // Listen makes a carrier a source of backends.
 func (c *Core) Listen(source Carrier) { c.sources = append(c.sources, source) }
 
@@ -509,7 +516,7 @@
 	if kind == hollyyoke.ListComplete || kind == hollyyoke.ListPersisted {
 		for name, l := range c.listed {
 			if l.source == source {
-				delete(c.listed, name)
+				c.unlist(name)
 			}
 		}
 		var others []hollyyoke.Entry
@@ -528,15 +535,26 @@
 		c.Trace("", "list", "kind", kind, "entries", len(entries))
 	}
 	for _, e := range entries {
-		if e.State == hollyyoke.Deleted {
-			delete(c.listed, e.Worker)
-		} else {
+		c.unlist(e.Worker)
+		if e.State != hollyyoke.Deleted {
 			c.listed[e.Worker] = listing{e, source}
 		}
+		if e.State == hollyyoke.Running {
+			c.ready++
+		}
 	}
 	c.handle(ev)
 }
 
+// unlist forgets a backend, if it is listed.
+func (c *Core) unlist(name string) {
+	l, ok := c.listed[name]
+	if ok && l.entry.State == hollyyoke.Running {
+		c.ready--
+	}
+	delete(c.listed, name)
+}
+
 // ---- What the module wants done.
 
 // handle feeds the module. What an action brings about at once waits its turn.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,11 +1,15 @@
 package core
 
 import (
+	"encoding/json"
+	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
 // Deadlines fire in order of time, then of setting; moved and withdrawn ones
@@ -370,3 +374,62 @@
 type answers func(Answer)
 
 func (f answers) Answer(_ uint64, a Answer) { f(a) }
+
+// The number of backends that take new work is kept by difference; it must be that of a count anew.
+func TestBackendsAreCountedByDifference(t *testing.T) {
+	c, err := New(NewLoop(), hollyyoke.Settings{Classes: []hollyyoke.Class{{Deadline: time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	one, other := &model{t: t, core: c}, &model{t: t, core: c}
+	entry := func(name string, state hollyyoke.WorkerState) hollyyoke.Entry {
+		return hollyyoke.Entry{Worker: name, State: state}
+	}
+	const running, stopping, deleted = hollyyoke.Running, hollyyoke.Stopping, hollyyoke.Deleted
+	for i, step := range []struct {
+		source  *model
+		kind    hollyyoke.ListKind
+		entries []hollyyoke.Entry
+		want    int
+	}{
+		{one, hollyyoke.ListPersisted, []hollyyoke.Entry{entry("a", running), entry("b", stopping), entry("a", running)}, 1},
+		{other, hollyyoke.ListComplete, []hollyyoke.Entry{entry("c", running), entry("d", running)}, 3},
+		{one, hollyyoke.ListChanges, []hollyyoke.Entry{entry("b", running), entry("a", stopping), entry("e", deleted)}, 3},
+		{one, hollyyoke.ListChanges, []hollyyoke.Entry{entry("b", deleted), entry("b", deleted), entry("a", stopping)}, 2},
+		{other, hollyyoke.ListComplete, []hollyyoke.Entry{entry("d", running)}, 1},
+		{one, hollyyoke.ListError, nil, 1},
+		{other, hollyyoke.ListComplete, nil, 0},
+	} {
+		c.List(step.source, step.kind, step.entries)
+		anew := 0
+		for _, l := range c.listed {
+			if l.entry.State == running {
+				anew++
+			}
+		}
+		if c.Backends() != step.want || anew != step.want {
+			t.Errorf("step %d: %d backends take new work, counted anew %d, want %d", i, c.Backends(), anew, step.want)
+		}
+	}
+}
+
+// Settings change while a request is open, or not at all.
+func TestReconfigure(t *testing.T) {
+	class := hollyyoke.Class{Worth: 1, Deadline: time.Second}
+	c, err := New(NewLoop(), hollyyoke.Settings{Classes: []hollyyoke.Class{class}, TenantQuotas: []float64{5}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(key, value string) settings.Change {
+		return settings.Change{Key: key, Value: json.RawMessage(value)}
+	}
+	before := c.Settings
+	err = c.Reconfigure([]settings.Change{change("projects[0].quota_per_s", "7"), change("classes[1].worth", "2")})
+	if err == nil || !strings.Contains(err.Error(), "classes[1].worth") || !reflect.DeepEqual(c.Settings, before) {
+		t.Fatalf("%v, %+v", err, c.Settings)
+	}
+	err = c.Reconfigure([]settings.Change{change("projects[0].quota_per_s", "7"), change("classes[0].worth", "2")})
+	if err != nil || c.Settings.TenantQuotas[0] != 7 || c.Settings.Classes[0].Worth != 2 || before.TenantQuotas[0] != 5 {
+		t.Fatalf("%v, %+v, before %+v", err, c.Settings, before)
+	}
+}
--- a/internal/platform/relaywatch_test.go
+++ b/internal/platform/relaywatch_test.go
@@ -10,6 +10,7 @@
 	"io"
 	stdnet "net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -42,9 +43,13 @@
 	gzip  bool
 }
 
+// serverHost is an address of the loopback network that this process has to
+// itself: a port of a server that is down must be free when it comes back.
+var serverHost = fmt.Sprintf("127.88.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+
 func newServer(t *testing.T) *server {
 	t.Helper()
-	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	ln, err := stdnet.Listen("tcp", serverHost+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -577,6 +582,26 @@
 	}
 }
 
+// Settings of a change come into force in the core, and one that may not change
+// while the program runs refuses the whole change.
+func TestSettingsReachTheCore(t *testing.T) {
+	home := newServer(t)
+	s := follow(t, 0, home).known(``)
+	watch := home.serveFirst(0, state(5, true, "a=ready"), 5)
+	watch.tell(`{"seq":6,"whole":false,"hosts":[],"settings":[{"key":"over_share_worth","value":0.25}]}`)
+	s.reaches(6, "a=ready")
+	watch.tell(`{"seq":7,"whole":false,"hosts":[{"host":"a","health":"gone"}],"settings":[{"key":"over_share_worth","value":0.5},{"key":"limits.max_attempts","value":9}]}`)
+	until(t, "it is refused", func() bool { return s.stats().Refused == 1 })
+	s.do(func() {
+		if worth := s.core.Settings.OverQuotaWorth; worth != 0.25 {
+			t.Errorf("the worth is %v", worth)
+		}
+	})
+	if got := s.hosts(); s.version() != 6 || got != "a=ready" || s.logged("limits.max_attempts") != 1 {
+		t.Errorf("version %d: %s; %q", s.version(), got, s.lines)
+	}
+}
+
 // onlyWorth takes changes of one setting, all or none, and tells them.
 func onlyWorth(told func()) func([]setting) error {
 	return func(changes []setting) error {
