--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -304,6 +304,9 @@
 	if grown > mostGrowth { // the changes come to 3.2 MB, of which the kernel holds 0.8 MB
 		t.Errorf("%d bytes more on the heap", grown)
 	}
+	if line := getLine(t, r.Addr().String(), "after=1&name=slow"); line.Seq != 1 || len(line.Hosts) != 0 {
+		t.Error("a plain call brings what is on its way by the watch")
+	}
 	slow.Close()
 	eventually(t, "the slow one is forgotten", func() bool { return r.Status().Watches == 50 })
 }
@@ -535,18 +538,25 @@
 	r, _ := startRelay(t, config)
 	s := subscribe(t, r.Addr().String(), "d1")
 	eventually(t, "snapshot", func() bool { return s.at(1) })
+	getLine(t, r.Addr().String(), "after=0&name=polls")
+	eventually(t, "its budget is spent", func() bool { return r.Status().SentSnapshots == 2 })
 	w := <-u.watches
 	w.line(listJSON(1, false))
 	w.line(listJSON(2, false, hostJSON("new", "ready")))
 	eventually(t, "a change that waits", r.has(2))
-	if line := getLine(t, r.Addr().String(), "after=1&name=d1"); line.Seq != 1 || line.Whole || len(line.Hosts) != 0 {
-		t.Errorf("its plain call went round the budget: %+v", line)
+	for _, name := range []string{"d1", "polls"} {
+		if line := getLine(t, r.Addr().String(), "after=1&name="+name); line.Seq != 1 || line.Whole || len(line.Hosts) != 0 {
+			t.Errorf("a plain call of %s went round the budget: %+v", name, line)
+		}
 	}
 	w.line(listJSON(3, false, hostJSON("s-7", "draining")))
 	eventually(t, "the drain", func() bool { return s.at(3) })
 	if seen := s.seen(); !slices.Equal(seen, []int64{1, 3}) {
 		t.Errorf("versions seen: %v", seen)
 	}
+	if line := getLine(t, r.Addr().String(), "after=1&name=polls"); line.Seq != 3 || len(line.Hosts) != 2 {
+		t.Errorf("a plain call of polls: %+v", line)
+	}
 	if s.health("s-7") != "draining" || s.health("new") != "ready" {
 		t.Errorf("s-7 %q, new %q", s.health("s-7"), s.health("new"))
 	}
@@ -637,6 +647,17 @@
 	}
 }
 
+// An upstream whose changes come by this relay is left.
+func TestUpstreamThatFollowsThisRelay(t *testing.T) {
+	body := listJSON(1, true, hostJSON("x", "ready"))
+	loop := startScriptedVia(t, "127.0.0.1:0", body, "1.1 another, 1.1 relay-test")
+	good := startScripted(t, "127.0.0.1:0", body)
+	r, _ := startRelay(t, testConfig(loop.address(), good.address()))
+	<-loop.watches
+	(<-good.watches).line(listJSON(1, false))
+	eventually(t, "the other upstream", func() bool { return r.Status().Upstream == good.address() })
+}
+
 func TestVia(t *testing.T) {
 	path := []string{"relay-a", "relay-b"}
 	if got := parseVia([]string{formatVia(path), "HTTP/1.0 proxy"}); !slices.Equal(got, path) {
--- a/internal/relay/upstream_test.go
+++ b/internal/relay/upstream_test.go
@@ -17,6 +17,7 @@
 	t        testing.TB
 	listener net.Listener
 	watches  chan *scriptedWatch // each watch that is opened
+	via      string              // header of its watches; set before the first call
 
 	mu     sync.Mutex
 	answer func(url.Values) string // a plain call's body; empty: 503
@@ -32,12 +33,18 @@
 
 // startScripted starts one at an address; a body answers all plain calls.
 func startScripted(t testing.TB, address, body string) *scriptedUpstream {
+	t.Helper()
+	return startScriptedVia(t, address, body, "1.1 another")
+}
+
+// startScriptedVia starts one whose changes come by the relays that via names.
+func startScriptedVia(t testing.TB, address, body, via string) *scriptedUpstream {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &scriptedUpstream{t: t, listener: listener, watches: make(chan *scriptedWatch, 100), conns: map[net.Conn]bool{}}
+	u := &scriptedUpstream{t: t, listener: listener, via: via, watches: make(chan *scriptedWatch, 100), conns: map[net.Conn]bool{}}
 	u.answers(func(url.Values) string { return body })
 	go u.accept()
 	t.Cleanup(u.stop)
@@ -90,7 +97,7 @@
 		}
 		query := request.URL.Query()
 		if query.Get("watch") == "1" {
-			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nVia: %s\r\nTransfer-Encoding: chunked\r\n\r\n", u.via)
 			u.watches <- &scriptedWatch{conn, query}
 			return
 		}
