--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -653,7 +653,7 @@
 	loop := startScriptedVia(t, "127.0.0.1:0", body, "1.1 another, 1.1 relay-test")
 	good := startScripted(t, "127.0.0.1:0", body)
 	r, _ := startRelay(t, testConfig(loop.address(), good.address()))
-	<-loop.watches
+	go (<-loop.watches).keepAlive()
 	(<-good.watches).line(listJSON(1, false))
 	eventually(t, "the other upstream", func() bool { return r.Status().Upstream == good.address() })
 }
--- a/internal/relay/upstream_test.go
+++ b/internal/relay/upstream_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"time"
 )
 
 // scriptedUpstream is an upstream that a test moves step by step, on raw
@@ -126,6 +127,16 @@
 	fmt.Fprintf(w.conn, "%x\r\n%s\r\n", len(text), text)
 }
 
+// keepAlive sends blank lines until the relay has left.
+func (w *scriptedWatch) keepAlive() {
+	for {
+		if _, err := fmt.Fprint(w.conn, "1\r\n\n\r\n"); err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // half sends the first bytes of a line, in a chunk that is announced whole.
 func (w *scriptedWatch) half(text string, bytes int) {
 	fmt.Fprintf(w.conn, "%x\r\n%s", len(text)+1, text[:bytes])
