Long deltas are fetched compressed; relays keep to the minute's bytes

Change: a relay ends a watch in order where the next delta is longer than 4 KB and the caller's calls take gzip; the follower then calls at once and opens the watch again on the same connection. Neither side does so twice at one version. Relays use the byte bound over the last minute; burst_s has gone from their options.

--- a/internal/platform/relaysubscription.go
+++ b/internal/platform/relaysubscription.go
@@ -40,10 +40,12 @@
 	body    gathered
 	failed  int // calls in a row
 
-	watch   link
-	text    objects
-	began   time.Duration      // when the object at hand began; 0: none has
-	version membership.Version // the newest that the server has told here
+	watch    link
+	endedAt  membership.Version // that the server had told when it last ended the watch in order
+	watchDue bool               // it did so during a call, and is called again after that
+	text     objects
+	began    time.Duration      // when the object at hand began; 0: none has
+	version  membership.Version // the newest that the server has told here
 
 	// ignoresAfter tells that the server answers calls with its whole list, whatever
 	// version they tell: to acknowledge there would cost a snapshot each time.
@@ -131,6 +133,10 @@
 	}
 	t.promise = t.now() + answerStagger
 	t.watch.get(t.target("watch=1&", c.version))
+	if t == f.current {
+		f.acknowledged, f.calledAt = t.asked, t.now()
+		f.scheduleAcknowledgement()
+	}
 }
 
 // noteAfter notes a server that ignores the version that it is told.
@@ -142,7 +148,7 @@
 func (t *subscription) acknowledged(c change, err error) {
 	f := t.follower
 	if err != nil {
-		if t.failed++; t.failed >= mostAckFailures {
+		if t.failed++; t.failed >= mostAckFailures || t.watchDue {
 			f.failed(t, err.Error())
 			return
 		}
@@ -154,6 +160,10 @@
 	f.acknowledged = t.asked
 	f.set.control.Acknowledged++
 	f.apply(c)
+	if t.watchDue {
+		t.catchUpAgain()
+		return
+	}
 	f.scheduleAcknowledgement()
 }
 
@@ -166,13 +176,30 @@
 	}
 }
 
+// watchEnded is told that the watch is over. A server ends it in order where a
+// change is better had by a call, whose answer is compressed; one that has
+// brought nothing newer since it last did so has failed.
 func (t *subscription) watchEnded(err error) {
+	if err == nil && t.version > t.endedAt {
+		t.endedAt = t.version
+		t.catchUpAgain()
+		return
+	}
 	if err == nil {
 		err = errWatchEnd
 	}
 	t.follower.failed(t, err.Error())
 }
 
+// catchUpAgain calls for what the watch has left out, after the call that is out,
+// if any, and opens the watch behind it.
+func (t *subscription) catchUpAgain() {
+	if t.watchDue = t.calling; t.watchDue {
+		return
+	}
+	t.call(t.follower.after(), t.caughtUp)
+}
+
 // lines takes in a piece of the watch.
 func (t *subscription) lines(data []byte) error {
 	if t.watch.answer.gzipped {
--- a/internal/platform/relaywatch_test.go
+++ b/internal/platform/relaywatch_test.go
@@ -886,3 +886,29 @@
 		}
 	})
 }
+
+// A server may end its watch in order where what comes next is better had
+// compressed: it is called at once, and stays the one in use. One that does so
+// again without anything newer has failed.
+func TestWatchEndedInOrder(t *testing.T) {
+	home, other := newServer(t), newServer(t)
+	s := follow(t, 1, home, other).known(``)
+	watch := home.serveFirst(0, state(1, true, "a=ready"), 1)
+	s.follows(home)
+	home.expect("after=1&name=d+1").answer(state(1, false))
+	io.WriteString(watch, "0\r\n\r\n")
+	home.expect("after=1&name=d+1").compressed(state(2, false, "a=gone", "b=ready"))
+	s.reaches(2, "b=ready")
+	watch = home.expect("watch=1&after=2&name=d+1")
+	watch.open()
+	if stats := s.stats(); stats.Server != home.addr || stats.Failovers != 0 {
+		t.Errorf("%+v", stats)
+	}
+	io.WriteString(watch, "0\r\n\r\n")
+	home.expect("after=2&name=d+1").answer(state(2, false))
+	watch = home.expect("watch=1&after=2&name=d+1")
+	watch.open()
+	io.WriteString(watch, "0\r\n\r\n")
+	other.serveFirst(2, state(3, false, "b=draining"), 3)
+	s.reaches(3, "b=draining")
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -24,7 +24,6 @@
 	BatchMs        int      `toml:"batch_ms" help:"least time between two deltas to a subscriber"`
 	UrgentBatchMs  int      `toml:"urgent_batch_ms" help:"the same for deltas with a worker that drains or has gone"`
 	BytesPerS      float64  `toml:"bytes_per_s" help:"sent to a subscriber, in the mean"`
-	BurstS         float64  `toml:"burst_s" help:"seconds of bytes_per_s that may be sent at once"`
 	AckExpiryS     int      `toml:"ack_expiry_s" help:"after which a silent subscriber no longer counts"`
 	StaleAfterMs   int      `toml:"stale_after_ms" help:"without an upstream after which watches are ended, so that subscribers try another server"`
 	WriteTimeoutMs int      `toml:"write_timeout_ms" help:"for one answer or line, after which a subscriber that does not read is disconnected"`
@@ -34,7 +33,7 @@
 // Defaults returns the options that apply where the file has none.
 func Defaults() Config {
 	return Config{
-		LogChanges: 20_000, BatchMs: 50, UrgentBatchMs: 20, BytesPerS: 6000, BurstS: 60, AckExpiryS: 90,
+		LogChanges: 20_000, BatchMs: 50, UrgentBatchMs: 20, BytesPerS: 6000, AckExpiryS: 90,
 		StaleAfterMs: 2000, WriteTimeoutMs: 5000, MaxSubscribers: 2000,
 	}
 }
@@ -95,7 +94,6 @@
 		{"batch_ms", float64(c.BatchMs), 0, 5000},
 		{"urgent_batch_ms", float64(c.UrgentBatchMs), 0, 200},
 		{"bytes_per_s", c.BytesPerS, 100, 1e9},
-		{"burst_s", c.BurstS, 1, 3600},
 		{"ack_expiry_s", float64(c.AckExpiryS), 5, 3600},
 		{"stale_after_ms", float64(c.StaleAfterMs), 100, 60_000},
 		{"write_timeout_ms", float64(c.WriteTimeoutMs), 10, 60_000},
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -79,6 +79,7 @@
 	acked membership.Version // by the fleet below the caller, where it is a relay
 	fleet int                // live subscribers below it
 	relay bool               // it speaks for a fleet, not for itself
+	gzip  bool               // it takes compressed answers
 	reply chan callReply     // has room for one
 }
 
@@ -89,6 +90,9 @@
 
 func (m callMessage) handle(s *state) {
 	line, err := s.answer(m.name, m.after)
+	if p := s.peers[m.name]; p != nil {
+		p.fetches = m.gzip
+	}
 	if err == nil && m.name != "" {
 		m.acknowledge(s)
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -89,6 +89,7 @@
 // call answers a plain call: a snapshot, or what the caller lacks.
 func (h *handler) call(out http.ResponseWriter, in *http.Request, call callMessage) {
 	call.reply = make(chan callReply, 1)
+	call.gzip = acceptsGzip(in)
 	if !h.state.send(call) {
 		refuse(out, errEnding)
 		return
@@ -100,7 +101,7 @@
 	}
 	text := answer.line.line()
 	out.Header().Set("Content-Type", "application/json")
-	if acceptsGzip(in) && len(text) > gzipFrom {
+	if call.gzip && len(text) > gzipFrom {
 		text = answer.line.gzip()
 		out.Header().Set("Content-Encoding", "gzip")
 	}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -17,6 +17,7 @@
 	upkeepInterval  = 100 * time.Millisecond // of acknowledgements, expiry and upstream's absence
 	crossingTime    = time.Second            // for which a call and a line of a watch may cross
 	maxPeersPerOpen = 4                      // names remembered for each watch that may be open
+	mostPushed      = 4 << 10                // bytes of a delta; a longer one is fetched compressed, where the caller can
 )
 
 // state is all that a relay knows. Only run's goroutine touches it.
@@ -61,6 +62,8 @@
 	pace    membership.Pace
 	heardAt time.Duration
 	watch   membership.SubscriberID // its open watch; 0: none
+	fetches bool                    // its calls take compressed answers
+	endedAt membership.Version      // that it had when its watch was last ended for that
 	acked   membership.Version      // the highest that it acknowledged on that watch
 }
 
@@ -144,11 +147,27 @@
 		if line == nil {
 			continue // never: a watch is not opened for a newer version than ours
 		}
+		w := s.watches[id]
+		if version := s.subscribers.Version(id); w.fetched(version, line) {
+			w.peer.endedAt = version
+			close(w.ended)
+			s.remove(id, w)
+			continue
+		}
 		s.subscribers.Sending(id, line.version)
-		s.watches[id].lines <- line // there is room: the last one has been written
+		w.lines <- line // there is room: the last one has been written
 	}
 }
 
+// fetched tells whether a line that goes on from a version is long enough to be
+// had by a call instead, whose answer is compressed: the watch ends in order, and
+// its caller calls at once. It is not asked to twice at one version. A relay takes
+// all lines on its watch.
+func (w *watch) fetched(version membership.Version, line *body) bool {
+	p := w.peer
+	return p.fetches && p.endedAt != version && !w.relay && len(line.line()) > mostPushed
+}
+
 // since is the encoding of what a subscriber at version after lacks, or nil
 // where after is newer than the state.
 func (s *state) since(now time.Duration, after membership.Version) *body {
@@ -256,7 +275,7 @@
 	case name != "" && len(s.peers) >= maxPeersPerOpen*s.config.MaxSubscribers:
 		return nil
 	default:
-		p = &peer{pace: membership.NewPace(s.config.BytesPerS, s.config.BytesPerS*s.config.BurstS)}
+		p = &peer{pace: membership.NewPace(s.config.BytesPerS)}
 		if name != "" {
 			s.peers[name] = p
 		}
