A pick draws a bounded number of cold workers, all of them in turn

Cause: each pick drew every cold worker, first among the cold ones and again among all.

Change: a pick draws 128 cold workers at the most, the next ones of a list in random order, so that all come in turn. Where no worker is warm, the cold ones are probed. A cold worker that waits for its turn saves its budget for one or two fall windows, as before: below about a 256th of the cold workers in arrivals a second some of it lapses.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -29,7 +29,8 @@
 	strangeness = 4               // mean waits that one may have where nothing has been heard of it lately
 	ownJobs     = 2               // jobs that a worker of the own set gets in a horizon
 	leastOwn    = 4               // workers in the own set at the least
-	mostDraws   = 32              // workers looked at for one pick
+	mostDraws   = 32              // warm workers looked at for one pick
+	coldDraws   = 4 * mostDraws   // and cold ones, which have room seldom
 	leastHomes  = 2               // homes of a key at first, where a fetch has a price
 	mostHomes   = 8               // and at the most, or without a price at once
 	probes      = 2               // workers probed for each arrival
@@ -244,7 +245,7 @@
 
 func (d *Dispatcher) pick(r *request) *worker {
 	// A cold worker with room comes first. Guards against newcomers, in few own sets, idle until warm.
-	if w := d.lower(r, d.fresh, inFresh); w != nil {
+	if w := d.lower(r, d.nextFresh(), inFresh); w != nil {
 		return w
 	}
 	w := d.lower(r, d.pool, inPool)
@@ -279,7 +280,7 @@
 		}
 		swap(from, id, i, i+d.rng.IntN(span-i))
 		w := from[i]
-		weight := 2 // cold ones have room seldom: all are drawn, the first with room is taken
+		weight := 2 // of the cold ones the first with room is taken
 		if d.warmth(w) >= 1 {
 			drawn, weight = drawn+1, 1
 		}
--- a/state.go
+++ b/state.go
@@ -110,9 +110,10 @@
 
 	workers   map[string]*worker
 	fleet     []*worker      // the workers
-	pool      []*worker      // the same, to draw from
-	near      []*worker      // those of the own zone, to draw from
+	pool      []*worker      // those that are warm, to draw from
+	near      []*worker      // those of the own zone that are warm, to draw from
 	fresh     []*worker      // those that are cold
+	freshNext int            // where the next pick begins to draw them
 	lists     uint64         // complete lists so far
 	ring      []*worker      // all by a hash of their name, the same at every dispatcher, but for
 	unringed  []*worker      // those that have come or gone since it was last used
@@ -538,7 +539,6 @@
 		w = &worker{coldAt: d.now, hash: hash(e.Worker)}
 		d.workers[e.Worker] = w
 		d.fleet = insert(d.fleet, inFleet, w)
-		d.pool = d.shuffled(d.pool, inPool, w)
 		d.ringChanged(w)
 		d.reached(e.Zone)
 	case e.LastStart > w.LastStart:
@@ -552,21 +552,41 @@
 	}
 	w.Entry, w.listed = e, d.lists
 	d.count(w, 1)
-	if near := e.Zone == d.s.Zone; near && w.place[inNear] == 0 {
-		d.near = d.shuffled(d.near, inNear, w)
-	} else if !near {
-		d.near = remove(d.near, inNear, w)
-	}
-	if cold := d.warmth(w) < 1; cold && w.place[inFresh] == 0 {
-		d.fresh = insert(d.fresh, inFresh, w)
-	} else if !cold {
-		d.fresh = remove(d.fresh, inFresh, w)
-	}
+	d.enlist(w)
 	if d.s.LiveWeights && e.Weight > 0 {
 		w.others, w.othersAt = d.nominal[e.Kind]/e.Weight-1, d.now
 	}
 }
 
+// enlist puts a worker into the lists to draw from that it belongs to: a cold one into that of the cold ones alone.
+func (d *Dispatcher) enlist(w *worker) {
+	cold := d.warmth(w) < 1
+	d.fresh = d.member(d.fresh, inFresh, w, cold)
+	d.pool = d.member(d.pool, inPool, w, !cold)
+	d.near = d.member(d.near, inNear, w, !cold && w.Zone == d.s.Zone)
+}
+
+// member makes a worker a member of a list, at a random place, or none.
+func (d *Dispatcher) member(list []*worker, id listID, w *worker, in bool) []*worker {
+	if !in {
+		return remove(list, id, w)
+	}
+	if w.place[id] == 0 {
+		list = d.shuffled(list, id, w)
+	}
+	return list
+}
+
+// nextFresh returns the cold workers that the next pick may draw: so many, in turn with all the others.
+func (d *Dispatcher) nextFresh() []*worker {
+	if d.freshNext >= len(d.fresh) {
+		d.freshNext = 0
+	}
+	from := d.freshNext
+	d.freshNext = min(from+coldDraws, len(d.fresh))
+	return d.fresh[from:d.freshNext]
+}
+
 // remove forgets a worker that is gone. Attempts there go on.
 func (d *Dispatcher) remove(w *worker) {
 	d.count(w, -1)
@@ -797,11 +817,11 @@
 	return d.s.ColdFrom + (1-d.s.ColdFrom)*age.Seconds()/d.s.WarmAfter.Seconds()
 }
 
-// dropWarm keeps the list of cold workers to those that still are.
+// dropWarm keeps the list of cold workers to those that still are, and lets the others be drawn with the warm ones.
 func (d *Dispatcher) dropWarm() {
 	for i := len(d.fresh) - 1; i >= 0; i-- {
 		if w := d.fresh[i]; d.warmth(w) >= 1 {
-			d.fresh = remove(d.fresh, inFresh, w)
+			d.enlist(w)
 		}
 	}
 }
@@ -831,11 +851,15 @@
 	return d.shares[leastOfAll]
 }
 
-// probe asks workers of the own set in turn for their load.
+// probe asks workers of the own set in turn for their load; of the cold ones, where none is warm.
 func (d *Dispatcher) probe() {
-	for i := 0; i < min(probes, len(d.pool)) && d.s.Probing && d.s.ReportsByProbe; i++ {
+	from := d.pool
+	if len(from) == 0 {
+		from = d.fresh
+	}
+	for i := 0; i < min(probes, len(from)) && d.s.Probing && d.s.ReportsByProbe; i++ {
 		d.probeNext++
-		d.act(Action{Kind: Probe, Worker: d.pool[d.probeNext%min(d.own, len(d.pool))].Worker})
+		d.act(Action{Kind: Probe, Worker: from[d.probeNext%min(d.own, len(from))].Worker})
 	}
 }
 
