--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -50,7 +50,7 @@
 	b.compress.Do(func() {
 		var out bytes.Buffer
 		writer, _ := gzip.NewWriterLevel(&out, gzip.DefaultCompression) // the level is valid
-		writer.Write(b.line())                                 // a buffer takes everything
+		writer.Write(b.line())                                          // a buffer takes everything
 		writer.Close()
 		b.gzipped = out.Bytes()
 		if b.whole {
