--- a/internal/platform/relaywatch_test.go
+++ b/internal/platform/relaywatch_test.go
@@ -683,14 +683,18 @@
 	s := follow(t, 0, home).known(``)
 	watch := home.serveFirst(0, state(5, true, "a=ready"), 5)
 	s.follows(home)
-	release := s.hold()
-	s.write(t, watch, chunk(state(6, false, "a=draining")+"\n")) // posted to the loop before what follows
-	order := make(chan hollyyoke.WorkerState, 1)
-	s.core.Loop.Post(func() { order <- s.backends.hosts["a"].state })
-	release()
-	if state := receive(t, order); state != hollyyoke.Stopping {
-		t.Errorf("the turn behind the bytes sees %v", state)
-	}
+	home.expect("after=5&name=d+1") // is not answered, so that all bytes from now on are the drain's
+	before := s.stats().BytesRead
+	watch.tell(state(6, false, "a=draining"))
+	until(t, "the drain's bytes are taken in", func() (taken bool) {
+		s.do(func() {
+			taken = s.backends.control.BytesRead > before
+			if state := s.backends.hosts["a"].state; taken && state != hollyyoke.Stopping {
+				t.Errorf("the turn behind the bytes sees %v", state)
+			}
+		})
+		return taken
+	})
 }
 
 // All servers are down at the start: the known list serves in its time, and the
