--- a/internal/platform/relaylink.go
+++ b/internal/platform/relaylink.go
@@ -62,7 +62,7 @@
 	l.kept = false
 	l.due.Fire = l.expire
 	l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+linkConnect+linkSilence)
-	l.set.engine.Dial(l.addr, linkConnect, l, func(c *net.Conn, err error) {
+	l.set.engine.DialReserved(l.addr, linkConnect, l, func(c *net.Conn, err error) {
 		switch {
 		case turn != l.turn:
 			if c != nil {
@@ -97,7 +97,7 @@
 // answered while the loop was late.
 func (l *link) expire() {
 	if l.conn != nil && !l.conn.Quiet() {
-		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+leastRest)
+		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+leastAgentWait)
 		return
 	}
 	l.finish(errSilent)
