--- a/internal/platform/relaylink.go
+++ b/internal/platform/relaylink.go
@@ -62,7 +62,7 @@
 	l.kept = false
 	l.due.Fire = l.expire
 	l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+linkConnect+linkSilence)
-	l.set.engine.Dial(l.addr, linkConnect, l, func(c *net.Conn, err error) {
+	l.set.engine.DialReserved(l.addr, linkConnect, l, func(c *net.Conn, err error) {
 		switch {
 		case turn != l.turn:
 			if c != nil {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -159,10 +159,10 @@
 			w.fail(err.Error())
 		default:
 			w.conn = c
-			call := []byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
+			request := []byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
 				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n")
-			w.set.control.BytesWritten += int64(len(call))
-			c.Write(call)
+			w.set.control.BytesWritten += int64(len(request))
+			c.Write(request)
 		}
 	})
 }
