Following versioned changes: the interface of the dispatcher's side

Backends.Follow, its configuration, the Applied hook and the counters of control traffic, ahead of what carries them, so that callers can be written against them.

--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -9,6 +9,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/membership"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
@@ -33,6 +34,12 @@
 
 	// Told is called when discovery has told something; nil: nobody wants to know.
 	Told func()
+
+	// Applied is called when a version followed has come into force; nil: nobody wants to know.
+	Applied func(v membership.Version)
+
+	followed FollowConfig
+	control  ControlStats
 }
 
 // backend is one backend as discovery told it last.
