--- a/cmd/hollyyoke-rehearse/main.go
+++ b/cmd/hollyyoke-rehearse/main.go
@@ -49,14 +49,18 @@
 	Inspect  inspectCmd  `cmd:"" help:"Check a recording to its end and tell what is in it."`
 	Slice    sliceCmd    `cmd:"" help:"Cut a window of time out of a recording."`
 	Merge    mergeCmd    `cmd:"" help:"Put recordings together."`
-	Scale    scaleCmd    `cmd:"" help:"Change a recording's rate or speed."`
+	Rescale  rescaleCmd  `cmd:"" help:"Change a recording's rate or speed."`
 	Run      runCmd      `cmd:"" help:"Start the daemon and stand-ins, replay a recording, check the books, report."`
 	Replay   replayCmd   `cmd:"" help:"Replay a recording to a daemon that runs already; what must not run twice is withheld."`
 	Generate generateCmd `cmd:"" help:"Write a made-up log of a known shape, for measurements."`
 	Flood    floodCmd    `cmd:"" help:"Hold known clients' requests beside hostile ones, with admission on and off."`
 	Sim      simCmd      `cmd:"" help:"The fleet in virtual time: a day in moments, the same from the same seed."`
+	Scale    scaleCmd    `cmd:"" help:"Run many dispatchers beside their control machines, and measure what control costs."`
 	Formats  formatsCmd  `cmd:"" help:"List the formats that import reads."`
 	Version  versionCmd  `cmd:"" help:"Tell the version."`
+
+	ScaleHollow scaleHollowCmd `cmd:"" hidden:"" help:"Hold hollow dispatchers, for scale."`
+	ScaleOrigin scaleOriginCmd `cmd:"" hidden:"" help:"Be the origin, for scale."`
 }
 
 func main() {
@@ -65,8 +69,11 @@
 }
 
 // earlier turns the command line of earlier versions, which had no commands and
-// single dashes, into today's.
+// single dashes, into today's. What changed a recording was called scale.
 func earlier(args []string) []string {
+	if len(args) > 0 && args[0] == "scale" && slices.ContainsFunc(args, isOutput) {
+		return append([]string{"rescale"}, args[1:]...)
+	}
 	if len(args) == 0 || !strings.HasPrefix(args[0], "-") {
 		return args
 	}
@@ -87,6 +94,12 @@
 	return args
 }
 
+// isOutput tells whether an argument names the file to write, as commands on
+// recordings do.
+func isOutput(arg string) bool {
+	return strings.HasPrefix(arg, "-o") || strings.HasPrefix(arg, "--output")
+}
+
 func run(args []string, in io.Reader, out, errs io.Writer) (code int) {
 	var c cli
 	exit := -1
@@ -350,7 +363,7 @@
 	return create(c.Output, func(w io.Writer) error { return recording.Merge(in, w, c.Align) })
 }
 
-type scaleCmd struct {
+type rescaleCmd struct {
 	Rate   float64 `help:"Times as many entries: below 1 some are left out, above 1 copies are added." default:"1"`
 	Speed  float64 `help:"Times as fast." default:"1"`
 	Seed   uint64  `help:"Of what is left out or added." default:"1"`
@@ -358,7 +371,7 @@
 	File   string  `arg:"" help:"The recording."`
 }
 
-func (c *scaleCmd) Run(e *env) error {
+func (c *rescaleCmd) Run(e *env) error {
 	r, done, err := openRecording(c.File)
 	if err != nil {
 		return err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -108,6 +108,10 @@
 	Taken   func(name uint64)                    // a req of that name has come
 	Charged func(backend string, charge float64) // a cold backend got an attempt
 
+	// Through takes all attempts, in place of the sources that list their
+	// backends; nil: those do. It is for measurements without backends.
+	Through Carrier
+
 	module      *hollyyoke.Dispatcher
 	reqs        Table[req]
 	outstanding Table[outstanding]
@@ -578,11 +582,11 @@
 		c.setTimer(a.Timer, c.Loop.Now()+a.Delay)
 	case hollyyoke.Probe:
 		if l, ok := c.listed[a.Worker]; ok {
-			l.source.Probe(a.Worker)
+			c.carrier(l).Probe(a.Worker)
 		}
 	case hollyyoke.Release:
 		if l, ok := c.listed[a.Worker]; ok {
-			l.source.Release(a.Worker)
+			c.carrier(l).Release(a.Worker)
 		}
 	case hollyyoke.Subscribe:
 		for _, s := range c.sources {
@@ -605,6 +609,14 @@
 	}}, at)
 }
 
+// carrier is who takes attempts to a backend.
+func (c *Core) carrier(l listing) Carrier {
+	if c.Through != nil {
+		return c.Through
+	}
+	return l.source
+}
+
 // assign starts the next attempt of a req.
 func (c *Core) assign(handle uint64, backend string, charge float64) {
 	r := c.reqs.Get(handle)
@@ -622,7 +634,7 @@
 		})
 		return
 	}
-	h := c.outstanding.Put(&outstanding{req: handle, attempt: n, backend: backend, carrier: l.source})
+	h := c.outstanding.Put(&outstanding{req: handle, attempt: n, backend: backend, carrier: c.carrier(l)})
 	until := c.until(r)
 	r.attempts = append(r.attempts, attempt{handle: h, at: c.Loop.Now()})
 	r.out++
@@ -638,7 +650,7 @@
 		Settled: c.Settings.Classes[r.job.Class].Repeat != hollyyoke.Retryable,
 	}
 	if r.job.Lease == nil {
-		l.source.Start(start)
+		c.carrier(l).Start(start)
 		return
 	}
 	f := c.outstanding.Get(h)
@@ -652,7 +664,7 @@
 			return true
 		}
 		start.Fence = fence
-		l.source.Start(start)
+		c.carrier(l).Start(start)
 		return true
 	})
 }
--- /dev/null
+++ b/internal/rehearsal/scale/cluster.go
@@ -0,0 +1,366 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os/exec"
+	"strings"
+	"sync"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/membership"
+)
+
+// This file owns all processes of one run: the origin, relays, hollow dispatchers
+// and real ones, by zone. It must end every one that it started.
+
+// Programs are the commands that a run starts.
+type Programs struct {
+	Hollow []string // this program's own hidden commands
+	Origin []string
+	Daemon string // hollyyoke-serve
+	Relay  string // hollyyoke-relay
+	Env    []string
+}
+
+const originName = "origin"
+
+func hollowName(i int) string       { return fmt.Sprintf("hollow-%04d", i+1) }
+func realName(i int) string         { return fmt.Sprintf("real-%d", i+1) }
+func relayName(zone int) string     { return "relay-" + ZoneName(zone) }
+func holderName(zone int) string    { return "hollows-" + ZoneName(zone) }
+func (c *cluster) ofHollow() int    { return c.scenario.Dispatchers }
+func zoneOf(i, zones int) int       { return i % zones }
+func realZone(i, zones int) int     { return (i + 1) % zones } // so that a zone beside the origin's has one
+func isReal(dispatcher string) bool { return strings.HasPrefix(dispatcher, "real-") }
+
+// cluster is everything that runs.
+type cluster struct {
+	scenario  *Scenario
+	plan      *Plan
+	mechanism Mechanism
+	programs  Programs
+	dir       string
+	network   *network
+	meter     *meter
+	origin    *originProcess
+	relays    map[int]*child
+	holders   map[int]*child // hollow dispatchers, a process for each zone
+	reals     map[int]*child
+
+	mu      sync.Mutex // guards what children report
+	tracker *tracker
+	counts  trafficCounts
+	errs    []error
+}
+
+func newCluster(s *Scenario, plan *Plan, mechanism Mechanism, programs Programs, dir string) *cluster {
+	return &cluster{scenario: s, plan: plan, mechanism: mechanism, programs: programs, dir: dir, network: newNetwork(s),
+		meter: newMeter(), relays: map[int]*child{}, holders: map[int]*child{}, reals: map[int]*child{}, tracker: newTracker()}
+}
+
+func (c *cluster) command(args []string) *exec.Cmd {
+	cmd := exec.Command(args[0], args[1:]...)
+	cmd.Env = c.programs.Env
+	return cmd
+}
+
+// start starts everything; what has started by an error is ended by close.
+func (c *cluster) start() (err error) {
+	c.origin, err = startOriginProcess(c.command(c.programs.Origin), c.scenario.LogChanges)
+	if err != nil {
+		return fmt.Errorf("origin: %w", err)
+	}
+	c.meter.follow(originName, c.origin.pid())
+	initial := make([]Change, len(c.plan.Hosts))
+	for i, host := range c.plan.Hosts {
+		initial[i] = Change{Host: host}
+	}
+	if _, err := c.origin.change([][]Change{initial}); err != nil {
+		return err
+	}
+	if c.mechanism == ByRelays {
+		if err := c.startRelays(); err != nil {
+			return err
+		}
+	}
+	for zone := range c.scenario.Zones {
+		if err := c.startHolder(zone); err != nil {
+			return err
+		}
+	}
+	for i := range c.scenario.Real {
+		if err := c.startReal(i); err != nil {
+			return err
+		}
+	}
+	if n := c.processes(); n > mostProcesses {
+		return fmt.Errorf("%d processes, of %d at the most", n, mostProcesses)
+	}
+	return nil
+}
+
+// processes is how many there are, this one included.
+func (c *cluster) processes() int { return len(c.relays) + len(c.holders) + len(c.reals) + 2 }
+
+// startRelays starts a relay for each zone, and a link from every zone to each.
+func (c *cluster) startRelays() error {
+	for zone := range c.scenario.Zones {
+		up, err := c.network.open(zone, originZone, originName, c.origin.addr, relayName(zone))
+		if err != nil {
+			return err
+		}
+		addr, err := c.startRelay(zone, up.addr)
+		if err != nil {
+			return err
+		}
+		for from := range c.scenario.Zones {
+			if _, err := c.network.open(from, zone, relayName(zone), addr, ""); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *cluster) startRelay(zone int, up string) (addr string, err error) {
+	name := relayName(zone)
+	cmd, err := relayCommand(c.programs.Relay, c.dir, name, ZoneName(zone), up, c.scenario.LogChanges)
+	if err != nil {
+		return "", err
+	}
+	relay, addr, err := startRelay(name, cmd)
+	if err != nil {
+		return "", err
+	}
+	c.relays[zone] = relay
+	c.meter.follow(name, relay.pid())
+	return addr, nil
+}
+
+// restartRelay starts a zone's relay anew, at another address.
+func (c *cluster) restartRelay(zone int) error {
+	for _, p := range c.network.paths {
+		if p.client == relayName(zone) {
+			addr, err := c.startRelay(zone, p.addr)
+			if err == nil {
+				c.network.retarget(relayName(zone), addr)
+			}
+			return err
+		}
+	}
+	return errors.New("no such relay")
+}
+
+func (c *cluster) killRelay(zone int) {
+	if relay := c.relays[zone]; relay != nil {
+		c.meter.leave(relayName(zone))
+		relay.kill()
+		delete(c.relays, zone)
+	}
+}
+
+// hears is where a dispatcher of a zone hears of changes.
+func (c *cluster) hears(name string, zone int) (up upstream, err error) {
+	if c.mechanism == ByDiscovery {
+		p, err := c.discoveryPath(name, zone)
+		if err != nil {
+			return up, err
+		}
+		up.discovery = p.addr
+		return up, nil
+	}
+	for _, p := range c.network.paths {
+		if p.from == zone && p.client == "" {
+			up.servers = append(up.servers, membership.Server{Zone: ZoneName(p.to), Address: p.addr})
+		}
+	}
+	return up, nil
+}
+
+// discoveryPath is a dispatcher's own link to the origin, which it keeps over a restart.
+func (c *cluster) discoveryPath(name string, zone int) (*path, error) {
+	for _, p := range c.network.paths {
+		if p.client == name {
+			return p, nil
+		}
+	}
+	return c.network.open(zone, originZone, originName, c.origin.addr, name)
+}
+
+// hollows are the hollow dispatchers of a zone, by number.
+func (c *cluster) hollows(zone int) (list []int) {
+	for i := range c.scenario.Dispatchers {
+		if zoneOf(i, c.scenario.Zones) == zone {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// dispatchers are all dispatchers of a zone that report what they have in force.
+func (c *cluster) dispatchers(zone int) (names []string) {
+	for _, i := range c.hollows(zone) {
+		names = append(names, hollowName(i))
+	}
+	return names
+}
+
+func (c *cluster) startHolder(zone int) error {
+	list := c.hollows(zone)
+	if len(list) == 0 {
+		return nil
+	}
+	s := c.scenario
+	config := hollowConfig{Settings: dispatcherSettings(s, c.plan.Zones, zone), Zone: ZoneName(zone),
+		Seed: s.Seed + uint64(zone)<<32, MemoryMB: s.MemoryMB, Traffic: s.Traffic}
+	var names []string
+	for _, i := range list {
+		name := hollowName(i)
+		up, err := c.hears(name, zone)
+		if err != nil {
+			return err
+		}
+		names = append(names, name)
+		config.Dispatchers = append(config.Dispatchers, hollowDispatcher{Name: name, Discovery: up.discovery, Servers: up.servers})
+	}
+	holder, err := startChild(holderName(zone), c.command(c.programs.Hollow), func(line []byte) { c.heard(names, line) })
+	if err != nil {
+		return err
+	}
+	c.holders[zone] = holder
+	c.meter.follow(holderName(zone), holder.pid())
+	return holder.tell(config)
+}
+
+// heard takes in a report of hollow dispatchers.
+func (c *cluster) heard(names []string, line []byte) {
+	var r hollowReport
+	if err := json.Unmarshal(line, &r); err != nil {
+		r.Error = fmt.Sprintf("a hollow dispatcher's report: %v", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range r.Applied {
+		if a.Version > 0 {
+			c.tracker.applied(names[a.Dispatcher], a.Version, a.At)
+		}
+	}
+	if r.Traffic != nil {
+		c.counts.add(*r.Traffic)
+	}
+	if r.Error != "" {
+		c.errs = append(c.errs, errors.New(r.Error))
+	}
+}
+
+func (c *cluster) startReal(i int) error {
+	s, name, zone := c.scenario, realName(i), realZone(i, c.scenario.Zones)
+	up, err := c.hears(name, zone)
+	if err != nil {
+		return err
+	}
+	cmd, err := daemonCommand(c.programs.Daemon, c.dir, name, ZoneName(zone), s.MemoryMB, dispatcherSettings(s, c.plan.Zones, zone), up)
+	if err != nil {
+		return err
+	}
+	real, err := startChild(name, cmd, nil)
+	if err != nil {
+		return err
+	}
+	c.reals[i] = real
+	c.meter.follow(name, real.pid())
+	return nil
+}
+
+// restartZone kills a zone's dispatchers and starts them anew.
+func (c *cluster) restartZone(zone int) error {
+	if holder := c.holders[zone]; holder != nil {
+		c.meter.leave(holderName(zone))
+		holder.kill()
+	}
+	if err := c.startHolder(zone); err != nil {
+		return err
+	}
+	for i, real := range c.reals {
+		if realZone(i, c.scenario.Zones) != zone {
+			continue
+		}
+		c.meter.leave(realName(i))
+		real.kill()
+		if err := c.startReal(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ended names a process that has ended by itself.
+func (c *cluster) ended() error {
+	for _, group := range []map[int]*child{c.relays, c.holders, c.reals} {
+		for _, p := range group {
+			select {
+			case <-p.ended:
+				return fmt.Errorf("%s has ended: %s", p.name, strings.TrimSpace(p.stderr.String()))
+			default:
+			}
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return errors.Join(c.errs...)
+}
+
+// sample reads all meters.
+func (c *cluster) sample() sample {
+	s := c.meter.read()
+	s.bytes = c.network.book.totals()
+	s.sent, s.open = c.network.load()
+	return s
+}
+
+// behind is how many reachable dispatchers lack a version.
+func (c *cluster) behind(version int64) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.ofHollow() {
+		if has, reachable := c.tracker.current(hollowName(i)); reachable && has < version {
+			n++
+		}
+	}
+	return n
+}
+
+// heardNothing is how many real daemons have had no byte yet.
+func (c *cluster) heardNothing() (n int) {
+	totals := c.network.book.totals()
+	for i := range c.scenario.Real {
+		if totals[realName(i)] == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// close ends all processes by their ids.
+func (c *cluster) close() {
+	var all []*child
+	for _, group := range []map[int]*child{c.reals, c.holders, c.relays} {
+		for _, p := range group {
+			all = append(all, p)
+		}
+	}
+	if c.origin != nil {
+		all = append(all, c.origin.child)
+	}
+	var done sync.WaitGroup
+	for _, p := range all {
+		done.Go(p.stop)
+	}
+	done.Wait()
+	c.network.close()
+}
+
+// unixNow is the clock that all reports are stamped by.
+func unixNow() time.Duration { return time.Duration(time.Now().UnixNano()) }
