--- a/internal/rehearsal/scale/cluster.go
+++ b/internal/rehearsal/scale/cluster.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -53,6 +54,8 @@
 	tracker *tracker
 	counts  trafficCounts
 	errs    []error
+	own     ownCounts // of the processes that have answered countOwn
+	answers int
 }
 
 func newCluster(s *Scenario, plan *Plan, mechanism Mechanism, programs Programs, dir string) *cluster {
@@ -214,7 +217,7 @@
 	}
 	s := c.scenario
 	config := hollowConfig{Settings: dispatcherSettings(s, c.plan.Zones, zone), Zone: ZoneName(zone),
-		Seed: s.Seed + uint64(zone)<<32, MemoryMB: s.MemoryMB, Traffic: s.Traffic}
+		Seed: s.Seed + uint64(zone)<<32, MemoryMB: s.MemoryMB, Traffic: s.Traffic, Entries: s.Entries}
 	var names []string
 	for _, i := range list {
 		name := hollowName(i)
@@ -250,6 +253,10 @@
 	if r.Traffic != nil {
 		c.counts.add(*r.Traffic)
 	}
+	if r.Own != nil {
+		c.own.add(*r.Own)
+		c.answers++
+	}
 	if r.Error != "" {
 		c.errs = append(c.errs, errors.New(r.Error))
 	}
@@ -343,6 +350,32 @@
 	return n
 }
 
+// countOwn asks all processes with hollow dispatchers for what they have counted.
+func (c *cluster) countOwn(ctx context.Context) (ownCounts, error) {
+	c.mu.Lock()
+	c.own, c.answers = ownCounts{}, 0
+	c.mu.Unlock()
+	for _, holder := range c.holders {
+		if err := holder.tell("counts"); err != nil {
+			return ownCounts{}, err
+		}
+	}
+	for {
+		c.mu.Lock()
+		own, answers := c.own, c.answers
+		c.mu.Unlock()
+		if answers >= len(c.holders) {
+			return own, nil
+		}
+		if err := c.ended(); err != nil {
+			return own, err
+		}
+		if err := pause(ctx, waitStep); err != nil {
+			return own, err
+		}
+	}
+}
+
 // close ends all processes by their ids.
 func (c *cluster) close() {
 	var all []*child
--- a/internal/rehearsal/scale/figures.go
+++ b/internal/rehearsal/scale/figures.go
@@ -119,36 +119,53 @@
 }
 
 func (r *Run) addDispatchers(f *Figures) {
-	first, last := r.samples[0], r.samples[len(r.samples)-1]
-	span := last.at.Sub(first.at).Seconds()
 	for _, g := range r.groups() {
 		prefix := "dispatcher." + g.name
-		cpu, memory, peak, n := 0.0, 0.0, 0.0, 0
-		worst := 0.0
+		means := r.means(g)
+		share, peak, bytes := 0.0, 0.0, 0.0
 		for holder, held := range g.holders {
-			cpu += (last.cpu[holder] - first.cpu[holder]).Seconds()
-			memory += float64(last.rss[holder])
-			peak = max(peak, float64(last.peak[holder])/float64(held))
-			worst = max(worst, r.worstShare(holder)/float64(held))
-			n += held
+			share = max(share, r.worstShare(holder)/float64(held))
+			peak = max(peak, r.peak(holder)/float64(held))
 		}
-		f.add(prefix+".core_share", "cores", cpu/span/float64(n))
-		f.add(prefix+".core_share_worst_10s", "cores", worst)
-		f.add(prefix+".memory", "MB", memory/float64(n)/megabyte)
+		for _, name := range g.members {
+			bytes = max(bytes, r.worst(minuteWindow, func(s *sample) float64 { return float64(s.bytes[name]) }))
+		}
+		f.add(prefix+".core_share", "cores", means[0])
+		f.add(prefix+".core_share_worst_10s", "cores", share)
+		f.add(prefix+".memory", "MB", means[1])
 		f.add(prefix+".memory_peak", "MB", peak/megabyte)
-		r.addBytes(f, prefix, g, span)
+		f.add(prefix+".bytes", "B/s", means[2])
+		f.add(prefix+".bytes_worst_minute", "B/s", bytes)
+	}
+	for _, c := range r.Compare() {
+		f.add("hollow_beside_real."+c.What+".apart", "", c.Apart)
 	}
+	r.addOwn(f)
 }
 
-func (r *Run) addBytes(f *Figures, prefix string, g group, span float64) {
-	first, last := r.samples[0], r.samples[len(r.samples)-1]
-	sum, worst := 0.0, 0.0
-	for _, name := range g.members {
-		sum += float64(last.bytes[name] - first.bytes[name])
-		worst = max(worst, r.worst(minuteWindow, func(s *sample) float64 { return float64(s.bytes[name]) }))
+// peak is the most memory that a process has had, in bytes.
+func (r *Run) peak(process string) (most float64) {
+	for i := range r.samples {
+		most = max(most, float64(r.samples[i].peak[process]))
+	}
+	return most
+}
+
+// addOwn tells what hollow dispatchers have counted themselves: a mean of each.
+// Where some were started anew, what their former processes counted is lost.
+func (r *Run) addOwn(f *Figures) {
+	if slices.ContainsFunc(r.Scenario.Events, func(e Event) bool { return e.Kind == Restart }) {
+		return
+	}
+	n := float64(r.Scenario.Dispatchers)
+	if read := r.atEnd.BytesRead - r.atStart.BytesRead; read > 0 {
+		span := r.samples[len(r.samples)-1].at.Sub(r.samples[0].at).Seconds()
+		f.add("own_count.bytes", "B/s", float64(read+r.atEnd.BytesWritten-r.atStart.BytesWritten)/span/n)
+	}
+	if r.Scenario.Entries {
+		f.add("own_count.lists", "", float64(r.atEnd.Lists-r.atStart.Lists)/n)
+		f.add("own_count.entries", "", float64(r.atEnd.Entries-r.atStart.Entries)/n)
 	}
-	f.add(prefix+".bytes", "B/s", sum/span/float64(len(g.members)))
-	f.add(prefix+".bytes_worst_minute", "B/s", worst)
 }
 
 // worstShare is a process's share of a core in its busiest ten seconds.
@@ -191,10 +208,9 @@
 func (r *Run) addMachine(f *Figures, prefix, name string) {
 	first, last := r.samples[0], r.samples[len(r.samples)-1]
 	span := last.at.Sub(first.at).Seconds()
-	open, peak := int64(0), int64(0)
+	open := int64(0)
 	for i := range r.samples {
 		open = max(open, r.samples[i].open[name])
-		peak = max(peak, r.samples[i].peak[name])
 	}
 	sent := func(s *sample) float64 { return float64(s.sent[name]) }
 	f.add(prefix+".core_share", "cores", (last.cpu[name]-first.cpu[name]).Seconds()/span)
@@ -202,7 +218,7 @@
 	f.add(prefix+".bytes_out", "B/s", (sent(&last)-sent(&first))/span)
 	f.add(prefix+".bytes_out_worst_10s", "B/s", r.worst(coreWindow, sent))
 	f.add(prefix+".connections", "", float64(open))
-	f.add(prefix+".memory_peak", "MB", float64(peak)/megabyte)
+	f.add(prefix+".memory_peak", "MB", r.peak(name)/megabyte)
 }
 
 func (r *Run) addTraffic(f *Figures) {
@@ -221,11 +237,11 @@
 
 // reasons tell why a hollow dispatcher may differ, by what is compared.
 var reasons = map[string]string{
-	"core_share": "a real one has a collector, a poller and timers of its own, which hollow ones of a process share; " +
-		"of a small share the fixed cost is the most",
-	"memory": "a real one holds its program and run time, some 8 MB, and a heap that it collects alone; " +
-		"hollow ones of a process share them",
-	"bytes": "dispatchers of one zone have the same changes; requests and signs of life come at other moments",
+	"core_share": "the hollow ones of a process share one poller, one collector and one report to the run, on two processors; " +
+		"a real one has its own on one. What is fixed counts most where the share is small",
+	"memory": "the hollow ones of a process share one run time and the kit's larger program (some 20 MB); " +
+		"a real one has its own (some 8 MB). What is fixed counts most where the list is small",
+	"bytes": "dispatchers of a zone have the same changes, but each its own acknowledgements, and a restart is at other moments",
 }
 
 // Comparison sets a figure of hollow dispatchers beside that of real ones.
@@ -236,16 +252,20 @@
 	Why          string  // "": they are close
 }
 
-// Compare sets both kinds side by side. Where hollow ones serve requests they
-// have work that real ones have not, and only the bytes compare.
-func (r *Run) Compare(f Figures) (list []Comparison) {
-	for _, what := range []string{"core_share", "memory", "bytes"} {
-		hollow, _ := f.Get("dispatcher.hollow." + what)
-		real, ok := f.Get("dispatcher.real." + what)
-		if !ok || real == 0 || r.Scenario.Traffic.RatePerS > 0 && what != "bytes" {
+// Compare sets real dispatchers beside the hollow ones of the same zones. Where
+// hollow ones serve requests they have work that real ones have not, and only the
+// bytes compare.
+func (r *Run) Compare() (list []Comparison) {
+	beside := r.besideReal()
+	if r.Scenario.Real == 0 || len(beside.members) == 0 {
+		return nil
+	}
+	hollow, real := r.means(beside), r.means(r.groups()[1])
+	for i, what := range []string{"core_share", "memory", "bytes"} {
+		if real[i] == 0 || r.Scenario.Traffic.RatePerS > 0 && what != "bytes" {
 			continue
 		}
-		c := Comparison{What: what, Hollow: hollow, Real: real, Apart: hollow/real - 1}
+		c := Comparison{What: what, Hollow: hollow[i], Real: real[i], Apart: hollow[i]/real[i] - 1}
 		if math.Abs(c.Apart) > mostApart {
 			c.Why = reasons[what]
 		}
@@ -254,6 +274,37 @@
 	return list
 }
 
+// besideReal are the hollow dispatchers of the zones that have a real one.
+func (r *Run) besideReal() group {
+	zones := map[int]bool{}
+	for i := range r.Scenario.Real {
+		zones[realZone(i, r.Scenario.Zones)] = true
+	}
+	g := group{name: "beside", holders: map[string]int{}}
+	for i := range r.Scenario.Dispatchers {
+		if zone := zoneOf(i, r.Scenario.Zones); zones[zone] {
+			g.members = append(g.members, hollowName(i))
+			g.holders[holderName(zone)]++
+		}
+	}
+	return g
+}
+
+// means are the core share, the resident memory at the end in MB and the bytes a
+// second of one dispatcher of a group.
+func (r *Run) means(g group) (values [3]float64) {
+	first, last := r.samples[0], r.samples[len(r.samples)-1]
+	span, n := last.at.Sub(first.at).Seconds(), float64(len(g.members))
+	for holder := range g.holders {
+		values[0] += (last.cpu[holder] - first.cpu[holder]).Seconds() / span / n
+		values[1] += float64(last.rss[holder]) / megabyte / n
+	}
+	for _, name := range g.members {
+		values[2] += float64(last.bytes[name]-first.bytes[name]) / span / n
+	}
+	return values
+}
+
 // Faults names what no run may show, whatever its bounds.
 func (r *Run) Faults() (faults []string) {
 	if r.tracker.back > 0 {
--- a/internal/rehearsal/scale/hollow.go
+++ b/internal/rehearsal/scale/hollow.go
@@ -30,6 +30,7 @@
 	MemoryMB    float64            `json:"memory_mb"` // of each dispatcher
 	Dispatchers []hollowDispatcher `json:"dispatchers"`
 	Traffic     Traffic            `json:"traffic"`
+	Entries     bool               `json:"entries"` // count the list entries that are taken in
 }
 
 // hollowDispatcher is one of them and where it hears of changes.
@@ -43,6 +44,7 @@
 type hollowReport struct {
 	Applied []hollowApplied `json:"applied,omitempty"`
 	Traffic *trafficCounts  `json:"traffic,omitempty"`
+	Own     *ownCounts      `json:"own,omitempty"` // when the process is asked
 	Error   string          `json:"error,omitempty"`
 }
 
@@ -53,6 +55,24 @@
 	At         time.Duration `json:"t"` // Unix time
 }
 
+// ownCounts is what a process and its dispatchers have counted themselves, from
+// their start on.
+type ownCounts struct {
+	BytesRead    int64  `json:"bytes_read"` // on control connections
+	BytesWritten int64  `json:"bytes_written"`
+	Lists        int64  `json:"lists"` // and changes of lists; counted only where entries are
+	Entries      int64  `json:"entries"`
+	Allocations  uint64 `json:"allocations"`
+}
+
+func (c *ownCounts) add(more ownCounts) {
+	c.BytesRead += more.BytesRead
+	c.BytesWritten += more.BytesWritten
+	c.Lists += more.Lists
+	c.Entries += more.Entries
+	c.Allocations += more.Allocations
+}
+
 // trafficCounts tells what became of the requests so far.
 type trafficCounts struct {
 	Taken, Served, Refused, Failed, Attempts uint64
@@ -71,9 +91,15 @@
 
 // hollowProcess is the process at work.
 type hollowProcess struct {
-	config hollowConfig
-	loop   *core.Loop
-	out    *json.Encoder
+	config   hollowConfig
+	loop     *core.Loop
+	news     chan struct{} // there is something to report
+	backends []*platform.Backends
+	lists    int64 // belongs to the loop's goroutine, as entries
+	entries  int64
+
+	writing sync.Mutex // guards out
+	out     *json.Encoder
 
 	mu      sync.Mutex
 	applied []hollowApplied
@@ -88,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	p := &hollowProcess{loop: core.NewLoop(), out: json.NewEncoder(out)}
+	p := &hollowProcess{loop: core.NewLoop(), out: json.NewEncoder(out), news: make(chan struct{}, 1)}
 	if err := json.Unmarshal(line, &p.config); err != nil {
 		return err
 	}
@@ -97,8 +123,13 @@
 		return err
 	}
 	go func() {
-		io.Copy(io.Discard, lines)
-		p.loop.Stop()
+		for { // each further line asks for what has been counted
+			if _, err := lines.ReadBytes('\n'); err != nil {
+				p.loop.Stop()
+				return
+			}
+			p.loop.Post(p.tellCounts)
+		}
 	}()
 	go p.report()
 	p.loop.Run()
@@ -134,6 +165,10 @@
 	} else {
 		backends.Told = func() { p.note(i, backends.Version()) }
 	}
+	if p.config.Entries {
+		c.Trace = p.countEntries
+	}
+	p.backends = append(p.backends, backends)
 	if err := backends.Known(nil); err != nil {
 		p.fail(err)
 		return
@@ -148,9 +183,11 @@
 	p.mu.Lock()
 	p.applied = append(p.applied, hollowApplied{Dispatcher: i, Version: version, At: p.loop.Now()})
 	p.mu.Unlock()
+	p.tell()
 }
 
 func (p *hollowProcess) count(more trafficCounts) {
+	defer p.tell()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.counts == nil {
@@ -168,24 +205,58 @@
 	c.Busy += more.Busy
 }
 
+// countEntries hears each step of the core; a list's has the number of its entries.
+func (p *hollowProcess) countEntries(_, step string, more ...any) {
+	if step != "list" {
+		return
+	}
+	p.lists++
+	if n, ok := more[len(more)-1].(int); ok {
+		p.entries += int64(n)
+	}
+}
+
+// tellCounts tells what the process has counted.
+func (p *hollowProcess) tellCounts() {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	own := ownCounts{Lists: p.lists, Entries: p.entries, Allocations: memory.Mallocs}
+	for _, b := range p.backends {
+		stats := b.ControlStats()
+		own.add(ownCounts{BytesRead: stats.BytesRead, BytesWritten: stats.BytesWritten})
+	}
+	p.write(hollowReport{Own: &own})
+}
+
 func (p *hollowProcess) fail(err error) {
-	p.out.Encode(hollowReport{Error: fmt.Sprint(err)})
+	p.write(hollowReport{Error: fmt.Sprint(err)})
 	p.loop.Stop()
 }
 
-// report writes what has come in, now and then.
+func (p *hollowProcess) write(r hollowReport) error {
+	p.writing.Lock()
+	defer p.writing.Unlock()
+	return p.out.Encode(r)
+}
+
+// report writes what has come in, soon after it has.
 func (p *hollowProcess) report() {
-	for {
+	for range p.news {
 		time.Sleep(reportStep)
 		p.mu.Lock()
 		r := hollowReport{Applied: p.applied, Traffic: p.counts}
 		p.applied, p.counts = nil, nil
 		p.mu.Unlock()
-		if len(r.Applied) == 0 && r.Traffic == nil {
-			continue
-		}
-		if err := p.out.Encode(r); err != nil {
+		if err := p.write(r); err != nil {
 			return
 		}
 	}
 }
+
+// tell wakes the reporter.
+func (p *hollowProcess) tell() {
+	select {
+	case p.news <- struct{}{}:
+	default: // it is awake already
+	}
+}
--- a/internal/rehearsal/scale/report.go
+++ b/internal/rehearsal/scale/report.go
@@ -99,8 +99,8 @@
 }
 
 func writeComparisons(w io.Writer, run *Run) {
-	for _, c := range run.Compare(run.Figures()) {
-		fmt.Fprintf(w, "%s: %s of a hollow dispatcher %.4g, of a real one %.4g: %+.0f%%", run.Mechanism, c.What, c.Hollow, c.Real, 100*c.Apart)
+	for _, c := range run.Compare() {
+		fmt.Fprintf(w, "%s: %s of a hollow dispatcher %.4g, of a real one in its zone %.4g: %+.0f%%", run.Mechanism, c.What, c.Hollow, c.Real, 100*c.Apart)
 		if c.Why != "" {
 			fmt.Fprintf(w, " DIFFERS: %s", c.Why)
 		}
--- a/internal/rehearsal/scale/run.go
+++ b/internal/rehearsal/scale/run.go
@@ -19,16 +19,18 @@
 	samples   []sample
 	tracker   *tracker
 	counts    trafficCounts
+	atStart   ownCounts // of all hollow dispatchers, when the list was there
+	atEnd     ownCounts
 	unsettled int // reachable dispatchers without the last version at the end
 	processes int
-	lastAct   map[Kind]time.Time // when the latest action of a kind was taken
 }
 
 const (
-	settleTime   = 3 * time.Second // from the last dispatcher's readiness to the first step
-	sampleStep   = time.Second
-	waitStep     = 20 * time.Millisecond
-	stepPatience = 5 * time.Millisecond // steps so close to each other are made in one go
+	settleTime    = 2 * time.Second // from the last dispatcher's readiness to the first step
+	sampleStep    = time.Second
+	waitStep      = 20 * time.Millisecond
+	countPatience = 10 * time.Second     // for hollow dispatchers to tell what they have counted
+	stepPatience  = 5 * time.Millisecond // steps so close to each other are made in one go
 )
 
 // Play runs a scenario by one mechanism. It ends by itself at the scenario's deadline.
@@ -42,7 +44,7 @@
 	defer os.RemoveAll(dir)
 	plan := NewPlan(&s)
 	p := &player{
-		run:     &Run{Scenario: s, Mechanism: mechanism, Plan: plan, lastAct: map[Kind]time.Time{}},
+		run:     &Run{Scenario: s, Mechanism: mechanism, Plan: plan},
 		cluster: newCluster(&s, plan, mechanism, programs, dir),
 		log:     log.With("scenario", s.Name, "mechanism", mechanism),
 	}
@@ -71,6 +73,10 @@
 	if err := p.ready(ctx); err != nil {
 		return err
 	}
+	var err error
+	if p.run.atStart, err = p.cluster.countOwn(ctx); err != nil {
+		return err
+	}
 	p.began = time.Now()
 	p.log.Info("all dispatchers have the list", "workers", len(p.run.Plan.Hosts), "processes", p.run.processes)
 	if err := p.look(); err != nil {
@@ -174,7 +180,6 @@
 func (p *player) act(a Action) error {
 	c := p.cluster
 	p.log.Info(string(a.Kind), "zone", a.Zone, "region", a.Region)
-	p.run.lastAct[a.Kind] = time.Now()
 	switch a.Kind {
 	case ZoneLoss:
 		p.change(a.Kind, func() { c.network.lostZones[a.Zone] = true })
@@ -257,6 +262,12 @@
 	if err := p.look(); err != nil {
 		return err
 	}
+	counting, cancel := context.WithTimeout(context.WithoutCancel(ctx), countPatience)
+	defer cancel()
+	var err error
+	if p.run.atEnd, err = p.cluster.countOwn(counting); err != nil {
+		return err
+	}
 	c := p.cluster
 	p.run.unsettled = c.behind(p.newest)
 	c.mu.Lock()
--- a/internal/rehearsal/scale/scenario.go
+++ b/internal/rehearsal/scale/scenario.go
@@ -61,7 +61,8 @@
 	DeadlineS   float64    `toml:"deadline_s"` // of one mechanism's run: then it is given up
 	MemoryMB    float64    `toml:"memory_mb"`  // limit that a dispatcher is told
 	WarmAfterS  float64    `toml:"warm_after_s"`
-	LogChanges  int        `toml:"log_changes"` // versions that the origin and each relay keep
+	LogChanges  int        `toml:"log_changes"`   // versions that the origin and each relay keep
+	Entries     bool       `toml:"count_entries"` // hollow dispatchers count the entries that they take in
 
 	Day     Day     `toml:"day"`
 	Traffic Traffic `toml:"traffic"`
