--- a/internal/rehearsal/scale/cluster.go
+++ b/internal/rehearsal/scale/cluster.go
@@ -27,14 +27,12 @@
 
 const originName = "origin"
 
-func hollowName(i int) string       { return fmt.Sprintf("hollow-%04d", i+1) }
-func realName(i int) string         { return fmt.Sprintf("real-%d", i+1) }
-func relayName(zone int) string     { return "relay-" + ZoneName(zone) }
-func holderName(zone int) string    { return "hollows-" + ZoneName(zone) }
-func (c *cluster) ofHollow() int    { return c.scenario.Dispatchers }
-func zoneOf(i, zones int) int       { return i % zones }
-func realZone(i, zones int) int     { return (i + 1) % zones } // so that a zone beside the origin's has one
-func isReal(dispatcher string) bool { return strings.HasPrefix(dispatcher, "real-") }
+func hollowName(i int) string    { return fmt.Sprintf("hollow-%04d", i+1) }
+func realName(i int) string      { return fmt.Sprintf("real-%d", i+1) }
+func relayName(zone int) string  { return "relay-" + ZoneName(zone) }
+func holderName(zone int) string { return "hollows-" + ZoneName(zone) }
+func zoneOf(i, zones int) int    { return i % zones }
+func realZone(i, zones int) int  { return (i + 1) % zones } // so that a zone beside the origin's has one
 
 // cluster is everything that runs.
 type cluster struct {
@@ -331,7 +329,7 @@
 func (c *cluster) behind(version int64) (n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i := range c.ofHollow() {
+	for i := range c.scenario.Dispatchers {
 		if has, reachable := c.tracker.current(hollowName(i)); reachable && has < version {
 			n++
 		}
--- a/internal/rehearsal/scale/parts_test.go
+++ b/internal/rehearsal/scale/parts_test.go
@@ -111,6 +111,9 @@
 	}
 	took, missing := tr.inForce("calm")
 	near("calm", took, 0.4)
+	if missing != 0 {
+		t.Error("one that was late counts as missing")
+	}
 	if took, missing = tr.inForce("cut"); missing != 0 {
 		t.Error("one that was cut off counts as missing")
 	}
