--- a/Makefile
+++ b/Makefile
@@ -92,3 +92,17 @@
 measure-days: build
 	bin/hollyyoke-rehearse sim hunt deploy/scenarios/*.toml --seeds 1000
 	go test -run '^$$' -bench Day -cpu 1 ./internal/rehearsal/emulator
+
+# What control costs and how long changes take, before and after: every scenario
+# of the scale run at the target's 21,000 workers, an ordinary day at two smaller
+# sizes too. It goes on past a broken bound, and fails at its end. Nine minutes.
+.PHONY: measure-scale-runs
+SCALE_RUNS = docs/capacity
+measure-scale-runs: build
+	mkdir -p $(SCALE_RUNS) $(FOUND)
+	@failed=0; run() { \
+	  echo "== $$*"; name=$$1; shift; \
+	  bin/hollyyoke-rehearse scale "$$@" --json $(SCALE_RUNS)/scale-$$name.json --chart $(FOUND)/scale-$$name.svg || failed=1; }; \
+	for size in 200 2100; do run day-$$size deploy/scenarios/scale/day.toml --workers $$size; done; \
+	for name in day rack zone region restart peak relay; do run $$name deploy/scenarios/scale/$$name.toml; done; \
+	exit $$failed
--- a/internal/rehearsal/scale/figures.go
+++ b/internal/rehearsal/scale/figures.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -190,19 +191,58 @@
 	return most
 }
 
-// addControl tells of the origin and of the busiest relay.
+// addControl tells of the origin and, where there are relays, of the busiest one:
+// over the run, and from each action to the next.
 func (r *Run) addControl(f *Figures) {
 	r.addMachine(f, "origin", originName)
-	if r.Mechanism != ByRelays {
+	machines := []string{originName}
+	if r.Mechanism == ByRelays {
+		machines = nil
+		for zone := range r.Scenario.Zones {
+			machines = append(machines, relayName(zone))
+		}
+		r.addMachine(f, "relay.busiest", slices.MaxFunc(machines, func(a, b string) int {
+			return cmp.Compare(r.worstShare(a), r.worstShare(b))
+		}))
+	}
+	for i, act := range r.acts {
+		until := r.samples[len(r.samples)-1].at
+		if i+1 < len(r.acts) {
+			until = r.acts[i+1].at
+		}
+		r.addBusiest(f, "control.after_"+string(act.kind), machines, r.between(act.at, until))
+	}
+}
+
+// between are the samples of a time.
+func (r *Run) between(from, to time.Time) (list []sample) {
+	for _, s := range r.samples {
+		if !s.at.Before(from) && !s.at.After(to) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// addBusiest tells the most that any control machine had to do in some time, each
+// figure by itself.
+func (r *Run) addBusiest(f *Figures, prefix string, machines []string, samples []sample) {
+	if len(samples) < 2 {
 		return
 	}
-	busiest, share := "", -1.0
-	for zone := range r.Scenario.Zones {
-		if s := r.worstShare(relayName(zone)); s > share {
-			busiest, share = relayName(zone), s
+	first, last := samples[0], samples[len(samples)-1]
+	span := last.at.Sub(first.at).Seconds()
+	share, sent, open := 0.0, 0.0, int64(0)
+	for _, name := range machines {
+		share = max(share, (last.cpu[name]-first.cpu[name]).Seconds()/span)
+		sent = max(sent, float64(last.sent[name]-first.sent[name])/span)
+		for _, s := range samples {
+			open = max(open, s.open[name])
 		}
 	}
-	r.addMachine(f, "relay.busiest", busiest)
+	f.add(prefix+".core_share", "cores", share)
+	f.add(prefix+".bytes_out", "B/s", sent)
+	f.add(prefix+".connections", "", float64(open))
 }
 
 func (r *Run) addMachine(f *Figures, prefix, name string) {
--- a/internal/rehearsal/scale/run.go
+++ b/internal/rehearsal/scale/run.go
@@ -23,6 +23,13 @@
 	atEnd     ownCounts
 	unsettled int // reachable dispatchers without the last version at the end
 	processes int
+	acts      []act
+}
+
+// act is an action that was taken.
+type act struct {
+	kind Kind
+	at   time.Time
 }
 
 const (
@@ -179,6 +186,7 @@
 // act takes an action, and tells the tracker who can be reached before and after it.
 func (p *player) act(a Action) error {
 	c := p.cluster
+	p.run.acts = append(p.run.acts, act{a.Kind, time.Now()})
 	p.log.Info(string(a.Kind), "zone", a.Zone, "region", a.Region)
 	switch a.Kind {
 	case ZoneLoss:
