--- a/cmd/hollyyoke-rehearse/scale.go
+++ b/cmd/hollyyoke-rehearse/scale.go
@@ -28,6 +28,7 @@
 	Mechanism   string `enum:",discovery,relays" default:"" help:"discovery or relays alone; not given: as the scenario says."`
 	JSON        string `name:"json" placeholder:"FILE" help:"Write the figures as JSON."`
 	Chart       string `placeholder:"FILE" help:"Write a chart as SVG."`
+	Changes     string `placeholder:"FILE" help:"Write each change, and how long it took to be in force, as CSV."`
 	Daemon      string `help:"The daemon's program; not given: hollyyoke-serve beside this one."`
 	Relay       string `help:"The relay's program; not given: hollyyoke-relay beside this one."`
 }
@@ -121,13 +122,18 @@
 
 func (c *scaleCmd) tell(e *env, runs []*scale.Run, records []scale.Record) error {
 	scale.WriteTable(e.out, runs, records)
-	if c.JSON != "" {
-		if err := create(c.JSON, func(w io.Writer) error { return scale.WriteJSON(w, records) }); err != nil {
-			return err
+	for _, file := range []struct {
+		path  string
+		write func(io.Writer) error
+	}{
+		{c.JSON, func(w io.Writer) error { return scale.WriteJSON(w, records) }},
+		{c.Chart, func(w io.Writer) error { return scale.WriteChart(w, runs) }},
+		{c.Changes, func(w io.Writer) error { return scale.WriteChanges(w, runs) }},
+	} {
+		if file.path == "" {
+			continue
 		}
-	}
-	if c.Chart != "" {
-		if err := create(c.Chart, func(w io.Writer) error { return scale.WriteChart(w, runs) }); err != nil {
+		if err := create(file.path, file.write); err != nil {
 			return err
 		}
 	}
--- a/internal/rehearsal/scale/report.go
+++ b/internal/rehearsal/scale/report.go
@@ -1,11 +1,14 @@
 package scale
 
 import (
+	"encoding/csv"
 	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"text/tabwriter"
+	"time"
 )
 
 // This file owns how a run is told: a table that sets the mechanisms side by
@@ -107,3 +110,24 @@
 		fmt.Fprintln(w)
 	}
 }
+
+// WriteChanges writes each change of runs as a line of CSV: when it was made and
+// how long it took until the last reachable dispatcher had it in force.
+func WriteChanges(w io.Writer, runs []*Run) error {
+	out := csv.NewWriter(w)
+	out.Write([]string{"mechanism", "version", "made_s", "phase", "in_force_s", "last_at"})
+	for _, run := range runs {
+		began := time.Duration(run.samples[0].at.UnixNano())
+		for _, change := range run.tracker.changes {
+			last, slowest, everywhere := run.tracker.spread(change)
+			took := "never"
+			if everywhere {
+				took = fmt.Sprintf("%.4f", last.Seconds())
+			}
+			out.Write([]string{string(run.Mechanism), strconv.FormatInt(change.version, 10),
+				fmt.Sprintf("%.4f", (change.at - began).Seconds()), change.phase, took, slowest})
+		}
+	}
+	out.Flush()
+	return out.Error()
+}
--- a/internal/rehearsal/scale/scale_test.go
+++ b/internal/rehearsal/scale/scale_test.go
@@ -8,10 +8,12 @@
 	"io"
 	"log/slog"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 // childKind tells the test's program to be a child process of a run.
@@ -124,11 +126,9 @@
 	frameBytes = 16
 )
 
-// checkBytes checks that a dispatcher is sent the snapshot once, each change once,
-// a sign of life now and then, and no more.
-func checkBytes(t *testing.T, run *Run) {
-	t.Helper()
-	line := func(hosts []Change) int {
+// lineBytes is how long the list at the start is on the wire, and all changes are.
+func lineBytes(p *Plan) (snapshot, deltas int64) {
+	line := func(hosts []Change) int64 {
 		l := listing{Seq: 1}
 		for _, change := range hosts {
 			host := change.Host
@@ -137,21 +137,28 @@
 			}
 			l.Hosts = append(l.Hosts, host)
 		}
-		return len(l.line())
+		return int64(len(l.line()))
 	}
 	var initial []Change
-	for _, host := range run.Plan.Hosts {
+	for _, host := range p.Hosts {
 		initial = append(initial, Change{Host: host})
 	}
-	snapshot, deltas := line(initial), 0
-	for _, step := range run.Plan.Steps {
+	for _, step := range p.Steps {
 		for _, change := range step.Changes {
 			deltas += line(change) + frameBytes
 		}
 	}
+	return line(initial), deltas
+}
+
+// checkBytes checks that a dispatcher is sent the snapshot once, each change once,
+// a sign of life now and then, and no more.
+func checkBytes(t *testing.T, run *Run) {
+	t.Helper()
+	snapshot, deltas := lineBytes(run.Plan)
 	last := run.samples[len(run.samples)-1]
 	signs := int(last.at.Sub(run.samples[0].at)/signOfLife+10) * frameBytes // the start's and the end's, too
-	least, most := int64(snapshot+deltas/2), int64(snapshot+deltas+signs+headBytes)
+	least, most := snapshot+deltas/2, snapshot+deltas+int64(signs+headBytes)
 	for i := range run.Scenario.Dispatchers {
 		if got := last.bytes[hollowName(i)]; got < least || got > most {
 			t.Errorf("%s was sent and sent %d bytes, not between %d and %d", hollowName(i), got, least, most)
@@ -201,6 +208,51 @@
 	}
 }
 
+// The same by relays: the test's program plays the origin and the hollow
+// dispatchers, the relay's own program the relays.
+func TestSmallRunByRelays(t *testing.T) {
+	programs := testPrograms()
+	programs.Relay = filepath.Join(t.TempDir(), "hollyyoke-relay")
+	if out, err := exec.Command("go", "build", "-o", programs.Relay, "../../../cmd/hollyyoke-relay").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	s := readScenario(t, "ci.toml")
+	s.Events = append(s.Events, Event{Kind: RelayDown, AtS: 0.8, Zone: 1}, Event{Kind: RelayUp, AtS: 1.6, Zone: 1})
+	run, err := Play(context.Background(), s, ByRelays, programs, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkCourse(t, run)
+	checkRelayedMessages(t, run)
+	checkAllocations(t, run)
+	if record := run.Record("command"); len(record.Broken) > 0 {
+		t.Errorf("broken: %v", record.Broken)
+	}
+}
+
+// checkRelayedMessages checks that no dispatcher takes in more lists and entries
+// than changed, though it moved to another relay, nor bytes beyond two snapshots,
+// the changes, and its acknowledgements.
+func checkRelayedMessages(t *testing.T, run *Run) {
+	t.Helper()
+	const ofCall = 500 // bytes of an acknowledgement and of its answer
+	n := int64(run.Scenario.Dispatchers)
+	if lists, most := run.atEnd.Lists-run.atStart.Lists, n*int64(run.Plan.Changes()); lists < n || lists > most {
+		t.Errorf("%d lists were taken in, of %d at the most", lists, most)
+	}
+	if entries, most := run.atEnd.Entries-run.atStart.Entries, n*int64(entriesOf(run.Plan)); entries < n || entries > most {
+		t.Errorf("%d entries were touched, %d changed", entries, most)
+	}
+	last := run.samples[len(run.samples)-1]
+	calls := int64(last.at.Sub(run.samples[0].at)/time.Second) + 5 // one a second, and those of the start and of moves
+	snapshot, deltas := lineBytes(run.Plan)
+	for i := range run.Scenario.Dispatchers {
+		if got := last.bytes[hollowName(i)]; got == 0 || got > 2*snapshot+deltas+calls*ofCall {
+			t.Errorf("%s was sent and sent %d bytes: a snapshot has %d, the changes %d, %d calls", hollowName(i), got, snapshot, deltas, calls)
+		}
+	}
+}
+
 func TestScenarioFiles(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join(scenarioDir, "*.toml"))
 	if err != nil || len(files) < 6 {
--- a/internal/rehearsal/scale/tracker.go
+++ b/internal/rehearsal/scale/tracker.go
@@ -99,21 +99,8 @@
 		if change.phase != phase {
 			continue
 		}
-		last, lost := time.Duration(0), false
-		for name := range t.moments {
-			had, ok := t.when(name, change.version, change.at)
-			if !ok {
-				had = math.MaxInt64
-			}
-			switch {
-			case !t.reachable(name, change.at, had):
-			case !ok:
-				lost = true
-			default:
-				last = max(last, had-change.at)
-			}
-		}
-		if lost {
+		last, _, everywhere := t.spread(change)
+		if !everywhere {
 			missing++
 			continue
 		}
@@ -122,6 +109,25 @@
 	return took, missing
 }
 
+// spread tells how long a change took until the last reachable dispatcher had
+// it, and which one that was; not everywhere: one never had it.
+func (t *tracker) spread(change made) (last time.Duration, slowest string, everywhere bool) {
+	for name := range t.moments {
+		had, ok := t.when(name, change.version, change.at)
+		if !ok {
+			had = math.MaxInt64
+		}
+		switch {
+		case !t.reachable(name, change.at, had):
+		case !ok:
+			return 0, name, false
+		case had-change.at > last:
+			last, slowest = had-change.at, name
+		}
+	}
+	return last, slowest, true
+}
+
 // phases are those that have changes, in the order of their first.
 func (t *tracker) phases() (names []string) {
 	for _, change := range t.changes {
