--- a/internal/rehearsal/scale/cluster.go
+++ b/internal/rehearsal/scale/cluster.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -41,6 +43,7 @@
 	mechanism Mechanism
 	programs  Programs
 	dir       string
+	known     []byte // the list that dispatchers start with; nil: none
 	network   *network
 	meter     *meter
 	origin    *originProcess
@@ -81,6 +84,13 @@
 	if _, err := c.origin.change([][]Change{initial}); err != nil {
 		return err
 	}
+	if c.scenario.Known {
+		list := listing{Seq: firstVersion, Whole: true, Hosts: c.plan.Hosts}
+		c.known = list.line()
+		if err := os.WriteFile(c.knownFile(), c.known, 0o600); err != nil {
+			return err
+		}
+	}
 	if c.mechanism == ByRelays {
 		if err := c.startRelays(); err != nil {
 			return err
@@ -102,6 +112,13 @@
 	return nil
 }
 
+const firstVersion = 1 // of the list at the start
+
+func (c *cluster) knownFile() string { return filepath.Join(c.dir, "known.json") }
+
+// forget makes dispatchers that start from now on do so without a list.
+func (c *cluster) forget() { c.known = nil }
+
 // processes is how many there are, this one included.
 func (c *cluster) processes() int { return len(c.relays) + len(c.holders) + len(c.reals) + 2 }
 
@@ -216,6 +233,9 @@
 	s := c.scenario
 	config := hollowConfig{Settings: dispatcherSettings(s, c.plan.Zones, zone), Zone: ZoneName(zone),
 		Seed: s.Seed + uint64(zone)<<32, MemoryMB: s.MemoryMB, Traffic: s.Traffic, Entries: s.Entries}
+	if c.known != nil {
+		config.Known = c.knownFile()
+	}
 	var names []string
 	for _, i := range list {
 		name := hollowName(i)
@@ -266,7 +286,8 @@
 	if err != nil {
 		return err
 	}
-	cmd, err := daemonCommand(c.programs.Daemon, c.dir, name, ZoneName(zone), s.MemoryMB, dispatcherSettings(s, c.plan.Zones, zone), up)
+	config := daemonConfig{Name: name, Limits: daemonLimits{MemoryMB: s.MemoryMB}, Known: c.known, Settings: dispatcherSettings(s, c.plan.Zones, zone)}
+	cmd, err := daemonCommand(c.programs.Daemon, c.dir, ZoneName(zone), config, up)
 	if err != nil {
 		return err
 	}
--- a/internal/rehearsal/scale/hollow.go
+++ b/internal/rehearsal/scale/hollow.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -30,6 +31,7 @@
 	MemoryMB    float64            `json:"memory_mb"` // of each dispatcher
 	Dispatchers []hollowDispatcher `json:"dispatchers"`
 	Traffic     Traffic            `json:"traffic"`
+	Known       string             `json:"known"`   // file of the list that they start with; "": none
 	Entries     bool               `json:"entries"` // count the list entries that are taken in
 }
 
@@ -97,6 +99,7 @@
 	backends []*platform.Backends
 	lists    int64 // belongs to the loop's goroutine, as entries
 	entries  int64
+	known    []byte
 
 	writing sync.Mutex // guards out
 	out     *json.Encoder
@@ -119,9 +122,15 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(p.config.MemoryMB * heapShare * float64(len(p.config.Dispatchers)) * (1 << 20)))
+	if p.config.Known != "" {
+		if p.known, err = os.ReadFile(p.config.Known); err != nil {
+			return err
+		}
+	}
 	if err := p.start(); err != nil {
 		return err
 	}
+	p.loop.Post(func() { p.known = nil }) // behind those who read it
 	go func() {
 		for { // each further line asks for what has been counted
 			if _, err := lines.ReadBytes('\n'); err != nil {
@@ -169,7 +178,7 @@
 		c.Trace = p.countEntries
 	}
 	p.backends = append(p.backends, backends)
-	if err := backends.Known(nil); err != nil {
+	if err := backends.Known(p.known); err != nil {
 		p.fail(err)
 		return
 	}
--- a/internal/rehearsal/scale/process.go
+++ b/internal/rehearsal/scale/process.go
@@ -21,6 +21,7 @@
 	Discovery string          `json:"discovery,omitempty"`
 	Seed      string          `json:"seed"`
 	Limits    daemonLimits    `json:"limits"`
+	Known     json.RawMessage `json:"known,omitempty"`
 	Settings  json.RawMessage `json:"settings"`
 }
 
@@ -42,9 +43,10 @@
 }
 
 // daemonCommand writes the files of a real daemon and returns its command.
-func daemonCommand(program, dir, name, zone string, memoryMB float64, settings json.RawMessage, up upstream) (*exec.Cmd, error) {
-	config := daemonConfig{Name: name, Listen: listenAny, Discovery: up.discovery, Seed: "1",
-		Limits: daemonLimits{MemoryMB: memoryMB, Sockets: daemonSockets}, Settings: settings}
+func daemonCommand(program, dir, zone string, config daemonConfig, up upstream) (*exec.Cmd, error) {
+	name := config.Name
+	config.Listen, config.Discovery, config.Seed = listenAny, up.discovery, "1"
+	config.Limits.Sockets = daemonSockets
 	text, err := json.Marshal(config)
 	if err != nil {
 		return nil, err
--- a/internal/rehearsal/scale/run.go
+++ b/internal/rehearsal/scale/run.go
@@ -75,12 +75,18 @@
 	if err := p.cluster.start(); err != nil {
 		return err
 	}
-	p.newest = 1 // the list at the start
+	// A change that every dispatcher must come to have shows that it follows.
+	mark := Change{Host: p.run.Plan.Hosts[0]}
+	versions, err := p.cluster.origin.change([][]Change{{mark}})
+	if err != nil {
+		return err
+	}
+	p.newest = versions[0].Version
+	p.cluster.forget()
 	p.run.processes = p.cluster.processes()
 	if err := p.ready(ctx); err != nil {
 		return err
 	}
-	var err error
 	if p.run.atStart, err = p.cluster.countOwn(ctx); err != nil {
 		return err
 	}
--- a/internal/rehearsal/scale/scenario.go
+++ b/internal/rehearsal/scale/scenario.go
@@ -62,6 +62,7 @@
 	MemoryMB    float64    `toml:"memory_mb"`  // limit that a dispatcher is told
 	WarmAfterS  float64    `toml:"warm_after_s"`
 	LogChanges  int        `toml:"log_changes"`   // versions that the origin and each relay keep
+	Known       bool       `toml:"known"`         // dispatchers start with the list, as ones that have run for long; a restart loses it
 	Entries     bool       `toml:"count_entries"` // hollow dispatchers count the entries that they take in
 
 	Day     Day     `toml:"day"`
