--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,7 @@
 
 # What control costs and how long changes take, before and after: every scenario
 # of the scale run at the target's 21,000 workers, an ordinary day at two smaller
-# sizes too. It goes on past a broken bound, and fails at its end. Nine minutes.
+# sizes too. It goes on past a broken bound, and fails at its end.
 .PHONY: measure-scale measure-scale-runs
 measure-scale: measure-scale-runs
 SCALE_RUNS = docs/capacity
