Relays coalesce what is not urgent for a second

Cause: 1,333 changes within ten seconds, an hour's, left a relay in some 100 lines of 13 entries, too short to be fetched compressed.

Change: batch_ms defaults to 1000, a tenth of the 10 s that the target leaves; a change that comes alone still goes at once, and drains and departures keep 100 ms.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -33,7 +33,7 @@
 // Defaults returns the options that apply where the file has none.
 func Defaults() Config {
 	return Config{
-		LogChanges: 20_000, BatchMs: 100, UrgentBatchMs: 100, BytesPerS: 6000, AckExpiryS: 90,
+		LogChanges: 20_000, BatchMs: 1000, UrgentBatchMs: 100, BytesPerS: 6000, AckExpiryS: 90,
 		StaleAfterMs: 2000, WriteTimeoutMs: 5000, MaxSubscribers: 2000,
 	}
 }
