hollyyoke-rehearse slopes measures one daemon by the number of listed workers

A daemon without clients runs beside a stand-in discovery and is metered from outside: processor clock, peak resident memory, bytes on the connection.

--- a/cmd/hollyyoke-rehearse/main.go
+++ b/cmd/hollyyoke-rehearse/main.go
@@ -55,6 +55,7 @@
 	Generate generateCmd `cmd:"" help:"Write a made-up log of a known shape, for measurements."`
 	Flood    floodCmd    `cmd:"" help:"Hold known clients' requests beside hostile ones, with admission on and off."`
 	Sim      simCmd      `cmd:"" help:"The fleet in virtual time: a day in moments, the same from the same seed."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure what one daemon costs by the number of listed workers."`
 	Formats  formatsCmd  `cmd:"" help:"List the formats that import reads."`
 	Version  versionCmd  `cmd:"" help:"Tell the version."`
 }
@@ -130,6 +131,12 @@
 type versionCmd struct{}
 
 func (versionCmd) Run(e *env) error {
+	fmt.Fprintf(e.out, "hollyyoke-rehearse %s, recordings of version %d\n", buildVersion(), recording.Version)
+	return nil
+}
+
+// buildVersion is the version and revision that the program was built from.
+func buildVersion() string {
 	version := "(devel)"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		version = info.Main.Version
@@ -139,8 +146,7 @@
 			}
 		}
 	}
-	fmt.Fprintf(e.out, "hollyyoke-rehearse %s, recordings of version %d\n", version, recording.Version)
-	return nil
+	return version
 }
 
 type generateCmd struct {
--- /dev/null
+++ b/cmd/hollyyoke-rehearse/slopes.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"math"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/capacity"
+)
+
+// This file owns slopes: what one daemon costs by the size of the fleet.
+
+type slopesCmd struct {
+	Sizes     []int         `default:"200,660,2100,6600,21000" help:"Listed workers, one size after another."`
+	Plays     int           `default:"3" help:"How often each size is measured."`
+	IdleSpan  time.Duration `default:"6s" help:"How long nothing changes."`
+	DeltaSpan time.Duration `default:"20s" help:"How long workers change one by one."`
+	DeltaRate float64       `default:"20" help:"Changes a second in that time."`
+	Daemon    string        `help:"The daemon's program; not given: hollyyoke-serve beside this one."`
+	Label     string        `name:"program-version" help:"The version of that program, for the file; not given: this one's."`
+	Append    bool          `help:"Add the plays to those that the file has."`
+	Output    string        `short:"o" required:"" help:"The JSON file."`
+}
+
+// command is how the run is started, with what is not as it is by default.
+func (c *slopesCmd) command() string {
+	return fmt.Sprintf("hollyyoke-rehearse slopes --sizes %s --idle-span %v --delta-span %v --delta-rate %g",
+		strings.Trim(strings.Join(strings.Fields(fmt.Sprint(c.Sizes)), ","), "[]"), c.IdleSpan, c.DeltaSpan, c.DeltaRate)
+}
+
+func (c *slopesCmd) Run(e *env) error {
+	debug.SetMemoryLimit(math.MaxInt64) // the lists of a stand-in take what they need
+	program := c.Daemon
+	if program == "" {
+		beside, err := daemonPath("")
+		if err != nil {
+			return err
+		}
+		program = filepath.Join(filepath.Dir(beside), "hollyyoke-serve")
+	}
+	got, err := capacity.Measure(capacity.Config{Program: program, Sizes: c.Sizes, Plays: c.Plays, IdleSpan: c.IdleSpan, DeltaSpan: c.DeltaSpan,
+		DeltaRate: c.DeltaRate, Progress: func(size, play int) { e.log.Info("measuring", "workers", size, "play", play+1) }})
+	if err != nil {
+		return err
+	}
+	got.Command, got.Version = c.command(), c.Label
+	if got.Version == "" {
+		got.Version = buildVersion()
+	}
+	if c.Append {
+		former, err := capacity.ReadSlopes(c.Output)
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+		if err == nil {
+			if err := former.Merge(got); err != nil {
+				return err
+			}
+			got = former
+		}
+	}
+	return create(c.Output, func(w io.Writer) error { return writeJSON(w, got) })
+}
