--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint and run. `make test` is the one test command.
-.PHONY: all build test lint run rehearse clean
+.PHONY: all build test lint run rehearse capacity clean
 
 all: build
 
@@ -45,11 +45,15 @@
 	bin/hollyyoke-rehearse import --rules $(RULES) --rejects $(REPORT)/rejects.jsonl -o $(REPORT)/recording.rec $(IN)
 	bin/hollyyoke-rehearse run --recording $(REPORT)/recording.rec --report $(REPORT)
 
+# The capacity page, from the runs and assumptions in docs/capacity.
+capacity: build
+	bin/hollyyoke-rehearse capacity
+
 clean:
 	rm -rf bin found
 
 # ---- Long measurements, not part of the tests.
-.PHONY: measure-import measure-fidelity measure-flood measure-admit measure-durable measure-kills measure-days
+.PHONY: measure-import measure-fidelity measure-flood measure-admit measure-durable measure-kills measure-days measure-slopes
 FOUND = found/measured
 
 # 2 GB of Combined lines made up on the spot, imported on one core: speed and resident memory.
@@ -92,3 +96,9 @@
 measure-days: build
 	bin/hollyyoke-rehearse sim hunt deploy/scenarios/*.toml --seeds 1000
 	go test -run '^$$' -bench Day -cpu 1 ./internal/rehearsal/emulator
+
+# What one daemon costs by the number of listed workers, three plays of each size
+# (some eight minutes on an idle machine), and the capacity page anew.
+measure-slopes: build
+	bin/hollyyoke-rehearse slopes -o docs/capacity/slopes.json
+	bin/hollyyoke-rehearse capacity
--- a/cmd/hollyyoke-rehearse/main.go
+++ b/cmd/hollyyoke-rehearse/main.go
@@ -56,6 +56,7 @@
 	Flood    floodCmd    `cmd:"" help:"Hold known clients' requests beside hostile ones, with admission on and off."`
 	Sim      simCmd      `cmd:"" help:"The fleet in virtual time: a day in moments, the same from the same seed."`
 	Slopes   slopesCmd   `cmd:"" help:"Measure what one daemon costs by the number of listed workers."`
+	Capacity capacityCmd `cmd:"" help:"Write docs/CAPACITY.md from the runs and assumptions in docs/capacity."`
 	Formats  formatsCmd  `cmd:"" help:"List the formats that import reads."`
 	Version  versionCmd  `cmd:"" help:"Tell the version."`
 }
--- /dev/null
+++ b/internal/rehearsal/capacity/scale.go
@@ -0,0 +1,116 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// This file owns reading the results of scale runs, which cmd/hollyyoke-rehearse
+// scale writes:
+//
+//	{"command": "...", "seed": 1, "workers": 21000, "dispatchers": 320,
+//	 "mechanism": "relays", "scenario": "zone-loss",
+//	 "figures": [{"name": "in_force_p99", "unit": "s", "value": 1.2, "kind": "real"}]}
+
+// ScaleFigure is one figure of a scale run.
+type ScaleFigure struct {
+	Name  string  `json:"name"`
+	Unit  string  `json:"unit"`
+	Value float64 `json:"value"`
+	Kind  string  `json:"kind"`
+}
+
+// ScaleRun is one scenario run with one mechanism.
+type ScaleRun struct {
+	Command     string        `json:"command"`
+	Seed        uint64        `json:"seed"`
+	Workers     int           `json:"workers"`
+	Dispatchers int           `json:"dispatchers"`
+	Mechanism   string        `json:"mechanism"`
+	Scenario    string        `json:"scenario"`
+	Figures     []ScaleFigure `json:"figures"`
+
+	File string `json:"-"`
+}
+
+// The files of slope runs; every other JSON file beside them is a scale run.
+const (
+	beforeFile = "slopes-before.json"
+	slopesFile = "slopes.json"
+)
+
+// readScale reads all scale runs of a directory, by scenario and mechanism.
+func readScale(dir string) (runs []ScaleRun, err error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	for _, path := range paths {
+		name := filepath.Base(path)
+		if name == beforeFile || name == slopesFile {
+			continue
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		run := ScaleRun{File: name}
+		if err := json.Unmarshal(text, &run); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		if run.Scenario == "" || run.Command == "" {
+			return nil, fmt.Errorf("%s: scenario or command is empty", path)
+		}
+		runs = append(runs, run)
+	}
+	slices.SortStableFunc(runs, func(a, b ScaleRun) int {
+		return strings.Compare(a.Scenario+" "+a.Mechanism, b.Scenario+" "+b.Mechanism)
+	})
+	return runs, nil
+}
+
+// ScaleTable is the runs of one scenario side by side.
+type ScaleTable struct {
+	Scenario string
+	Runs     []ScaleRun
+	Lines    []ScaleLine
+}
+
+// ScaleLine is one figure of all runs of a scenario.
+type ScaleLine struct {
+	Name, Unit, Kind string
+	Values           []string // one a run; empty: it has no such figure
+}
+
+// scaleTables puts runs of the same scenario side by side.
+func scaleTables(runs []ScaleRun) (tables []ScaleTable) {
+	for _, run := range runs {
+		if n := len(tables); n == 0 || tables[n-1].Scenario != run.Scenario {
+			tables = append(tables, ScaleTable{Scenario: run.Scenario})
+		}
+		t := &tables[len(tables)-1]
+		t.Runs = append(t.Runs, run)
+	}
+	for i := range tables {
+		tables[i].fill()
+	}
+	return tables
+}
+
+// fill makes the lines, in the order in which the runs have their figures.
+func (t *ScaleTable) fill() {
+	for column, run := range t.Runs {
+		for _, f := range run.Figures {
+			i := slices.IndexFunc(t.Lines, func(l ScaleLine) bool { return l.Name == f.Name && l.Unit == f.Unit && l.Kind == f.Kind })
+			if i < 0 {
+				t.Lines = append(t.Lines, ScaleLine{Name: f.Name, Unit: f.Unit, Kind: f.Kind, Values: make([]string, len(t.Runs))})
+				i = len(t.Lines) - 1
+			}
+			t.Lines[i].Values[column] = significant(f.Value)
+		}
+	}
+}
