--- a/internal/rehearsal/capacity/assumptions.go
+++ b/internal/rehearsal/capacity/assumptions.go
@@ -65,6 +65,7 @@
 	ConfigPeakRate    Assumption `toml:"config_peak_rate"`
 	StartPeakFactor   Assumption `toml:"start_peak_factor"`
 	MachineBytes      Assumption `toml:"machine_bytes_per_s"`
+	MachineCores      Assumption `toml:"machine_cores"`
 	CallsPerSecond    Assumption `toml:"calls_per_s"`
 	LongestObject     Assumption `toml:"longest_object_bytes"`
 }
@@ -97,7 +98,7 @@
 	}{
 		{"changes_of_a_failure", &a.FailureChanges}, {"changes_of_a_restart", &a.RestartChanges}, {"rack_workers", &a.RackWorkers},
 		{"config_change_bytes", &a.ConfigChangeBytes}, {"config_peak_factor", &a.ConfigPeakFactor}, {"config_peak_rate", &a.ConfigPeakRate},
-		{"start_peak_factor", &a.StartPeakFactor}, {"machine_bytes_per_s", &a.MachineBytes}, {"calls_per_s", &a.CallsPerSecond},
+		{"start_peak_factor", &a.StartPeakFactor}, {"machine_bytes_per_s", &a.MachineBytes}, {"machine_cores", &a.MachineCores}, {"calls_per_s", &a.CallsPerSecond},
 		{"longest_object_bytes", &a.LongestObject},
 	}
 	list := make([]*Assumption, len(named))
--- a/internal/rehearsal/capacity/capacity_test.go
+++ b/internal/rehearsal/capacity/capacity_test.go
@@ -150,7 +150,7 @@
 	}
 	b.Assumed = Assumed{Dispatchers: []int{300, 3000, 21000}, FailureChanges: a(2, UnitCount), RestartChanges: a(4, UnitCount),
 		RackWorkers: a(40, UnitCount), ConfigChangeBytes: a(100, UnitBytes), ConfigPeakFactor: a(4, UnitCount), ConfigPeakRate: a(20, UnitPerSecond),
-		StartPeakFactor: a(3, UnitCount), MachineBytes: a(125e6, UnitBytesPerSecond), CallsPerSecond: a(500, UnitPerSecond),
+		StartPeakFactor: a(3, UnitCount), MachineBytes: a(125e6, UnitBytesPerSecond), MachineCores: a(8, UnitCores), CallsPerSecond: a(500, UnitPerSecond),
 		LongestObject: a(4<<20, UnitBytes)}
 	b.Assumed.list()
 	b.Mechanisms = Mechanisms{Membership: "m", Decisions: "d", Resume: "r", Configuration: missing, Relays: "relay", Acknowledgement: missing}
@@ -363,7 +363,7 @@
 		}
 	}
 	run := func(mechanism, figures string) string {
-		return `{"command":"scale day","seed":1,"workers":200,"dispatchers":3,"mechanism":"` + mechanism + `","scenario":"day","figures":[` + figures + `]}`
+		return `[{"command":"scale day","seed":1,"workers":200,"dispatchers":3,"mechanism":"` + mechanism + `","scenario":"day","figures":[` + figures + `]}]`
 	}
 	write("day-discovery.json", run("discovery", `{"name":"bytes","unit":"B/s","value":12345.6,"kind":"real"}`))
 	write("day-relays.json", run("relays", `{"name":"bytes","unit":"B/s","value":2,"kind":"real"},{"name":"p99","unit":"s","value":0.25,"kind":"hollow"}`))
@@ -380,8 +380,38 @@
 	if first.Values[0] != "12,300" || first.Values[1] != "2" || second.Values[0] != "" || second.Values[1] != "0.25" {
 		t.Errorf("%+v", tables[0].Lines)
 	}
-	write("broken.json", `{"scenario":"x"}`)
+	write("broken.json", `[{"scenario":"x"}]`)
 	if _, err := readScale(dir); err == nil {
 		t.Error("a run without its command was read")
 	}
 }
+
+// Of each bounded figure the worst run counts, at the target's number of workers
+// alone, and each mechanism has its own.
+func TestScaleNeeds(t *testing.T) {
+	run := func(mechanism string, workers int, scenario string, figures ...ScaleFigure) ScaleRun {
+		return ScaleRun{Command: "c", File: scenario + ".json", Mechanism: mechanism, Scenario: scenario, Workers: workers, Dispatchers: 66, Real: 2, Figures: figures}
+	}
+	b := testBasis()
+	b.Scale = []ScaleRun{
+		run("relays", 21000, "zone", ScaleFigure{Name: "in_force.calm.max", Value: 0.5}, ScaleFigure{Name: "in_force.zone_loss.max", Value: 2},
+			ScaleFigure{Name: "dispatcher.real.memory_peak", Value: 40}),
+		run("relays", 21000, "rack", ScaleFigure{Name: "in_force.calm.max", Value: 1}),
+		run("relays", 2100, "zone", ScaleFigure{Name: "in_force.calm.max", Value: 9}),
+		run("discovery", 21000, "zone", ScaleFigure{Name: "in_force.calm.p99", Value: 8}, ScaleFigure{Name: "origin.bytes_out_worst_10s", Value: 1e6}),
+	}
+	rows := b.scaleRows(b.Scale)
+	want := map[string]float64{
+		"scale run by relays: memory at its peak, a real daemon (scenario zone, 68 dispatchers)":                     128e6 / (40 << 20),
+		"scale run by relays: time until the last reachable dispatcher has a change (scenario zone, 68 dispatchers)": 5,
+		"scale run by discovery: bytes a second in the worst ten seconds (scenario zone, 68 dispatchers)":            125,
+	}
+	if len(rows) != len(want) {
+		t.Errorf("%d rows, want %d: %+v", len(rows), len(want), rows)
+	}
+	for _, row := range rows {
+		if !near(row.Headroom(), want[row.What]) || row.Need.Mark != Measured {
+			t.Errorf("%s: headroom %v, want %v; %+v", row.What, row.Headroom(), want[row.What], row.Need)
+		}
+	}
+}
--- a/internal/rehearsal/capacity/demand.go
+++ b/internal/rehearsal/capacity/demand.go
@@ -102,7 +102,8 @@
 type Basis struct {
 	Assumptions
 	Slopes Slopes
-	File   string // the name of the file of slopes, for sources
+	File   string // the name of the file of slopes
+	Scale  []ScaleRun
 }
 
 // at is a series' value at a size: the median of the plays there, or the line's.
@@ -243,7 +244,7 @@
 	}
 	r := b.rates()
 	f := b.flow(m, r)
-	rows := slices.Concat(b.dispatcherRows(m, r, f), b.workerRows(m, r), b.originRows(m, f), b.machineRows(m, f), b.writerRows(r))
+	rows := slices.Concat(b.dispatcherRows(m, r, f), b.workerRows(m, r), b.originRows(m, f), b.machineRows(m, f), b.writerRows(r), b.scaleRows(b.Scale))
 	sortRows(rows)
 	return rows, nil
 }
--- a/internal/rehearsal/capacity/page.go
+++ b/internal/rehearsal/capacity/page.go
@@ -149,14 +149,13 @@
 	if p.Lines, err = slopeLines(&first.Slopes, later); err != nil {
 		return p, err
 	}
-	if p.Rows, err = comparedRows(&first, &latest); err != nil {
+	if latest.Scale, err = readScale(dir); err != nil {
 		return p, err
 	}
-	runs, err := readScale(dir)
-	if err != nil {
+	p.Scale = scaleTables(latest.Scale)
+	if p.Rows, err = comparedRows(&first, &latest); err != nil {
 		return p, err
 	}
-	p.Scale = scaleTables(runs)
 	return p, p.reckon(&latest)
 }
 
--- a/internal/rehearsal/capacity/scale.go
+++ b/internal/rehearsal/capacity/scale.go
@@ -9,12 +9,13 @@
 	"strings"
 )
 
-// This file owns reading the results of scale runs, which cmd/hollyyoke-rehearse
-// scale writes:
+// This file owns reading the results of scale runs. A file holds a list, one
+// record for each mechanism, as hollyyoke-rehearse scale --json writes it:
 //
-//	{"command": "...", "seed": 1, "workers": 21000, "dispatchers": 320,
-//	 "mechanism": "relays", "scenario": "zone-loss",
-//	 "figures": [{"name": "in_force_p99", "unit": "s", "value": 1.2, "kind": "real"}]}
+//	[{"command": "bin/hollyyoke-rehearse scale ...", "seed": 27, "workers": 21000,
+//	  "dispatchers": 68, "real": 2, "mechanism": "relays", "scenario": "zone",
+//	  "figures": [{"name": "in_force.calm.p99", "unit": "s", "value": 0.08, "kind": "measured"}],
+//	  "broken": []}]
 
 // ScaleFigure is one figure of a scale run.
 type ScaleFigure struct {
@@ -29,10 +30,12 @@
 	Command     string        `json:"command"`
 	Seed        uint64        `json:"seed"`
 	Workers     int           `json:"workers"`
-	Dispatchers int           `json:"dispatchers"`
+	Dispatchers int           `json:"dispatchers"` // hollow ones
+	Real        int           `json:"real"`        // daemons
 	Mechanism   string        `json:"mechanism"`
 	Scenario    string        `json:"scenario"`
 	Figures     []ScaleFigure `json:"figures"`
+	Broken      []string      `json:"broken"` // bounds and rules that the run broke
 
 	File string `json:"-"`
 }
@@ -58,14 +61,17 @@
 		if err != nil {
 			return nil, err
 		}
-		run := ScaleRun{File: name}
-		if err := json.Unmarshal(text, &run); err != nil {
+		var records []ScaleRun
+		if err := json.Unmarshal(text, &records); err != nil {
 			return nil, fmt.Errorf("%s: %w", path, err)
 		}
-		if run.Scenario == "" || run.Command == "" {
-			return nil, fmt.Errorf("%s: scenario or command is empty", path)
+		for _, run := range records {
+			if run.Scenario == "" || run.Command == "" {
+				return nil, fmt.Errorf("%s: scenario or command is empty", path)
+			}
+			run.File = name
+			runs = append(runs, run)
 		}
-		runs = append(runs, run)
 	}
 	slices.SortStableFunc(runs, func(a, b ScaleRun) int {
 		return strings.Compare(a.Scenario+" "+a.Mechanism, b.Scenario+" "+b.Mechanism)
