--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 	rm -rf bin found
 
 # ---- Long measurements, not part of the tests.
-.PHONY: measure-import measure-fidelity measure-flood measure-admit measure-durable measure-kills measure-days measure-slopes
+.PHONY: measure-import measure-fidelity measure-flood measure-admit measure-durable measure-kills measure-days measure-slopes measure-slopes-before
 FOUND = found/measured
 
 # 2 GB of Combined lines made up on the spot, imported on one core: speed and resident memory.
@@ -102,3 +102,20 @@
 measure-slopes: build
 	bin/hollyyoke-rehearse slopes -o docs/capacity/slopes.json
 	bin/hollyyoke-rehearse capacity
+
+# The same of the program as it was before the work on its slopes: that commit in
+# a worktree, with the measuring code of this one.
+BEFORE = c737ce15028e
+BEFORE_DIR = found/before
+SLOPES_FLAGS =
+measure-slopes-before: build
+	rm -rf $(BEFORE_DIR) && git worktree prune && git worktree add --detach $(BEFORE_DIR) $(BEFORE)
+	cp -r internal/rehearsal/capacity $(BEFORE_DIR)/internal/rehearsal/
+	cp cmd/hollyyoke-rehearse/slopes.go cmd/hollyyoke-rehearse/version.go $(BEFORE_DIR)/cmd/hollyyoke-rehearse/
+	sed -i 's/^\tSim  .*/&\n\tSlopes slopesCmd `cmd:""`/' $(BEFORE_DIR)/cmd/hollyyoke-rehearse/main.go
+	cd $(BEFORE_DIR) && $(MAKE) build
+	$(BEFORE_DIR)/bin/hollyyoke-rehearse slopes $(SLOPES_FLAGS) --program-version $(BEFORE) -o docs/capacity/slopes-before.json
+	git worktree remove --force $(BEFORE_DIR)
+	bin/hollyyoke-rehearse capacity
+
+measure-scale: measure-slopes-before measure-slopes
--- a/cmd/hollyyoke-rehearse/main.go
+++ b/cmd/hollyyoke-rehearse/main.go
@@ -136,20 +136,6 @@
 	return nil
 }
 
-// buildVersion is the version and revision that the program was built from.
-func buildVersion() string {
-	version := "(devel)"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				version += " " + s.Value
-			}
-		}
-	}
-	return version
-}
-
 type generateCmd struct {
 	Shape   string        `enum:"steady,rush,morning" default:"steady" help:"steady, rush or morning."`
 	Rate    float64       `default:"100" help:"Entries a second, on average."`
--- a/internal/rehearsal/capacity/assumptions.go
+++ b/internal/rehearsal/capacity/assumptions.go
@@ -60,6 +60,7 @@
 	FailureChanges    Assumption `toml:"changes_of_a_failure"`
 	RestartChanges    Assumption `toml:"changes_of_a_restart"`
 	RackWorkers       Assumption `toml:"rack_workers"`
+	ZoneLossTold      Assumption `toml:"zone_loss_told_within"`
 	ConfigChangeBytes Assumption `toml:"config_change_bytes"`
 	ConfigPeakFactor  Assumption `toml:"config_peak_factor"`
 	ConfigPeakRate    Assumption `toml:"config_peak_rate"`
@@ -97,7 +98,7 @@
 		of   *Assumption
 	}{
 		{"changes_of_a_failure", &a.FailureChanges}, {"changes_of_a_restart", &a.RestartChanges}, {"rack_workers", &a.RackWorkers},
-		{"config_change_bytes", &a.ConfigChangeBytes}, {"config_peak_factor", &a.ConfigPeakFactor}, {"config_peak_rate", &a.ConfigPeakRate},
+		{"zone_loss_told_within", &a.ZoneLossTold}, {"config_change_bytes", &a.ConfigChangeBytes}, {"config_peak_factor", &a.ConfigPeakFactor}, {"config_peak_rate", &a.ConfigPeakRate},
 		{"start_peak_factor", &a.StartPeakFactor}, {"machine_bytes_per_s", &a.MachineBytes}, {"machine_cores", &a.MachineCores}, {"calls_per_s", &a.CallsPerSecond},
 		{"longest_object_bytes", &a.LongestObject},
 	}
--- a/internal/rehearsal/capacity/demand.go
+++ b/internal/rehearsal/capacity/demand.go
@@ -269,7 +269,7 @@
 		{Role: Dispatcher, What: "bytes a second, the changes missed in an hour within a minute of the heal", Need: f.CatchUp, Allowed: bytesAllowed, Mechanism: mech.Resume},
 		{Role: Dispatcher, What: "length of the list as one object", Need: m.snapshot, Allowed: b.Assumed.LongestObject.Quantity(), Mechanism: mech.Membership},
 		{Role: Dispatcher, What: "processor time, mean of a day", Need: m.idleCPU.Plus(r.Membership.Times(m.deltaCPU, UnitCores)), Allowed: coresAllowed, Mechanism: mech.Membership},
-		{Role: Dispatcher, What: "processor time, a lost zone told within ten seconds, one delta a worker", Need: m.zoneLossCPU.Over(window, UnitCores), Allowed: coresAllowed, Mechanism: mech.Membership},
+		{Role: Dispatcher, What: "processor time, a lost zone told within ten seconds, one delta a worker", Need: m.zoneLossCPU.Over(b.Assumed.ZoneLossTold.Quantity(), UnitCores), Allowed: coresAllowed, Mechanism: mech.Membership},
 		{Role: Dispatcher, What: "processor time, its start within ten seconds", Need: m.startCPU.Over(window, UnitCores), Allowed: coresAllowed, Mechanism: mech.Membership},
 		{Role: Dispatcher, What: "memory: peak of a play, and its share of the running tasks" + at, Need: m.peakResident.Plus(tasks), Allowed: given(t.DispatcherMemory, UnitBytes), Mechanism: mech.Membership},
 		{Role: Dispatcher, What: "processor time of decisions at the peak" + at + ", all workers warm", Need: starts.Times(m.arrivalWarm, UnitCores), Allowed: core, Mechanism: mech.Decisions},
