--- a/internal/rehearsal/capacity/assumptions.go
+++ b/internal/rehearsal/capacity/assumptions.go
@@ -67,6 +67,7 @@
 	StartPeakFactor   Assumption `toml:"start_peak_factor"`
 	MachineBytes      Assumption `toml:"machine_bytes_per_s"`
 	MachineCores      Assumption `toml:"machine_cores"`
+	MachineMemory     Assumption `toml:"machine_memory"`
 	CallsPerSecond    Assumption `toml:"calls_per_s"`
 	LongestObject     Assumption `toml:"longest_object_bytes"`
 }
@@ -99,7 +100,7 @@
 	}{
 		{"changes_of_a_failure", &a.FailureChanges}, {"changes_of_a_restart", &a.RestartChanges}, {"rack_workers", &a.RackWorkers},
 		{"zone_loss_told_within", &a.ZoneLossTold}, {"config_change_bytes", &a.ConfigChangeBytes}, {"config_peak_factor", &a.ConfigPeakFactor}, {"config_peak_rate", &a.ConfigPeakRate},
-		{"start_peak_factor", &a.StartPeakFactor}, {"machine_bytes_per_s", &a.MachineBytes}, {"machine_cores", &a.MachineCores}, {"calls_per_s", &a.CallsPerSecond},
+		{"start_peak_factor", &a.StartPeakFactor}, {"machine_bytes_per_s", &a.MachineBytes}, {"machine_cores", &a.MachineCores}, {"machine_memory", &a.MachineMemory}, {"calls_per_s", &a.CallsPerSecond},
 		{"longest_object_bytes", &a.LongestObject},
 	}
 	list := make([]*Assumption, len(named))
--- a/internal/rehearsal/capacity/capacity_test.go
+++ b/internal/rehearsal/capacity/capacity_test.go
@@ -150,7 +150,7 @@
 	}
 	b.Assumed = Assumed{Dispatchers: []int{300, 3000, 21000}, FailureChanges: a(2, UnitCount), RestartChanges: a(4, UnitCount),
 		RackWorkers: a(40, UnitCount), ZoneLossTold: a(10, UnitSeconds), ConfigChangeBytes: a(100, UnitBytes), ConfigPeakFactor: a(4, UnitCount), ConfigPeakRate: a(20, UnitPerSecond),
-		StartPeakFactor: a(3, UnitCount), MachineBytes: a(125e6, UnitBytesPerSecond), MachineCores: a(8, UnitCores), CallsPerSecond: a(500, UnitPerSecond),
+		StartPeakFactor: a(3, UnitCount), MachineBytes: a(125e6, UnitBytesPerSecond), MachineCores: a(8, UnitCores), MachineMemory: a(16e9, UnitBytes), CallsPerSecond: a(500, UnitPerSecond),
 		LongestObject: a(4<<20, UnitBytes)}
 	b.Assumed.list()
 	b.Mechanisms = Mechanisms{Membership: "m", Decisions: "d", Resume: "r", Configuration: missing, Relays: "relay", Acknowledgement: missing}
--- a/internal/rehearsal/capacity/page.go
+++ b/internal/rehearsal/capacity/page.go
@@ -235,3 +235,32 @@
 	}
 	return ComparedRow{}, fmt.Errorf("no need of the %s begins with %q", role, what)
 }
+
+// ScaleNeed tells what the scale runs say of a role, each mechanism on its own.
+func (p Page) ScaleNeed(role Role, what string) string {
+	var found []string
+	for _, r := range p.Rows {
+		_, described, ok := strings.Cut(r.What, ": ")
+		if ok && r.Role == role && strings.HasPrefix(r.What, scaleWords) && strings.HasPrefix(described, what) {
+			found = append(found, fmt.Sprintf("%s (%s)", r.NeedText(), r.What))
+		}
+	}
+	if len(found) == 0 {
+		return "not measured"
+	}
+	return strings.Join(found, "; ")
+}
+
+// Of tells the value of a series of the latest run at its largest size.
+func (p Page) Of(name SeriesName) (Quantity, error) {
+	for _, line := range p.Lines {
+		switch {
+		case line.Name != name:
+		case line.After != nil:
+			return line.After.Largest, nil
+		default:
+			return line.Before.Largest, nil
+		}
+	}
+	return Quantity{}, fmt.Errorf("no series %s", name)
+}
--- a/internal/rehearsal/capacity/scaleneed.go
+++ b/internal/rehearsal/capacity/scaleneed.go
@@ -18,6 +18,9 @@
 	allowed func(*Basis) Quantity
 }
 
+// scaleWords is how the description of a need by a scale run begins.
+const scaleWords = "scale run by "
+
 const megabyte = 1 << 20 // of the scale runs' MB
 
 func allowedBytes(b *Basis) Quantity   { return given(b.Target.DispatcherBytes, UnitBytesPerSecond) }
@@ -25,6 +28,7 @@
 func allowedMemory(b *Basis) Quantity  { return given(b.Target.DispatcherMemory, UnitBytes) }
 func allowedInForce(b *Basis) Quantity { return given(b.Target.InForceWithin, UnitSeconds) }
 func machineCores(b *Basis) Quantity   { return b.Assumed.MachineCores.Quantity() }
+func machineMemory(b *Basis) Quantity  { return b.Assumed.MachineMemory.Quantity() }
 func machineLine(b *Basis) Quantity    { return b.Assumed.MachineBytes.Quantity() }
 
 // boundedFigures is all of them.
@@ -39,6 +43,7 @@
 	{Origin, "origin.core_share_worst_10s", "processor time in the worst ten seconds", 1, UnitCores, machineCores},
 	{Origin, "origin.bytes_out_worst_10s", "bytes a second in the worst ten seconds", 1, UnitBytesPerSecond, machineLine},
 	{ControlMachine, "relay.busiest.core_share_worst_10s", "processor time in the worst ten seconds, the busiest relay", 1, UnitCores, machineCores},
+	{ControlMachine, "relay.busiest.memory_peak", "memory at its peak, the busiest relay", megabyte, UnitBytes, machineMemory},
 	{ControlMachine, "relay.busiest.bytes_out_worst_10s", "bytes a second in the worst ten seconds, the busiest relay", 1, UnitBytesPerSecond, machineLine},
 }
 
@@ -80,7 +85,7 @@
 			}
 			ok = true
 			row = Row{Role: x.role, Mechanism: carrier, Allowed: x.allowed(b),
-				What: fmt.Sprintf("scale run by %s: %s (scenario %s, %s dispatchers)", mechanism, x.what, run.Scenario, counted(run.Dispatchers+run.Real)),
+				What: fmt.Sprintf(scaleWords+"%s: %s (scenario %s, %s dispatchers)", mechanism, x.what, run.Scenario, counted(run.Dispatchers+run.Real)),
 				Need: Quantity{Value: value, Unit: x.unit, Mark: Measured, Sources: []string{fmt.Sprintf("`%s` of `%s`", f.Name, run.File)}}}
 		}
 	}
