--- a/internal/rehearsal/capacity/quantity.go
+++ b/internal/rehearsal/capacity/quantity.go
@@ -97,6 +97,9 @@
 	if x == 0 {
 		return "0"
 	}
+	if math.Abs(x) < leastDecimal {
+		return fmt.Sprintf("%.*g", figures, x)
+	}
 	digits := figures - 1 - int(math.Floor(math.Log10(math.Abs(x))))
 	scale := math.Pow(10, float64(digits))
 	text := fmt.Sprintf("%.*f", max(digits, 0), math.Round(x*scale)/scale)
@@ -144,6 +147,7 @@
 }
 
 const (
+	leastDecimal   = 1e-4 // smaller amounts are told with an exponent
 	leastPerSecond = 1e-3 // rates below it are told for a day
 	leastWhole     = 100  // counts from here on are told to the last one
 )
