Slope runs of the module tell the median decision with cold workers too

The mean is ruled by a walk over all workers that comes once in a while as long as any worker is cold; a pick's own cost shows in the median.

--- a/cmd/hollyyoke-rehearse/slopes.go
+++ b/cmd/hollyyoke-rehearse/slopes.go
@@ -25,6 +25,7 @@
 	Daemon    string        `help:"The daemon's program; not given: hollyyoke-serve beside this one."`
 	Label     string        `name:"program-version" help:"The version of that program, for the file; not given: this one's."`
 	Append    bool          `help:"Add the plays to those that the file has."`
+	Module    bool          `help:"Only the decision module alone; its series take the place of those that the file has."`
 	Output    string        `short:"o" required:"" help:"The JSON file."`
 }
 
@@ -45,7 +46,7 @@
 		program = filepath.Join(filepath.Dir(beside), "hollyyoke-serve")
 	}
 	got, err := capacity.Measure(capacity.Config{Program: program, Sizes: c.Sizes, Plays: c.Plays, IdleSpan: c.IdleSpan, DeltaSpan: c.DeltaSpan,
-		DeltaRate: c.DeltaRate, Progress: func(size, play int) { e.log.Info("measuring", "workers", size, "play", play+1) }})
+		DeltaRate: c.DeltaRate, ModuleOnly: c.Module, Progress: func(size, play int) { e.log.Info("measuring", "workers", size, "play", play+1) }})
 	if err != nil {
 		return err
 	}
@@ -53,13 +54,17 @@
 	if got.Version == "" {
 		got.Version = buildVersion()
 	}
-	if c.Append {
+	if c.Append || c.Module {
 		former, err := capacity.ReadSlopes(c.Output)
 		if err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
 		if err == nil {
-			if err := former.Merge(got); err != nil {
+			join := former.Merge
+			if c.Module {
+				join = former.Replace
+			}
+			if err := join(got); err != nil {
 				return err
 			}
 			got = former
--- a/cmd/hollyyoke-rehearse/slopes_test.go
+++ b/cmd/hollyyoke-rehearse/slopes_test.go
@@ -29,7 +29,7 @@
 	if s.Plays != 2 || s.Zones != 17 || !strings.Contains(s.Command, "--sizes 34,68,170 ") {
 		t.Errorf("%d plays in %d zones of %q", s.Plays, s.Zones, s.Command)
 	}
-	const series = 18
+	const series = 19
 	if len(s.Series) != series {
 		t.Errorf("%d series, want %d", len(s.Series), series)
 	}
@@ -41,7 +41,7 @@
 					t.Errorf("%d workers: %v deltas for a lost zone", p.Size, value)
 				}
 			case capacity.SnapshotBytes, capacity.SnapshotGzip, capacity.DeltaBytes, capacity.StartResident, capacity.PeakResident,
-				capacity.ReadyTime, capacity.StartCPU, capacity.ModuleDelta, capacity.ModuleWarm, capacity.ModuleCold, capacity.ModuleTeams,
+				capacity.ReadyTime, capacity.StartCPU, capacity.ModuleDelta, capacity.ModuleWarm, capacity.ModuleCold, capacity.ModulePick, capacity.ModuleTeams,
 				capacity.ModuleSweep:
 				if value <= 0 {
 					t.Errorf("%s at %d: %v", x.Name, p.Size, value)
--- a/internal/rehearsal/capacity/capacity_test.go
+++ b/internal/rehearsal/capacity/capacity_test.go
@@ -318,6 +318,15 @@
 	if err := s.Merge(of("b")); err == nil {
 		t.Error("plays of two programs were put together")
 	}
+	once, other := of("a"), of("a")
+	other.Series[0].Points[0].Plays[0] = 0.5
+	other.add(StartCPU, UnitSeconds, AxisWorkers, 200, 1)
+	if err := once.Replace(other); err != nil || len(once.Series) != 2 || once.Series[0].Points[0].Plays[0] != 0.5 {
+		t.Errorf("%+v, %v", once, err)
+	}
+	if err := once.Replace(s); err == nil {
+		t.Error("a series of two plays took the place of one of one")
+	}
 }
 
 func TestBadFiles(t *testing.T) {
--- a/internal/rehearsal/capacity/demand.go
+++ b/internal/rehearsal/capacity/demand.go
@@ -261,7 +261,7 @@
 	tasks := count(t.RunningTasks).Over(dispatchers, UnitCount).Times(m.taskBytes, UnitBytes)
 	core := Quantity{Value: 1, Unit: UnitCores, Mark: ByAssumption, Sources: []string{"one core for decisions"}}
 	at := fmt.Sprintf(" with %s dispatchers", counted(few))
-	return []Row{
+	rows := []Row{
 		{Role: Dispatcher, What: "bytes a second, mean of a day", Need: f.Mean, Allowed: bytesAllowed, Mechanism: mech.Membership},
 		{Role: Dispatcher, What: "bytes a second, worst hour: a zone lost and back, one snapshot", Need: f.WorstHour, Allowed: bytesAllowed, Mechanism: mech.Membership},
 		{Role: Dispatcher, What: "bytes a second, peak minute: a zone lost during a rollout", Need: f.PeakMinute, Allowed: bytesAllowed, Mechanism: mech.Membership},
@@ -274,8 +274,22 @@
 		{Role: Dispatcher, What: "memory: peak of a play, and its share of the running tasks" + at, Need: m.peakResident.Plus(tasks), Allowed: given(t.DispatcherMemory, UnitBytes), Mechanism: mech.Membership},
 		{Role: Dispatcher, What: "processor time of decisions at the peak" + at + ", all workers warm", Need: starts.Times(m.arrivalWarm, UnitCores), Allowed: core, Mechanism: mech.Decisions},
 		{Role: Dispatcher, What: "processor time of decisions at the peak" + at + ", a tenth of the workers cold", Need: starts.Times(m.arrivalCold, UnitCores), Allowed: core, Mechanism: mech.Decisions},
-		{Role: Dispatcher, What: "a change of configuration in force within 10 s", Allowed: given(t.InForceWithin, UnitSeconds), Mechanism: mech.Configuration, Unknown: unknownFor(mech.Configuration, "quotas and classes are read once, at the start")},
 	}
+	if mech.Configuration != missing && b.inForceMeasured() {
+		return rows // a scale run has the figure
+	}
+	return append(rows, Row{Role: Dispatcher, What: "a change of configuration in force within 10 s", Allowed: given(t.InForceWithin, UnitSeconds),
+		Mechanism: mech.Configuration, Unknown: unknownFor(mech.Configuration, "quotas and classes are read once, at the start")})
+}
+
+// inForceMeasured tells whether a scale run at the target's size timed changes.
+func (b *Basis) inForceMeasured() bool {
+	for _, row := range b.scaleRows(b.Scale) {
+		if row.Need.Unit == UnitSeconds {
+			return true
+		}
+	}
+	return false
 }
 
 // workerRows is what one worker costs a dispatcher, and how often it is heard of.
@@ -350,7 +364,7 @@
 	if mechanism == missing {
 		return without
 	}
-	return "by the scale runs below"
+	return "no run has timed it"
 }
 
 // headroomText rounds a headroom.
--- a/internal/rehearsal/capacity/measure.go
+++ b/internal/rehearsal/capacity/measure.go
@@ -25,6 +25,8 @@
 	DeltaSpan time.Duration // how long workers change one by one,
 	DeltaRate float64       // so many a second
 	Progress  func(size, play int)
+
+	ModuleOnly bool // leave the daemon out
 }
 
 const (
@@ -58,8 +60,10 @@
 			if c.Progress != nil {
 				c.Progress(size, play)
 			}
-			if err := playDaemon(&s, c, size); err != nil {
-				return s, fmt.Errorf("%d workers: %w", size, err)
+			if !c.ModuleOnly {
+				if err := playDaemon(&s, c, size); err != nil {
+					return s, fmt.Errorf("%d workers: %w", size, err)
+				}
 			}
 			if err := playModule(&s, size); err != nil {
 				return s, fmt.Errorf("%d workers: %w", size, err)
--- a/internal/rehearsal/capacity/module.go
+++ b/internal/rehearsal/capacity/module.go
@@ -113,21 +113,22 @@
 	return spent, worker
 }
 
-// arrivals is the mean time of a decision over so many requests, each answered
-// before the next comes.
-func (m *module) arrivals(count, teams int) (time.Duration, error) {
-	var total time.Duration
-	for i := range count {
+// arrivals is the mean and the median time of a decision, in seconds, over so
+// many requests, each answered before the next comes.
+func (m *module) arrivals(count, teams int) (mean, median float64, err error) {
+	times := make([]float64, count)
+	for i := range times {
 		spent, worker := m.arrive(i%max(teams, 1), clientTime)
-		total += spent
+		times[i] = spent.Seconds()
+		mean += spent.Seconds() / float64(count)
 		if worker == "" {
-			return 0, fmt.Errorf("request %d of %d was given to no worker", i+1, count)
+			return 0, 0, fmt.Errorf("request %d of %d was given to no worker", i+1, count)
 		}
 		m.pass(taskTime)
 		m.handle(hollyyoke.Event{Kind: hollyyoke.Response, Request: m.next, Worker: worker, Outcome: hollyyoke.Completed, Settled: true})
 		m.pass(arrivalGap - taskTime)
 	}
-	return total / time.Duration(count), nil
+	return mean, Median(times), nil
 }
 
 // deltas is the mean time that a one-worker delta takes.
@@ -155,11 +156,14 @@
 			return err
 		}
 		runtime.GC()
-		mean, err := m.arrivals(loop.count, daemonTeams)
+		mean, median, err := m.arrivals(loop.count, daemonTeams)
 		if err != nil {
 			return fmt.Errorf("%s: %w", loop.name, err)
 		}
-		s.add(loop.name, UnitSeconds, AxisWorkers, workers, mean.Seconds())
+		s.add(loop.name, UnitSeconds, AxisWorkers, workers, mean)
+		if loop.name == ModuleCold {
+			s.add(ModulePick, UnitSeconds, AxisWorkers, workers, median)
+		}
 	}
 	m, err := newModule(workers, 0, daemonPeers, daemonTeams)
 	if err != nil {
@@ -176,11 +180,11 @@
 		if err != nil {
 			return err
 		}
-		mean, err := m.arrivals(moduleArrivals, teams)
+		mean, _, err := m.arrivals(moduleArrivals, teams)
 		if err != nil {
 			return fmt.Errorf("%s: %w", ModuleTeams, err)
 		}
-		s.add(ModuleTeams, UnitSeconds, AxisTeams, teams, mean.Seconds())
+		s.add(ModuleTeams, UnitSeconds, AxisTeams, teams, mean)
 	}
 	for _, held := range heldSizes {
 		if err := playHeld(s, held); err != nil {
--- a/internal/rehearsal/capacity/slopes.go
+++ b/internal/rehearsal/capacity/slopes.go
@@ -49,6 +49,7 @@
 	ModuleDelta    SeriesName = "module_delta"      // a one-worker delta in the module alone
 	ModuleWarm     SeriesName = "module_arrival"    // an arrival there, all workers warm
 	ModuleCold     SeriesName = "module_cold"       // an arrival there, a tenth of the workers cold
+	ModulePick     SeriesName = "module_cold_pick"  // the median of the same arrivals
 	ModuleTeams    SeriesName = "module_teams"      // an arrival there, by the number of teams with quotas
 	ModuleHeld     SeriesName = "module_held_bytes" // memory there, by the tasks held
 	ModuleSweep    SeriesName = "module_sweep"      // one sweep there, by the tasks held
@@ -166,6 +167,24 @@
 	series.Points[i].Plays = append(series.Points[i].Plays, value)
 }
 
+// Replace puts the series of another run of the same program in place of those
+// of the same names, and adds those that are new.
+func (s *Slopes) Replace(other Slopes) error {
+	if s.Version != other.Version || s.Plays != other.Plays || !slices.Equal(s.Sizes, other.Sizes) {
+		return fmt.Errorf("runs differ: version %s, %d plays, sizes %v beside version %s, %d plays, sizes %v",
+			s.Version, s.Plays, s.Sizes, other.Version, other.Plays, other.Sizes)
+	}
+	for _, series := range other.Series {
+		if former := s.series(series.Name); former != nil {
+			*former = series
+		} else {
+			s.Series = append(s.Series, series)
+		}
+	}
+	s.Date = other.Date
+	return s.check()
+}
+
 // Merge adds the plays of another run of the same program at the same sizes.
 func (s *Slopes) Merge(other Slopes) error {
 	if s.Version != other.Version || s.Cores != other.Cores || !slices.Equal(s.Sizes, other.Sizes) {
