--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -13,5 +13,6 @@
 // of its own, nor keep more log than it was told.
 //
 // codec.go is the wire form (discovery's), store.go the newest state and its
-// log, pace.go the byte bound, acks.go the acknowledged versions.
+// log, pace.go the byte bound, acks.go the acknowledged versions, upstream.go which
+// server a subscriber follows.
 package membership
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -10,6 +10,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/membership"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
@@ -34,6 +35,14 @@
 
 	// Told is called when discovery has told something; nil: nobody wants to know.
 	Told func()
+
+	// Applied is called when a version followed has come into force; nil: nobody wants to know.
+	Applied func(v membership.Version)
+
+	reconfigure func(changes []setting) error // puts changed settings in force, all or none
+
+	follower *follower // follows versioned changes in place of the watch; nil: the watch is open
+	control  ControlStats
 }
 
 // backend is one backend as discovery told it last.
@@ -126,6 +135,7 @@
 	s := &Backends{core: c, engine: e, hosts: map[string]*backend{}, lines: map[uint64]*line{}, hold: holdTime, calm: settleTime}
 	s.watch = watch{set: s, addr: discovery, random: rand.New(rand.NewPCG(c.Seed, 0))}
 	s.watch.due.Fire, s.watch.next.Fire = s.watch.expire, s.watch.open
+	s.reconfigure = s.reconfigureCore
 	s.due.Fire = func() { s.begin(nil) }
 	c.Listen(s)
 	return s
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -21,7 +21,7 @@
 func (s *Backends) Subscribe() {
 	w := &s.watch
 	w.awaitsModule = false
-	if now := s.core.Loop.Now(); !w.out {
+	if now := s.core.Loop.Now(); !w.out && s.follower == nil {
 		w.callBy(max(now, w.notBefore))
 	}
 }
@@ -33,7 +33,9 @@
 // has listed stands, and so does every attempt; the watch goes on where it was.
 func (s *Backends) Move(addr string) {
 	s.watch.addr = addr
-	s.watch.open()
+	if s.follower == nil {
+		s.watch.open()
+	}
 }
 
 // Heard tells whether the module has a list: discovery's, or the known one after its time.
@@ -157,8 +159,10 @@
 			w.fail(err.Error())
 		default:
 			w.conn = c
-			c.Write([]byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
-				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n"))
+			request := []byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
+				" HTTP/1.1\r\nHost: " + w.addr + "\r\n\r\n")
+			w.set.control.BytesWritten += int64(len(request))
+			c.Write(request)
 		}
 	})
 }
@@ -221,6 +225,7 @@
 		return
 	}
 	defer w.set.engine.Pool.Put(b)
+	w.set.control.BytesRead += int64(len(b.Bytes()))
 	for w.conn == c && len(b.Bytes()) > 0 {
 		if w.in == nil {
 			w.in = w.set.engine.Pool.Get()
--- a/internal/rehearsal/capacity/assumptions.go
+++ b/internal/rehearsal/capacity/assumptions.go
@@ -90,6 +90,7 @@
 	Target     Target     `toml:"target"`
 	Assumed    Assumed    `toml:"assumed"`
 	Mechanisms Mechanisms `toml:"mechanisms"`
+	Before     Mechanisms `toml:"mechanisms_before"`
 }
 
 // list is the assumptions with the keys under which they stand in the file.
--- a/internal/rehearsal/capacity/page.go
+++ b/internal/rehearsal/capacity/page.go
@@ -133,6 +133,7 @@
 	}
 	first := Basis{Assumptions: assumptions, Slopes: before, File: beforeFile}
 	latest := first
+	first.Mechanisms = assumptions.Before
 	p.Runs = []Slopes{before}
 	after, err := ReadSlopes(filepath.Join(dir, slopesFile))
 	switch {
