--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint and run. `make test` is the one test command.
-.PHONY: all build test lint run rehearse clean
+.PHONY: all build test lint run rehearse capacity clean
 
 all: build
 
@@ -47,11 +47,15 @@
 	bin/hollyyoke-rehearse import --rules $(RULES) --rejects $(REPORT)/rejects.jsonl -o $(REPORT)/recording.rec $(IN)
 	bin/hollyyoke-rehearse run --recording $(REPORT)/recording.rec --report $(REPORT)
 
+# The capacity page, from the runs and assumptions in docs/capacity.
+capacity: build
+	bin/hollyyoke-rehearse capacity
+
 clean:
 	rm -rf bin found
 
 # ---- Long measurements, not part of the tests.
-.PHONY: measure-import measure-fidelity measure-flood measure-admit measure-durable measure-kills measure-days
+.PHONY: measure-import measure-fidelity measure-flood measure-admit measure-durable measure-kills measure-days measure-slopes measure-slopes-before
 FOUND = found/measured
 
 # 2 GB of Combined lines made up on the spot, imported on one core: speed and resident memory.
@@ -95,11 +99,32 @@
 	bin/hollyyoke-rehearse sim hunt deploy/scenarios/*.toml --seeds 1000
 	go test -run '^$$' -bench Day -cpu 1 ./internal/rehearsal/emulator
 
+# What one daemon costs by the number of listed workers, three plays of each size
+# (some eight minutes on an idle machine), and the capacity page anew.
+measure-slopes: build
+	bin/hollyyoke-rehearse slopes -o docs/capacity/slopes.json
+	bin/hollyyoke-rehearse capacity
+
+# The same of the program as it was before the work on its slopes: that commit in
+# a worktree, with the measuring code of this one.
+BEFORE = c737ce15028e
+BEFORE_DIR = found/before
+SLOPES_FLAGS =
+measure-slopes-before: build
+	rm -rf $(BEFORE_DIR) && git worktree prune && git worktree add --detach $(BEFORE_DIR) $(BEFORE)
+	cp -r internal/rehearsal/capacity $(BEFORE_DIR)/internal/rehearsal/
+	cp cmd/hollyyoke-rehearse/slopes.go cmd/hollyyoke-rehearse/version.go $(BEFORE_DIR)/cmd/hollyyoke-rehearse/
+	sed -i 's/^\tSim  .*/&\n\tSlopes slopesCmd `cmd:""`/' $(BEFORE_DIR)/cmd/hollyyoke-rehearse/main.go
+	cd $(BEFORE_DIR) && $(MAKE) build
+	$(BEFORE_DIR)/bin/hollyyoke-rehearse slopes $(SLOPES_FLAGS) --program-version $(BEFORE) -o docs/capacity/slopes-before.json
+	git worktree remove --force $(BEFORE_DIR)
+	bin/hollyyoke-rehearse capacity
+
 # What control costs and how long changes take, before and after: every scenario
 # of the scale run at the target's 21,000 workers, an ordinary day at two smaller
 # sizes too. It goes on past a broken bound, and fails at its end.
 .PHONY: measure-scale measure-scale-runs
-measure-scale: measure-scale-runs
+measure-scale: measure-slopes-before measure-slopes measure-scale-runs
 SCALE_RUNS = docs/capacity
 measure-scale-runs: build
 	mkdir -p $(SCALE_RUNS) $(FOUND)
@@ -108,4 +133,5 @@
 	  bin/hollyyoke-rehearse scale "$$@" --json $(SCALE_RUNS)/scale-$$name.json --chart $(FOUND)/scale-$$name.svg || failed=1; }; \
 	for size in 200 2100; do run day-$$size deploy/scenarios/scale/day.toml --workers $$size; done; \
 	for name in day rack zone region restart peak relay; do run $$name deploy/scenarios/scale/$$name.toml; done; \
+	bin/hollyyoke-rehearse capacity || failed=1; \
 	exit $$failed
--- a/cmd/hollyyoke-rehearse/main.go
+++ b/cmd/hollyyoke-rehearse/main.go
@@ -55,6 +55,8 @@
 	Generate generateCmd `cmd:"" help:"Write a made-up log of a known shape, for measurements."`
 	Flood    floodCmd    `cmd:"" help:"Hold known clients' requests beside hostile ones, with admission on and off."`
 	Sim      simCmd      `cmd:"" help:"The fleet in virtual time: a day in moments, the same from the same seed."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure what one daemon costs by the number of listed workers."`
+	Capacity capacityCmd `cmd:"" help:"Write docs/CAPACITY.md from the runs and assumptions in docs/capacity."`
 	Scale    scaleCmd    `cmd:"" help:"Run many dispatchers beside their control machines, and measure what control costs."`
 	Formats  formatsCmd  `cmd:"" help:"List the formats that import reads."`
 	Version  versionCmd  `cmd:"" help:"Tell the version."`
@@ -143,16 +145,7 @@
 type versionCmd struct{}
 
 func (versionCmd) Run(e *env) error {
-	version := "(devel)"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				version += " " + s.Value
-			}
-		}
-	}
-	fmt.Fprintf(e.out, "hollyyoke-rehearse %s, recordings of version %d\n", version, recording.Version)
+	fmt.Fprintf(e.out, "hollyyoke-rehearse %s, recordings of version %d\n", buildVersion(), recording.Version)
 	return nil
 }
 
