--- a/internal/membership/tree_test.go
+++ b/internal/membership/tree_test.go
@@ -218,6 +218,28 @@
 		t.Fatalf("%s: applied %d, but is of version %d", n.name, c.Version, n.store.Version())
 	}
 	tr.check(t, n, version, applyTo(before, c))
+	if version == 0 && c.Whole && n.restarts {
+		tr.backfill(t, n)
+	}
+}
+
+// backfill lets a relay that has just begun ask what had changed before.
+func (tr *tree) backfill(t *rapid.T, n *node) {
+	after := Version(rapid.IntRange(1, int(n.store.Version())).Draw(t, "backfilled from"))
+	c, ok := rapid.SampledFrom(n.servers).Draw(t, "backfilled by").serve().Since(after)
+	if !ok {
+		return
+	}
+	c, err := Parse(c.Append(nil))
+	if err != nil {
+		return
+	}
+	c.Base = after
+	before, version := contents(n.store), n.store.Version()
+	if n.store.Backfill(c) {
+		before = applyTo(before, c)
+	}
+	tr.check(t, n, version, before)
 }
 
 // check compares a node with what it must show: its version has not gone back,
