--- a/internal/rehearsal/scale/cluster.go
+++ b/internal/rehearsal/scale/cluster.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hollyyoke.example/hollyyoke/internal/membership"
+	"hollyyoke.example/hollyyoke/internal/rehearsal/standin"
 )
 
 // This file owns all processes of one run: the origin, relays, hollow dispatchers
@@ -85,8 +86,10 @@
 		return err
 	}
 	if c.scenario.Known {
-		list := listing{Seq: firstVersion, Whole: true, Hosts: c.plan.Hosts}
-		c.known = list.line()
+		var err error
+		if c.known, err = json.Marshal(knownList{Seq: firstVersion, Whole: true, Hosts: c.plan.Hosts, Settings: []any{}}); err != nil {
+			return err
+		}
 		if err := os.WriteFile(c.knownFile(), c.known, 0o600); err != nil {
 			return err
 		}
@@ -112,6 +115,15 @@
 	return nil
 }
 
+// knownList is the list that dispatchers start with. Without settings, of which
+// none has changed, a follower would not resume from it and ask for all anew.
+type knownList struct {
+	Seq      int64          `json:"seq"`
+	Whole    bool           `json:"whole"`
+	Hosts    []standin.Host `json:"hosts"`
+	Settings []any          `json:"settings"`
+}
+
 const firstVersion = 1 // of the list at the start
 
 func (c *cluster) knownFile() string { return filepath.Join(c.dir, "known.json") }
