--- a/internal/rehearsal/scale/figures.go
+++ b/internal/rehearsal/scale/figures.go
@@ -277,10 +277,10 @@
 
 // reasons tell why a hollow dispatcher may differ, by what is compared.
 var reasons = map[string]string{
-	"core_share": "the hollow ones of a process share one poller, one collector and one report to the run, on two processors; " +
-		"a real one has its own on one. What is fixed counts most where the share is small",
+	"core_share": "the hollow ones of a process wake up together for a change and share its poller, collector and reports; " +
+		"a real one does so alone. What a process costs counts most where the share is small",
 	"memory": "the hollow ones of a process share one run time and the kit's larger program (some 20 MB); " +
-		"a real one has its own (some 8 MB). What is fixed counts most where the list is small",
+		"a real one has its own (some 8 MB). What a process costs counts most where the list is small",
 	"bytes": "dispatchers of a zone have the same changes, but each its own acknowledgements, and a restart is at other moments",
 }
 
