--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -154,6 +154,26 @@
 	m.reply <- changeReply{outcome, s.store.Version(), err}
 }
 
+// beginMessage brings the first snapshot, and with it what had changed in the
+// versions before, where upstream tells that.
+type beginMessage struct {
+	snapshot membership.Change
+	backfill membership.Change // its Base 0: there is none
+	upstream string
+	reply    chan changeReply // has room for one
+}
+
+func (m beginMessage) handle(s *state) {
+	began := make(chan changeReply, 1)
+	changeMessage{m.snapshot, m.upstream, began}.handle(s)
+	reply := <-began
+	if reply.outcome == membership.Applied && m.backfill.Base > 0 && s.store.Backfill(m.backfill) {
+		s.changed(s.now(), false) // nobody subscribes yet
+		reply.version = s.store.Version()
+	}
+	m.reply <- reply
+}
+
 // urgentSince tells whether an urgent record has changed since a version.
 func (s *state) urgentSince(before membership.Version) bool {
 	if s.store.NeedsSnapshot(before) {
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -29,6 +29,7 @@
 	silenceTimeout  = 3 * time.Second         // between bytes; a watch has a line every 2 s at the latest
 	acknowledgeTime = time.Second             // between acknowledgements, where something has changed
 	repairTime      = 5 * time.Second         // between calls for what a refused change left out
+	backfillSpan    = 2000                    // versions before its first snapshot that a relay learns of: an hour's and a half
 	mostRelays      = 8                       // between the origin and this one
 	mostObject      = 64 << 20                // bytes of one object, uncompressed
 )
@@ -174,16 +175,58 @@
 	if !ok {
 		return net.ErrClosed
 	}
-	if at.version == 0 || !f.plain[server] {
+	switch {
+	case at.version == 0:
+		if err := f.begin(ctx, server, at); err != nil {
+			return err
+		}
+	case !f.plain[server]:
 		whole, err := f.catchUp(ctx, server, at, at.version)
 		if err != nil {
 			return err
 		}
-		f.plain[server] = whole && at.version > 0
+		f.plain[server] = whole
 	}
 	return f.watch(ctx, server)
 }
 
+// begin takes in the first snapshot, and what had changed in the versions before
+// it, so that subscribers of those versions need none. An upstream that does not
+// tell those, as one that answers with all of its list, costs no more than that.
+func (f *follower) begin(ctx context.Context, server string, at position) error {
+	answer, err := f.ask(ctx, server, at, 0)
+	if err != nil {
+		return err
+	}
+	change, err := f.parsed(server, answer)
+	if err != nil {
+		return err
+	}
+	backfill := membership.Change{}
+	if base := max(change.Version-backfillSpan, 1); change.Whole && base < change.Version {
+		backfill = f.before(ctx, server, at, base)
+	}
+	reply := make(chan changeReply, 1)
+	if !f.state.send(beginMessage{change, backfill, server, reply}) {
+		return net.ErrClosed
+	}
+	return (<-reply).err
+}
+
+// before asks what has changed since a version. No records: that is not to be had.
+func (f *follower) before(ctx context.Context, server string, at position, base membership.Version) membership.Change {
+	answer, err := f.ask(ctx, server, at, base)
+	if err != nil {
+		return membership.Change{}
+	}
+	change, err := membership.Parse(answer)
+	if err != nil || change.Whole {
+		return membership.Change{}
+	}
+	change.Base = base
+	return change
+}
+
 func (f *follower) position() (position, bool) {
 	reply := make(chan position, 1)
 	if !f.state.send(positionMessage{reply}) {
@@ -195,13 +238,22 @@
 // catchUp makes the plain call and applies its answer. It also acknowledges
 // what the fleet below has. whole: the answer was a snapshot.
 func (f *follower) catchUp(ctx context.Context, server string, at position, after membership.Version) (whole bool, err error) {
+	answer, err := f.ask(ctx, server, at, after)
+	if err != nil {
+		return false, err
+	}
+	return f.caughtUp(server, after, answer)
+}
+
+// ask makes the plain call and returns its answer's text.
+func (f *follower) ask(ctx context.Context, server string, at position, after membership.Version) ([]byte, error) {
 	query := url.Values{"name": {f.name}, "after": {formatVersion(after)},
 		"acked": {formatVersion(min(at.acked, at.resume))}, "fleet": {strconv.Itoa(at.fleet)}}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := f.get(ctx, server, query, "gzip")
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	defer response.Body.Close()
 	alive := newWatchdog(response.Body, cancel)
@@ -209,25 +261,31 @@
 	var text io.Reader = alive
 	if response.Header.Get("Content-Encoding") == "gzip" {
 		if text, err = gzip.NewReader(alive); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
 	answer, err := io.ReadAll(io.LimitReader(text, mostObject+1))
-	switch {
-	case err != nil:
-		return false, err
-	case len(answer) > mostObject:
-		return false, errTooLong
+	if err == nil && len(answer) > mostObject {
+		err = errTooLong
 	}
-	return f.caughtUp(server, after, answer)
+	return answer, err
 }
 
-// caughtUp applies a plain call's answer.
-func (f *follower) caughtUp(server string, after membership.Version, answer []byte) (whole bool, err error) {
+// parsed reads a plain call's answer. One that is wrong is refused whole.
+func (f *follower) parsed(server string, answer []byte) (membership.Change, error) {
 	change, err := membership.Parse(answer)
 	if err != nil {
 		f.state.send(refusedMessage{version: change.Version, whole: true, upstream: server, reason: err})
-		return false, errRefusedSnapshot
+		return change, errRefusedSnapshot
+	}
+	return change, nil
+}
+
+// caughtUp applies a plain call's answer.
+func (f *follower) caughtUp(server string, after membership.Version, answer []byte) (whole bool, err error) {
+	change, err := f.parsed(server, answer)
+	if err != nil {
+		return false, err
 	}
 	if change.Version < after {
 		return false, errBehind
--- a/internal/relay/upstream_test.go
+++ b/internal/relay/upstream_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
 	"strconv"
 	"sync"
@@ -158,3 +160,37 @@
 	}
 	return text + "]}"
 }
+
+// A relay that starts learns what had changed before its first snapshot: those
+// who followed another relay until then resume by a delta.
+func TestStartTakesInEarlierChanges(t *testing.T) {
+	asked := make(chan string, 10)
+	origin := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+		query := in.URL.Query()
+		switch {
+		case query.Get("watch") == "1":
+			io.WriteString(out, listJSON(3002, false)+"\n")
+			out.(http.Flusher).Flush()
+			<-in.Context().Done()
+		case query.Get("after") == "0":
+			asked <- "snapshot"
+			io.WriteString(out, listJSON(3000, true, hostJSON("a", "ready"), hostJSON("b", "ready")))
+		default:
+			asked <- query.Get("after")
+			io.WriteString(out, listJSON(3002, false, hostJSON("b", "draining"), hostJSON("c", "gone")))
+		}
+	}))
+	t.Cleanup(origin.Close)
+	r, _ := startRelay(t, testConfig(origin.Listener.Addr().String()))
+	eventually(t, "the newest version", r.has(3002))
+	if first, second := <-asked, <-asked; first != "snapshot" || second != "1000" {
+		t.Errorf("asked %s, then after %s", first, second)
+	}
+	line := getLine(t, r.Addr().String(), "after=1500&name=d1")
+	if line.Whole || line.Seq != 3002 || len(line.Hosts) != 2 || line.Hosts[0].Health != "draining" {
+		t.Errorf("since 1500: %+v", line)
+	}
+	if line := getLine(t, r.Addr().String(), "after=999&name=d2"); !line.Whole || len(line.Hosts) != 2 {
+		t.Errorf("since 999: %+v", line)
+	}
+}
