--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,4 +1,4 @@
-// Package control is the operators' door: a thin front that answers one call a
+// Package control is the admin API: a thin front that answers one call a
 // connection, tells the core's figures and passes on what operators want done.
 // It words and carries; it must never count, decide when the dispatcher may
 // leave service, share descriptors with the clients' front, nor let a caller
@@ -25,7 +25,7 @@
 	"hollyyoke.example/hollyyoke/internal/platform"
 )
 
-// Calls is how many connections the door holds at a time. Their descriptors are
+// Calls is how many connections the API holds at a time. Their descriptors are
 // its own: no number of clients takes one of them.
 const Calls = 16
 
@@ -34,7 +34,7 @@
 	youngTime = 300 * time.Millisecond // within which a caller is about to speak
 )
 
-// Desk is what the door speaks for.
+// Desk is what the API speaks for.
 type Desk struct {
 	Ready   func() bool             // whether this process takes clients
 	Service func(out bool) error    // out of service or back in; an error is a no, worded for the caller
@@ -45,8 +45,8 @@
 	Membership func() platform.ControlStats
 }
 
-// Door is the operators' door. It belongs to the loop's goroutine.
-type Door struct {
+// API is the admin API. It belongs to the loop's goroutine.
+type API struct {
 	core    *core.Core
 	engine  *net.Engine
 	members core.Carrier // whose backends are the membership workers
@@ -58,7 +58,7 @@
 
 // call is one connection until its call has been answered.
 type call struct {
-	door  *Door
+	api   *API
 	token uint64
 	id    admit.ID
 	conn  *net.Conn
@@ -67,17 +67,17 @@
 	due   core.Deadline
 }
 
-// New returns a door; members is the carrier whose backends the figures are about.
-func New(c *core.Core, e *net.Engine, members core.Carrier, desk Desk) *Door {
+// New returns an API; members is the carrier whose backends the figures are about.
+func New(c *core.Core, e *net.Engine, members core.Carrier, desk Desk) *API {
 	a, err := admit.New(admit.Config{Room: Calls, Grace: youngTime, Nameless: true})
 	if err != nil {
 		panic(err) // the figures are constants
 	}
-	return &Door{core: c, engine: e, members: members, desk: desk, admit: a}
+	return &API{core: c, engine: e, members: members, desk: desk, admit: a}
 }
 
-// Listen opens the door at an address, which it returns.
-func (d *Door) Listen(addr string) (string, error) {
+// Listen opens the API at an address, which it returns.
+func (d *API) Listen(addr string) (string, error) {
 	a, err := d.engine.Listen(addr, Calls, true, d.accept, d.room)
 	if err != nil {
 		return "", err
@@ -85,8 +85,8 @@
 	return a.Fix().String(), nil
 }
 
-func (d *Door) accept(c *net.Conn) net.Owner {
-	k := &call{door: d, conn: c}
+func (d *API) accept(c *net.Conn) net.Owner {
+	k := &call{api: d, conn: c}
 	k.token = d.calls.Put(k)
 	k.id = d.admit.Adopt(d.core.Loop.Now(), k.token)
 	k.due.Fire = k.expire
@@ -99,7 +99,7 @@
 // callers that speak against those that only hold the line. One that has just
 // come counts as no silent one, for its call is on the way: among half calls it
 // was the only one that had not spoken, and was closed.
-func (d *Door) room() {
+func (d *API) room() {
 	d.prune()
 	if d.calls.Len()+len(d.ended) < Calls { // some have gone since it was full
 		return
@@ -129,7 +129,7 @@
 }
 
 // prune forgets the answered ones that have gone.
-func (d *Door) prune() {
+func (d *API) prune() {
 	d.ended = slices.DeleteFunc(d.ended, func(k *call) bool {
 		if k.conn.Handle == 0 {
 			d.admit.Closed(k.id)
@@ -142,10 +142,10 @@
 func (k *call) Data(_ *net.Conn, b *net.Buffer) {
 	if k.in == nil {
 		k.in = b
-		k.door.admit.Begin(k.door.core.Loop.Now(), k.id)
+		k.api.admit.Begin(k.api.core.Loop.Now(), k.id)
 	} else {
 		fits := k.in.Add(b.Bytes())
-		k.door.engine.Pool.Put(b)
+		k.api.engine.Pool.Put(b)
 		if !fits {
 			k.answer(413, "the call is too long\n", "")
 			return
@@ -174,16 +174,16 @@
 }
 
 func (k *call) forget() {
-	k.door.admit.Closed(k.id)
-	k.door.calls.Drop(k.token)
-	k.door.core.Loop.Clear(&k.due)
-	k.door.engine.Pool.Put(k.in)
+	k.api.admit.Closed(k.id)
+	k.api.calls.Drop(k.token)
+	k.api.core.Loop.Clear(&k.due)
+	k.api.engine.Pool.Put(k.in)
 	k.in = nil
 }
 
 // serve answers one whole call.
 func (k *call) serve(c platform.Call) {
-	d := k.door
+	d := k.api
 	method := "GET"
 	var act func()
 	switch c.Path {
@@ -255,7 +255,7 @@
 		Jobs []durable.View `json:"jobs"`
 		Next uint64         `json:"next,omitempty"` // go on with after=; 0: there are no more
 	}{Jobs: []durable.View{}}
-	list, next := k.door.desk.Jobs().Page(after, pageJobs, pageLook, chosen)
+	list, next := k.api.desk.Jobs().Page(after, pageJobs, pageLook, chosen)
 	for _, j := range list {
 		page.Jobs = append(page.Jobs, durable.Show(j, values.Get("full") == "true"))
 	}
@@ -266,7 +266,7 @@
 // show tells all that is known of a job.
 func (k *call) show(query string) {
 	values, _ := url.ParseQuery(query)
-	j, known := k.door.desk.Jobs().Get(values.Get("id"))
+	j, known := k.api.desk.Jobs().Get(values.Get("id"))
 	if !known {
 		k.answer(404, "no such job\n", "")
 		return
@@ -286,7 +286,7 @@
 
 // decide carries out an operator's word about a job; the answer comes once the disk has it.
 func (k *call) decide(act, query string) {
-	s := k.door.desk.Jobs()
+	s := k.api.desk.Jobs()
 	values, err := url.ParseQuery(query)
 	id, reason := values.Get("id"), values.Get("reason")
 	ran := values.Get("ran")
@@ -314,7 +314,7 @@
 // done answers a call whose work has been done elsewhere.
 func (k *call) done(why string) {
 	switch {
-	case k.door.calls.Get(k.token) != k: // the caller has gone
+	case k.api.calls.Get(k.token) != k: // the caller has gone
 	case why != "":
 		k.answer(500, why+"\n", "")
 	default:
@@ -325,24 +325,24 @@
 // snapshot writes a copy of the store; a call that it outlasts ends, the copy does not.
 func (k *call) snapshot(query string) {
 	values, _ := url.ParseQuery(query)
-	k.door.core.Loop.Clear(&k.due)
-	k.door.desk.Jobs().Snapshot(values.Get("name"), k.done)
+	k.api.core.Loop.Clear(&k.due)
+	k.api.desk.Jobs().Snapshot(values.Get("name"), k.done)
 }
 
 // membership tells which version of the list is in force, and what it took to hear of it.
 func (k *call) membership() {
-	if k.door.desk.Membership == nil {
+	if k.api.desk.Membership == nil {
 		k.answer(409, "membership is not told here\n", "")
 		return
 	}
-	k.tell(k.door.desk.Membership())
+	k.tell(k.api.desk.Membership())
 }
 
 const undecided = "connections are not decided on: no operator's file says so\n"
 
 // connections tells who is there and who was refused.
 func (k *call) connections() {
-	e := k.door.desk.Entry
+	e := k.api.desk.Entry
 	if e == nil {
 		k.answer(409, undecided, "")
 		return
@@ -352,7 +352,7 @@
 		admit.View
 		Descriptors map[string]map[string]int `json:"descriptors"`
 		Total       int                       `json:"descriptors_total"`
-	}{e.Admit.View(k.door.core.Loop.Now()), map[string]map[string]int{}, total}
+	}{e.Admit.View(k.api.core.Loop.Now()), map[string]map[string]int{}, total}
 	for kind := range admit.Kinds {
 		d.Descriptors[kind.String()] = map[string]int{"used": used[kind], "floor": floor[kind]}
 	}
@@ -364,7 +364,7 @@
 // bar keeps a prefix out for a time, or lets it in again. Its sessions on which
 // nothing is owed end.
 func (k *call) bar(query string, out bool) {
-	e := k.door.desk.Entry
+	e := k.api.desk.Entry
 	if e == nil {
 		k.answer(409, undecided, "")
 		return
@@ -384,7 +384,7 @@
 			k.answer(409, prefix.Masked().String()+" is not barred\n", "")
 			return
 		}
-		k.door.core.Log("let in again: " + prefix.Masked().String())
+		k.api.core.Log("let in again: " + prefix.Masked().String())
 		k.answer(200, "let in again\n", "")
 		return
 	}
@@ -393,18 +393,18 @@
 		k.answer(400, "for: not a time such as 15m, up to 168h\n", "")
 		return
 	}
-	now := k.door.core.Loop.Now()
+	now := k.api.core.Loop.Now()
 	if err := e.Admit.Bar(now, prefix, now+span); err != nil {
 		k.answer(409, err.Error()+"\n", "")
 		return
 	}
 	ended := e.Expel(prefix.Masked())
-	k.door.core.Log(fmt.Sprintf("barred for %v: %s, %d sessions ended", span, prefix.Masked(), ended))
+	k.api.core.Log(fmt.Sprintf("barred for %v: %s, %d sessions ended", span, prefix.Masked(), ended))
 	k.answer(200, fmt.Sprintf("barred, %d sessions ended\n", ended), "")
 }
 
 func (k *call) service(out bool) {
-	if err := k.door.desk.Service(out); err != nil {
+	if err := k.api.desk.Service(out); err != nil {
 		k.answer(409, err.Error()+"\n", "")
 		return
 	}
@@ -417,7 +417,7 @@
 
 // figures words what the core has counted.
 func (k *call) figures() {
-	c, members := k.door.core, k.door.members
+	c, members := k.api.core, k.api.members
 	f := struct {
 		Succeeded   map[string]uint64 `json:"succeeded"`
 		Declined    map[string]uint64 `json:"declined"`
@@ -439,7 +439,7 @@
 
 // answer gives the one answer and ends the connection.
 func (k *call) answer(status int, text, fields string) {
-	d := k.door
+	d := k.api
 	k.forget()
 	k.conn.Write(platform.AppendAnswer(nil, status, []byte(text), 0, true, fields))
 	k.conn.End()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -45,7 +45,7 @@
 
 func (deaf) Answer(uint64, core.Answer) {}
 
-// rig is a door on a loop of its own.
+// rig is an API on a loop of its own.
 type rig struct {
 	core  *core.Core
 	addr  string
@@ -72,11 +72,11 @@
 	}
 	r := &rig{core: c, ready: true}
 	c.Listen(carrier{c})
-	door := New(c, e, carrier{c}, Desk{
+	api := New(c, e, carrier{c}, Desk{
 		Ready:   func() bool { return r.ready },
 		Service: func(out bool) error { r.out = append(r.out, out); return r.no },
 	})
-	if r.addr, err = door.Listen("127.0.0.1:0"); err != nil {
+	if r.addr, err = api.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan struct{})
@@ -153,7 +153,7 @@
 	{"GET /control/ready HTTP/1.1\r\nX-Long: " + strings.Repeat("x", 7000) + "\r\n\r\n", 431},
 }
 
-// FuzzDoor checks the door against its table: whatever the calls, wherever their
+// FuzzDoor checks the API against its table: whatever the calls, wherever their
 // bytes are cut, and however many callers hold the line meanwhile, each call has
 // its one answer. Two bytes are a step: the call, or 255 for a caller that says
 // nothing and 254 for half a call, and where to cut.
@@ -181,7 +181,7 @@
 	})
 }
 
-// The door says no where its desk does, and hands on what is wanted.
+// The API says no where its desk does, and hands on what is wanted.
 func TestServiceAndReady(t *testing.T) {
 	r := newRig(t)
 	r.do(func() { r.ready, r.no = false, errors.New("it is ending") })
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -388,8 +388,8 @@
 			Ready: n.ready, Service: n.service, Entry: n.entry, Membership: backends.ControlStats,
 			Jobs: func() *durable.Service { return n.fronts.faktory.Jobs() },
 		}
-		door := control.New(d, engine, backends, desk)
-		addr, err := door.Listen(c.Admin)
+		api := control.New(d, engine, backends, desk)
+		addr, err := api.Listen(c.Admin)
 		if err != nil {
 			return fmt.Errorf("config: admin_addr: %w", err)
 		}
