--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -78,11 +78,11 @@
 	eventually(t, "snapshot", func() bool { return s.at(1) })
 
 	u.answers(func(url.Values) string { return listJSON(1, false) })
-	w := <-u.watches
+	w := u.watch()
 	w.line(listJSON(1, false))
 	w.half(second, strings.Index(second, `,{"host":"y"`)) // the first host is whole
 	reset(w.conn)
-	w = <-u.watches
+	w = u.watch()
 	if after := w.query.Get("after"); after != "1" {
 		t.Errorf("resumed after %s", after)
 	}
@@ -116,7 +116,7 @@
 	if _, now, _ := s.counts(); now != opened {
 		t.Error("a watch was opened for a newer version")
 	}
-	w := <-older.watches
+	w := older.watch()
 	w.line(listJSON(3, false))
 	w.line(listJSON(6, false, hostJSON("x", "draining")))
 	eventually(t, "version 6", func() bool { return s.at(6) })
@@ -132,7 +132,7 @@
 	r, _ := startRelay(t, testConfig(a.address(), b.address()))
 	s := subscribe(t, r.Addr().String(), "d1")
 	eventually(t, "version 5", func() bool { return s.at(5) })
-	w := <-a.watches
+	w := a.watch()
 	a.answers(func(url.Values) string { return listJSON(3, true, hostJSON("old", "ready")) })
 	b.answers(func(url.Values) string { return listJSON(4, true, hostJSON("old", "ready")) })
 	reset(w.conn)
@@ -283,7 +283,7 @@
 	for _, s := range fast {
 		eventually(t, "snapshot", func() bool { return s.at(1) })
 	}
-	w := <-u.watches
+	w := u.watch()
 	before := heap()
 	for i := range changes {
 		w.line(listJSON(i+2, false, largeHost(), hostJSON(fmt.Sprintf("once-%d", i), "ready")))
@@ -321,7 +321,7 @@
 	eventually(t, "snapshot", r.has(1))
 	slow := dialSlow(t, r.Addr().String())
 	eventually(t, "it watches", func() bool { return r.Status().Watches == 1 })
-	w := <-u.watches
+	w := u.watch()
 	for i := 2; r.Status().Watches == 1; i++ {
 		if i > 10_000 {
 			t.Fatal("never disconnected")
@@ -466,7 +466,7 @@
 	r, text := startRelay(t, testConfig(u.address()))
 	s := subscribe(t, r.Addr().String(), "d1")
 	eventually(t, "snapshot", func() bool { return s.at(1) })
-	w := <-u.watches
+	w := u.watch()
 	w.line(listJSON(1, false))
 	w.line(listJSON(2, false, hostJSON("x", "draining"), hostJSON("y", "asleep")))
 	w.line(listJSON(3, false, hostJSON("y", "draining")))
@@ -490,7 +490,7 @@
 	r, _ := startRelay(t, testConfig(u.address()))
 	s := subscribe(t, r.Addr().String(), "d1")
 	eventually(t, "snapshot", func() bool { return s.at(1) })
-	w := <-u.watches
+	w := u.watch()
 	w.line(listJSON(1, false))
 	w.line(listJSON(2, false, hostJSON("x", "asleep"), hostJSON("y", "ready")))
 	u.answers(func(query url.Values) string { // y has changed no more since
@@ -517,10 +517,10 @@
 	s := subscribe(t, r.Addr().String(), "d1")
 	eventually(t, "snapshot", func() bool { return s.at(1) })
 	bad.answers(func(url.Values) string { return listJSON(9, true, hostJSON("", "ready")) })
-	w := <-bad.watches
+	w := bad.watch()
 	w.line(`{"seq":2,"whole":false,"hosts":[}`)
 	eventually(t, "the other upstream", func() bool { return s.at(3) })
-	reset((<-good.watches).conn)
+	reset(good.watch().conn)
 	eventually(t, "a bad snapshot is refused", func() bool { return strings.Contains(text.String(), "hosts[0].host is empty") })
 	if status := r.Status(); status.Version != 3 || status.RefusedCount < 2 {
 		t.Errorf("version %d, %d refused", status.Version, status.RefusedCount)
@@ -541,7 +541,7 @@
 	eventually(t, "snapshot", func() bool { return s.at(1) })
 	getLine(t, r.Addr().String(), "after=0&name=polls")
 	eventually(t, "its budget is spent", func() bool { return r.Status().SentSnapshots == 2 })
-	w := <-u.watches
+	w := u.watch()
 	w.line(listJSON(1, false))
 	w.line(listJSON(2, false, hostJSON("new", "ready")))
 	eventually(t, "a change that waits", r.has(2))
@@ -654,8 +654,8 @@
 	loop := startScriptedVia(t, "127.0.0.1:0", body, "1.1 another, 1.1 relay-test")
 	good := startScripted(t, "127.0.0.1:0", body)
 	r, _ := startRelay(t, testConfig(loop.address(), good.address()))
-	go (<-loop.watches).keepAlive()
-	(<-good.watches).line(listJSON(1, false))
+	go loop.watch().keepAlive()
+	good.watch().line(listJSON(1, false))
 	eventually(t, "the other upstream", func() bool { return r.Status().Upstream == good.address() })
 }
 
@@ -673,7 +673,7 @@
 	r, _ := startRelay(t, testConfig(a.address(), b.address()))
 	s := subscribe(t, r.Addr().String(), "d1")
 	eventually(t, "snapshot", func() bool { return s.at(1) })
-	<-a.watches // and not a byte on it
+	a.watch() // and not a byte on it
 	eventually(t, "the other upstream", func() bool { return s.at(2) })
 }
 
@@ -770,7 +770,7 @@
 	for i := range hosts {
 		hosts[i] = hostJSON(fmt.Sprintf("s-%d", i), "ready")
 	}
-	up := <-u.watches
+	up := u.watch()
 	up.line(listJSON(2, false, hosts...))
 	if rest, err := io.ReadAll(before); err != nil || len(bytes.TrimSpace(rest)) > 0 {
 		t.Errorf("the watch does not end in order: %q, %v", rest, err)
--- a/internal/relay/upstream_test.go
+++ b/internal/relay/upstream_test.go
@@ -54,6 +54,18 @@
 	return u
 }
 
+// watch waits for a relay to open a watch.
+func (u *scriptedUpstream) watch() *scriptedWatch {
+	u.t.Helper()
+	select {
+	case w := <-u.watches:
+		return w
+	case <-time.After(generous):
+		u.t.Fatal("no watch is opened")
+		return nil
+	}
+}
+
 func (u *scriptedUpstream) address() string { return u.listener.Addr().String() }
 
 // answers sets what plain calls are answered with.
