Shares of warm workers are computed over some beats where the fleet is large

Change: a beat looks at 2,048 workers at most, and the shares are taken over at the end of the fleet.

The test shows that no beat looks at more and that the shares come to what all take.

--- a/capacity_test.go
+++ b/capacity_test.go
@@ -351,3 +351,45 @@
 		}
 	}
 }
+
+// What warm workers take is computed over some beats where they are many: no beat looks at more than shareSteps of
+// them, and the shares come to what all of them take.
+func TestSharesOfALargeFleetAreComputedInParts(t *testing.T) {
+	const workers = 21000
+	d, _ := capacityRig(t, workers, 10)
+	d.horizon = 1000 * time.Hour // what was sent does not fade meanwhile
+	take := func(seconds float64) (share float64) {
+		for _, w := range d.fleet {
+			w.sent = fading{seconds, d.now}
+		}
+		return seconds / d.horizon.Seconds()
+	}
+	near := func(a, b float64) bool { return a > b*0.999 && a < b*1.001 }
+	first := take(100)
+	if got := d.warmShare(0); !near(got, first) {
+		t.Fatalf("at first %v, not %v", got, first)
+	}
+	second := take(300)
+	beats := 0
+	for ; !near(d.warmShare(0), second); beats++ {
+		if beats > 2*workers/shareSteps+2 {
+			t.Fatalf("%v after %d beats, not %v", d.warmShare(0), beats, second)
+		}
+		if at := d.sharePass.next; at%shareSteps != 0 || at > workers {
+			t.Fatalf("%d workers were looked at after %d beats", at, beats)
+		}
+		d.now += d.beat
+	}
+	if beats < workers/shareSteps {
+		t.Errorf("%d beats for %d workers, of which one looks at %d", beats, workers, shareSteps)
+	}
+	small, _ := capacityRig(t, shareSteps, 10)
+	small.warmShare(0)
+	for _, w := range small.fleet {
+		w.sent = fading{100, small.now + small.beat}
+	}
+	small.now += small.beat
+	if got, want := small.warmShare(0), 100/small.horizon.Seconds(); !near(got, want) {
+		t.Errorf("a fleet that one beat looks at whole has %v, not %v", got, want)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -158,8 +158,9 @@
 	nominal        map[int]float64 // the largest weight of a kind
 	tenants        []tenant
 	probeNext      int
-	shares         map[int]float64 // warmShare by kind, computed at sharesAt
-	sharesAt       time.Duration
+	shares         map[int]float64 // warmShare by kind
+	sharesAt       time.Duration   // when they were looked at last; 0: they are unknown
+	sharePass      sharePass       // looks at a large fleet, a part at a time
 	listBackoff    time.Duration
 }
 
@@ -831,23 +832,13 @@
 }
 
 // warmShare is the work a second that a warm worker of the kind takes from this dispatcher: the mean of
-// its kind, or the least of all where no warm one of its kind is known. It is computed once a beat.
+// its kind, or the least of all where no warm one of its kind is known. It is computed once a beat, of a
+// large fleet a part: a walk over all of it at each beat would cost what the fleet does.
 func (d *Dispatcher) warmShare(kind int) float64 {
-	const leastOfAll = -1 // no kind has this number
 	if d.sharesAt == 0 || d.now-d.sharesAt >= d.beat {
-		count := map[int]float64{}
-		d.shares, d.sharesAt = map[int]float64{}, d.now
-		for _, w := range d.fleet {
-			if w.State != Running || d.warmth(w) < 1 {
-				continue
-			}
-			rate := w.sent.get(d.now, d.horizon) / d.horizon.Seconds()
-			count[w.Kind]++
-			d.shares[w.Kind] += (rate - d.shares[w.Kind]) / count[w.Kind]
-			if least, ok := d.shares[leastOfAll]; !ok || rate < least {
-				d.shares[leastOfAll] = rate
-			}
-		}
+		whole := d.sharesAt == 0
+		d.sharesAt = d.now
+		d.computeShares(whole)
 	}
 	if share, ok := d.shares[kind]; ok {
 		return share
@@ -855,6 +846,50 @@
 	return d.shares[leastOfAll]
 }
 
+const (
+	leastOfAll = -1   // the key of the least share; no kind has this number
+	shareSteps = 2048 // workers that one beat looks at
+)
+
+// sharePass is a walk over the fleet that computes the shares, over some beats.
+type sharePass struct {
+	next   int             // the worker to go on with
+	count  map[int]float64 // warm workers so far, by kind
+	shares map[int]float64 // their shares
+}
+
+// computeShares goes on with the walk over the fleet, to its end if whole, and takes the shares over there.
+func (d *Dispatcher) computeShares(whole bool) {
+	pass := &d.sharePass
+	if whole || pass.count == nil || pass.next > len(d.fleet) {
+		*pass = sharePass{count: map[int]float64{}, shares: map[int]float64{}}
+	}
+	end := len(d.fleet)
+	if !whole {
+		end = min(end, pass.next+shareSteps)
+	}
+	for _, w := range d.fleet[pass.next:end] {
+		d.addShare(pass, w)
+	}
+	if pass.next = end; end == len(d.fleet) {
+		d.shares = pass.shares
+		*pass = sharePass{}
+	}
+}
+
+// addShare takes a worker into the shares, if it is warm.
+func (d *Dispatcher) addShare(pass *sharePass, w *worker) {
+	if w.State != Running || d.warmth(w) < 1 {
+		return
+	}
+	rate := w.sent.get(d.now, d.horizon) / d.horizon.Seconds()
+	pass.count[w.Kind]++
+	pass.shares[w.Kind] += (rate - pass.shares[w.Kind]) / pass.count[w.Kind]
+	if least, ok := pass.shares[leastOfAll]; !ok || rate < least {
+		pass.shares[leastOfAll] = rate
+	}
+}
+
 // probe asks workers of the own set in turn for their load; of the cold ones, where none is warm.
 func (d *Dispatcher) probe() {
 	from := d.pool
