--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -215,3 +215,52 @@
 		}
 	})
 }
+
+// What all dispatchers together may reserve at a cold worker within any window stays within what the settings allow it
+// then, however busy warm workers are: each has saved at most a window's part, gets one more, and may go beyond by a job
+// no larger than one. Jobs larger than a part, and the first, are a matter of chance, which the protocol allows for.
+func TestColdReservationsStayWithinTheBudget(t *testing.T) {
+	if sum := 3 * coldSafety; sum > 1+1e-9 {
+		t.Errorf("a saved part, a window's and a job's come to %.2f of the budget", sum)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		window := time.Duration(rapid.IntRange(200, 3000).Draw(t, "window in ms")) * time.Millisecond
+		multiple := rapid.Float64Range(1, 8).Draw(t, "fall multiple")
+		share := rapid.Float64Range(0.01, 4).Draw(t, "work of a warm worker, slots")
+		d, err := New(Settings{
+			Classes: []Class{{Worth: 1, Aim: time.Second, Deadline: 4 * time.Second}}, Peers: rapid.IntRange(20, 30).Draw(t, "peers"),
+			ColdFrom: rapid.Float64Range(0.1, 0.9).Draw(t, "cold from"), WarmAfter: time.Hour, FallMultiple: multiple, FallWindow: window,
+		}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := 24 * time.Hour
+		d.Handle(start, Event{Kind: WorkerList, List: ListComplete, Entries: []Entry{{Worker: "cold", LastStart: start - time.Minute}}}, nil)
+		w := d.workers["cold"]
+		w.sent.add(d.now, d.horizon, 0) // it has had its first job
+		d.shares, d.sharesAt = map[int]float64{0: share}, start+time.Hour
+		var sent []fleetSend
+		for range 300 {
+			d.now += rapid.SampledFrom([]time.Duration{0, 0, 0, window / 50, window / 50, window / 10, 2 * window}).Draw(t, "pause")
+			part := coldSafety * multiple * d.warmth(w) * share * window.Seconds()
+			work := rapid.SampledFrom([]float64{0.05, 0.05, 0.3, 1}).Draw(t, "work, parts") * part
+			r := &request{class: &d.s.Classes[0], slots: 1, work: work, mean: work, cost: work, hold: work}
+			if d.coldRoom(r, w) {
+				w.cold -= r.charge()
+				sent = append(sent, fleetSend{d.now, r.charge()})
+			}
+			sum := 0.0
+			for _, s := range sent {
+				if s.at > d.now-window {
+					sum += s.work
+				}
+			}
+			if allowed := multiple * d.warmth(w) * share * window.Seconds(); sum > allowed*(1+1e-9) {
+				t.Fatalf("%.3f of the budget in a window", sum/allowed)
+			}
+		}
+		if len(sent) == 0 {
+			t.Fatal("nothing was sent")
+		}
+	})
+}
