Beyond a cold worker's budget goes half a window's part at the most

The job beyond the budget is the part that can be cut.

Change: coldSafety is 0.4 again, and a job that is no larger than a window's part waits while it would go beyond what is there by more than half a part: 0.4 x 2.5 = 1. Larger jobs and the first stay a matter of chance.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -34,7 +34,7 @@
 	leastHomes  = 2               // homes of a key at first, where a fetch has a price
 	mostHomes   = 8               // and at the most, or without a price at once
 	probes      = 2               // workers probed for each arrival
-	coldSafety  = 1.0 / 3         // share of the cold budget used: saved, new and one job make all
+	coldSafety  = 0.4             // share of the cold budget used: saved, new and half of one make all
 	hintDoubt   = 0.25            // how far a job with a small hint may lie towards the mean of its class
 	oddJobs     = 4               // jobs in a row that a worker calls unusable and is believed
 	herdFrom    = 8               // dispatchers that may call for the list without a spread
@@ -406,7 +406,7 @@
 		w.cold = 0
 		return false
 	}
-	return true
+	return charge > part || charge <= w.cold+part/2 // what goes beyond is half a window's part at the most
 }
 
 // ---- What becomes of attempts.
