Read over: a relay's first change is applied by the same function; one benchmark of deltas

Need: beginMessage sent itself a reply over a channel to reach the code of changeMessage, and two benchmarks had the same loop. Change: state.apply serves both messages; benchmarkDeltas both benchmarks. Behaviour stays.

--- a/capacity_test.go
+++ b/capacity_test.go
@@ -41,25 +41,28 @@
 
 // BenchmarkDelta is one worker that drains, or comes back, by a delta of its own.
 func BenchmarkDelta(b *testing.B) {
-	for _, workers := range fleetSizes {
-		b.Run(fmt.Sprint(workers), func(b *testing.B) {
-			d, list := capacityRig(b, workers, 0)
-			var out []Action
-			entries := make([]Entry, 1)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				entries[0] = list[i%workers]
-				if i%2 == 0 {
-					entries[0].State = Stopping
-				}
-				out = d.Handle(d.now, Event{Kind: WorkerList, List: ListChanges, Entries: entries}, out[:0])
-			}
-		})
-	}
+	benchmarkDeltas(b, func(list []Entry, i int) Entry {
+		entry := list[i%len(list)]
+		if i%2 == 0 {
+			entry.State = Stopping
+		}
+		return entry
+	})
 }
 
 // BenchmarkReplace is one worker that goes and one that comes, each by a delta of its own.
 func BenchmarkReplace(b *testing.B) {
+	benchmarkDeltas(b, func(list []Entry, i int) Entry {
+		entry := list[i/2%len(list)]
+		if i%2 == 0 {
+			entry.State = Deleted
+		}
+		return entry
+	})
+}
+
+// benchmarkDeltas measures deltas of one entry each, at each size of the fleet.
+func benchmarkDeltas(b *testing.B, entry func(list []Entry, i int) Entry) {
 	for _, workers := range fleetSizes {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			d, list := capacityRig(b, workers, 0)
@@ -67,10 +70,7 @@
 			entries := make([]Entry, 1)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				entries[0] = list[i/2%workers]
-				if i%2 == 0 {
-					entries[0].State = Deleted
-				}
+				entries[0] = entry(list, i)
 				out = d.Handle(d.now, Event{Kind: WorkerList, List: ListChanges, Entries: entries}, out[:0])
 			}
 		})
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -139,19 +139,22 @@
 	err     error
 }
 
-func (m changeMessage) handle(s *state) {
+func (m changeMessage) handle(s *state) { m.reply <- s.apply(m.change, m.upstream) }
+
+// apply takes in a change from upstream.
+func (s *state) apply(change membership.Change, upstream string) changeReply {
 	before := s.store.Version()
-	outcome, err := s.store.Apply(m.change)
+	outcome, err := s.store.Apply(change)
 	switch outcome {
 	case membership.Applied:
 		s.ready = true
 		s.changed(s.now(), s.urgentSince(before))
 	case membership.Refused:
 		if !errors.Is(err, membership.ErrGap) { // a gap is asked for again
-			s.refuse(m.upstream, m.change.Version, err)
+			s.refuse(upstream, change.Version, err)
 		}
 	}
-	m.reply <- changeReply{outcome, s.store.Version(), err}
+	return changeReply{outcome, s.store.Version(), err}
 }
 
 // beginMessage brings the first snapshot, and with it what had changed in the
@@ -164,9 +167,7 @@
 }
 
 func (m beginMessage) handle(s *state) {
-	began := make(chan changeReply, 1)
-	changeMessage{m.snapshot, m.upstream, began}.handle(s)
-	reply := <-began
+	reply := s.apply(m.snapshot, m.upstream)
 	if reply.outcome == membership.Applied && m.backfill.Base > 0 && s.store.Backfill(m.backfill) {
 		s.changed(s.now(), false) // nobody subscribes yet
 		reply.version = s.store.Version()
