--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -236,6 +236,13 @@
 	}, nil
 }
 
+// Step traces a step of the request of that id, or of none, where someone follows them.
+func (c *Core) Step(id, step string, more ...any) {
+	if c.Trace != nil {
+		c.Trace(id, step, more...)
+	}
+}
+
 // Names tells the key of the names of reqs, and the names that are open or were
 // lately, for a successor.
 func (c *Core) Names() (key []byte, names []uint64) {
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -296,6 +296,7 @@
 		out = append(out, j.Body...)
 	}
 	s.out = out
+	s.core.Step(l.correlationID(), "request written", "backend", l.b.name, "probe", l.probe, "bytes", len(out), "kept", l.kept, "listed_for", now-l.b.told)
 	l.phase = waiting
 	whole := len(out)
 	if l.held {
@@ -319,6 +320,14 @@
 	l.tellSent()
 }
 
+// correlationID names the request of the line's attempt, for the trace; a probe has none.
+func (l *line) correlationID() string {
+	if l.job.Job == nil || l.probe {
+		return ""
+	}
+	return l.job.Job.ID
+}
+
 // expired tells whether a repeat must not leave any more.
 func (l *line) expired(now time.Duration) bool {
 	return l.attempt != 0 && l.job.Until > 0 && now >= l.job.Until
@@ -516,6 +525,7 @@
 	l.set.core.Loop.Clear(&l.due)
 	l.free()
 	if l.conn != nil {
+		l.set.core.Step(l.correlationID(), "connection closed", "backend", l.b.name, "phase", l.phase)
 		l.conn.Close()
 	}
 }
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -131,6 +131,7 @@
 // have answered while the loop was late.
 func (w *watch) expire() {
 	if w.conn != nil && !w.conn.Quiet() {
+		w.set.core.Step("", "discovery's silence put off", "age", w.set.core.Loop.Now()-w.lastContact)
 		w.set.core.Loop.Set(&w.due, w.set.core.Loop.Now()+leastAgentWait)
 		return
 	}
@@ -147,6 +148,7 @@
 	generation := w.generation
 	loop := w.set.core.Loop
 	w.lastContact = loop.Now()
+	w.set.core.Step("", "discovery called", "version", w.seq)
 	connect, call := w.timeouts()
 	loop.Set(&w.due, w.lastContact+call)
 	w.set.engine.DialReserved(w.addr, connect, w, func(c *net.Conn, err error) {
@@ -226,6 +228,7 @@
 	}
 	defer w.set.engine.Pool.Put(b)
 	w.set.control.BytesRead += int64(len(b.Bytes()))
+	w.set.core.Step("", "discovery's bytes", "bytes", len(b.Bytes()))
 	for w.conn == c && len(b.Bytes()) > 0 {
 		if w.in == nil {
 			w.in = w.set.engine.Pool.Get()
@@ -318,6 +321,7 @@
 	if err != nil {
 		return err
 	}
+	w.set.core.Step("", "discovery's version", "version", list.Seq, "after", w.seq, "snapshot", list.Whole, "entries", len(entries))
 	kind := hollyyoke.ListChanges
 	if list.Whole {
 		kind = hollyyoke.ListComplete
