Reads and writes that fall short, unread bytes and local dial errors are borne

Cause: nbio is edge-triggered. One read an event, a short write left to an event that never came, and a watch whose silence was put off without a bound as long as bytes lay unread. Changed: a read goes on until EAGAIN or a full buffer, a write until the socket is full; a timeout is put off once for bytes on their way; a dial that fails by this machine's trouble is tried again, ever more slowly, and blames no worker; accept errors but EMFILE and ENFILE shed no sessions.

--- /dev/null
+++ b/cmd/hollyyoke/syscalls_test.go
@@ -0,0 +1,131 @@
+//go:build linux && amd64
+
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/sysfault"
+)
+
+// momentary are failures that Linux documents for the calls of a server on a machine in trouble.
+func momentary(probability float64, after, span time.Duration) (rules []sysfault.Rule) {
+	errors := map[sysfault.Call][]syscall.Errno{
+		sysfault.Accept:     {syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO},
+		sysfault.Socket:     {syscall.ENFILE, syscall.ENOBUFS},
+		sysfault.Connect:    {syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS},
+		sysfault.Wait:       {syscall.EINTR},
+		sysfault.SocketRead: {syscall.EINTR}, sysfault.SocketWrite: {syscall.EINTR},
+		sysfault.SetOption: {syscall.ENOBUFS},
+	}
+	for call := sysfault.SocketRead; call <= sysfault.SetOption; call++ {
+		for _, e := range errors[call] {
+			rules = append(rules, sysfault.Rule{Call: call, Probability: probability, Error: e, After: after, For: span})
+		}
+	}
+	return append(rules,
+		sysfault.Rule{Call: sysfault.SocketRead, Probability: 0.5, Short: 40, After: after, For: span},
+		sysfault.Rule{Call: sysfault.SocketWrite, Probability: 0.5, Short: 40, After: after, For: span})
+}
+
+// All clients get their answers while system calls fail for a moment, fall short
+// or are interrupted; no renewal runs twice, and service is whole afterwards.
+func TestServesOverFailingSystemCalls(t *testing.T) {
+	const after, span = time.Second, 4 * time.Second
+	w := &world{t: t}
+	once := func(id string, conn net.Conn) bool { // so that each request needs a new connection
+		done(id, conn)
+		return false
+	}
+	backends := []*backend{w.backend("s-1", once), w.backend("s-2", once)}
+	w.trace(sysfault.Plan{Seed: 1, Rules: momentary(0.1, after, span)})
+	begun := time.Now()
+	w.start()
+	w.client = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var open sync.WaitGroup
+	var mu sync.Mutex
+	answers := map[int]int{}
+	send := func(class, id string) {
+		defer open.Done()
+		status, body, _ := w.post(class, id, "body", 4000)
+		mu.Lock()
+		defer mu.Unlock()
+		if answers[status]++; status == 200 && body != "made for "+id {
+			t.Errorf("%s: %q", id, body)
+		}
+	}
+	for i := 0; time.Since(begun) < after+span; i++ {
+		open.Add(1)
+		go send([]string{"status-check", "renewal"}[i%2], fmt.Sprint("id-", i))
+		time.Sleep(20 * time.Millisecond)
+	}
+	open.Wait()
+	t.Logf("answers: %v; read %d, write %d, accept %d, socket %d, connect %d, wait %d, setsockopt %d calls failed or fell short", answers,
+		w.traced.Struck(sysfault.SocketRead), w.traced.Struck(sysfault.SocketWrite), w.traced.Struck(sysfault.Accept),
+		w.traced.Struck(sysfault.Socket), w.traced.Struck(sysfault.Connect), w.traced.Struck(sysfault.Wait), w.traced.Struck(sysfault.SetOption))
+	for call := sysfault.SocketRead; call <= sysfault.SetOption; call++ {
+		if w.traced.Struck(call) == 0 {
+			t.Errorf("no %v failed", call)
+		}
+	}
+	for status, n := range answers {
+		if status != 200 && status != 503 {
+			t.Errorf("%d requests ended with %d", n, status)
+		}
+	}
+	if answers[200] < 20*answers[503] {
+		t.Errorf("%d served, %d rejected", answers[200], answers[503])
+	}
+	runs := map[string]int{}
+	for _, b := range backends {
+		for _, id := range b.arrivals() {
+			if runs[id]++; runs[id] > 1 && strings.Contains(id, "/renewal/") {
+				t.Errorf("%s ran %d times", id, runs[id])
+			}
+		}
+	}
+	for i := range 20 { // the trouble is over
+		if status, _, _ := w.post("renewal", fmt.Sprint("after-", i), "x", 0); status != 200 {
+			t.Errorf("afterwards: %d", status)
+		}
+	}
+}
+
+// A connection that was reset may show itself as timed out or out of reach.
+func TestBrokenConnectionsUnderOtherNames(t *testing.T) {
+	const after, span = time.Second, 2 * time.Second
+	for _, e := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET} {
+		t.Run(e.Error(), func(t *testing.T) {
+			w := &world{t: t}
+			b := w.backend("s-1", done)
+			w.trace(sysfault.Plan{Seed: 2, Rules: []sysfault.Rule{
+				{Call: sysfault.SocketRead, Probability: 0.3, Error: e, Peer: port(t, b.ln.Addr().String()), After: after, For: span},
+			}})
+			begun := time.Now()
+			w.start()
+			w.client.Timeout = 10 * time.Second
+			for i := 0; time.Since(begun) < after+span; i++ {
+				w.post("renewal", fmt.Sprint("id-", i), "x", 0)
+			}
+			if w.traced.Struck(sysfault.SocketRead) == 0 {
+				t.Error("no read failed")
+			}
+			runs := map[string]int{}
+			for _, id := range b.arrivals() {
+				if runs[id]++; runs[id] > 1 {
+					t.Errorf("%s ran %d times", id, runs[id])
+				}
+			}
+			if status, _, _ := w.post("renewal", "after", "x", 0); status != 200 {
+				t.Errorf("afterwards: %d", status)
+			}
+		})
+	}
+}
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -13,6 +13,7 @@
 	stdnet "net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -344,9 +345,30 @@
 	acceptedShare    = 0.6
 )
 
+// acceptPause is the pause after an accept that failed.
+const acceptPause = 20 * time.Millisecond
+
 // ErrFull tells that no descriptor is free for a connection of ours.
 var ErrFull = errors.New("no descriptor free")
 
+// noDescriptor tells whether a call failed since the process or the system has no descriptor left.
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// localErrors are errors of socket and connect that speak of this machine, as
+// socket(2), connect(2) and ip(7) describe them: no packet reached the peer.
+var localErrors = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN,
+	syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN,
+}
+
+// Local tells whether a dial failed by this machine's own trouble, which says
+// nothing of the peer and may be over in a moment.
+func Local(err error) bool {
+	return errors.Is(err, ErrFull) || slices.ContainsFunc(localErrors, func(e error) bool { return errors.Is(err, e) })
+}
+
 // NewEngine starts an engine that keeps to a number of descriptors in all.
 func NewEngine(loop *core.Loop, descriptors int) (*Engine, error) {
 	usable := max(descriptors-spareDescriptors, 8)
@@ -392,7 +414,7 @@
 	return e, e.nb.Start()
 }
 
-// read reads once, if the owner has taken in what came before and wants more.
+// read reads a buffer, if the owner has taken in what came before and wants more.
 // Guards the memory, and the other connections' turns: nbio's own reading went
 // on for as long as a peer kept sending, and each piece waited for the loop in
 // a buffer of its own.
@@ -407,18 +429,9 @@
 		return nil
 	}
 	b := c.engine.Pool.Get()
-	n, err := c.nb.Read(b.array)
-	for err == syscall.EINTR {
-		n, err = c.nb.Read(b.array)
-	}
-	if n <= 0 {
+	n, err := c.fill(b.array)
+	if n == 0 {
 		c.engine.Pool.Put(b)
-		if err == nil {
-			return io.EOF
-		}
-		if err == syscall.EAGAIN {
-			return nil
-		}
 		return err
 	}
 	b.grow(n)
@@ -426,7 +439,29 @@
 	c.stalled = n == len(b.array)
 	c.engine.fly(1)
 	c.engine.Loop.Post(func() { c.take(b) })
-	return nil
+	return err
+}
+
+// fill reads until nothing more is there or the space is full, and returns how
+// much it read and how the connection ended, if it has. Edge-triggered, the poller
+// does not tell again of bytes that are left, and closes on the peer's end at once.
+// A read may fall short of what is there: only EAGAIN says that there is no more.
+func (c *Conn) fill(space []byte) (filled int, err error) {
+	for filled < len(space) {
+		n, err := c.nb.Read(space[filled:])
+		switch {
+		case n > 0:
+			filled += n
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return filled, nil
+		case err == nil:
+			return filled, io.EOF
+		default:
+			return filled, err
+		}
+	}
+	return filled, nil
 }
 
 func (e *Engine) fly(n int) {
@@ -650,9 +685,10 @@
 				if errors.Is(err, stdnet.ErrClosed) {
 					return
 				}
-				// Guards against spinning when the system has no descriptor left.
-				e.Loop.Post(full)
-				time.Sleep(20 * time.Millisecond)
+				if noDescriptor(err) {
+					e.Loop.Post(full)
+				}
+				time.Sleep(acceptPause) // guards against spinning
 				continue
 			}
 			e.add(conn, &g, 0, own)
@@ -708,7 +744,7 @@
 			}
 		case errors.Is(err, stdnet.ErrClosed):
 			return
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		case noDescriptor(err):
 			e.guard.Starved()
 			if spare != nil {
 				spare.Close()
@@ -851,10 +887,45 @@
 		return false
 	}
 	c.asked += int64(len(p))
+	if c.Waiting() == int64(len(p)) { // nothing waits from before
+		n, err := c.writeOut(p)
+		if err != nil {
+			c.sever()
+			return false
+		}
+		p = p[n:]
+	}
+	if len(p) == 0 {
+		return true
+	}
 	_, err := c.nb.Write(p)
 	return err == nil
 }
 
+// writeOut writes to the socket until all is taken or the socket is full, and
+// returns how much it took. nbio is edge-triggered and waits for the socket to
+// become writable with what a write left over, which would never be told where
+// the write was short or interrupted beside a socket that is not full.
+func (c *Conn) writeOut(p []byte) (n int, err error) {
+	err = stdnet.ErrClosed
+	c.control(func(fd int) {
+		for err = nil; n < len(p) && err == nil; {
+			var written int
+			if written, err = syscall.Write(fd, p[n:]); written > 0 {
+				n += written
+			}
+			if err == syscall.EINTR {
+				err = nil
+			}
+		}
+	})
+	c.written.Add(int64(n))
+	if err == syscall.EAGAIN {
+		err = nil
+	}
+	return n, err
+}
+
 // Peer is the address of the other end.
 func (c *Conn) Peer() netip.Addr { return c.peer }
 
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -90,6 +90,8 @@
 	rested  time.Duration // since when it is idle
 	until   time.Duration // and when it is closed for that, however late the loop is
 	lost    bool          // dialed in vain: whoever wanted it has gone
+	local   bool          // the latest dial failed by this machine's trouble
+	pause   time.Duration // before it was tried again
 	over    bool          // the answer has ended
 	kept    bool          // it has been idle: it may be dead unseen
 	end     *end          // the outcome, until the piece at hand has been read
@@ -127,7 +129,9 @@
 	// told how much time is left. Beyond it the request begins anew.
 	staleTime  = 50 * time.Millisecond
 	anyConnect = 250 * time.Millisecond // connect time where the settings name none
-	fullPause  = 5 * time.Millisecond   // until a dial is tried again for which no descriptor was free
+	fullPause  = 5 * time.Millisecond   // until a dial is tried again that failed by this machine's trouble,
+	// doubled with each further one up to
+	longestPause = 40 * time.Millisecond
 )
 
 // NewBackends returns a carrier that follows discovery at addr.
@@ -199,17 +203,21 @@
 	return l
 }
 
-// connect dials for a line. Where no descriptor is free, which says nothing of
-// the backend, it closes idle connections and tries again within the connect time.
+// connect dials for a line. Trouble of this machine says nothing of the backend:
+// the dial is tried again within the connect time, ever more slowly, and where no
+// descriptor is free, idle connections are closed first.
 func (l *line) connect() {
 	s := l.set
 	if l.lost {
 		return
 	}
 	s.engine.Dial(l.b.dial, s.connectTime()+50*time.Millisecond, l, func(c *net.Conn, err error) {
-		if errors.Is(err, net.ErrFull) {
-			s.shed()
-			s.core.Loop.After(fullPause, l.connect)
+		if l.local = net.Local(err); l.local {
+			if errors.Is(err, net.ErrFull) {
+				s.shed()
+			}
+			s.core.Step(l.correlationID(), "dial tried again", "backend", l.b.name, "error", err)
+			s.core.Loop.After(l.redialPause(), l.connect)
 			return
 		}
 		if err != nil {
@@ -229,6 +237,12 @@
 	})
 }
 
+// redialPause is the pause until a dial that failed by this machine's trouble is tried again.
+func (l *line) redialPause() time.Duration {
+	l.pause = min(max(2*l.pause, fullPause), longestPause)
+	return l.pause
+}
+
 // Idle closes all idle connections, which cost descriptors that others need more.
 func (s *Backends) Idle() { s.shed() }
 
@@ -426,6 +440,8 @@
 // expire is told that a connect, a probe or an idle connection has had its time.
 func (l *line) expire() {
 	switch {
+	case l.conn == nil && l.local: // nothing ran, and the backend is not to blame
+		l.fail(hollyyoke.Superseded)
 	case l.conn == nil:
 		l.fail(hollyyoke.RefusedConn)
 	case l.held:
--- a/internal/platform/relaylink.go
+++ b/internal/platform/relaylink.go
@@ -40,6 +40,8 @@
 	kept    bool // the connection has carried an answer before: it may be dead unseen
 	answer  answerReader
 	due     core.Deadline
+
+	extended bool // due has been put off for bytes on their way
 }
 
 // get makes a call, on the connection that is there or on a new one.
@@ -91,12 +93,16 @@
 }
 
 // extend gives the server time for its next bytes.
-func (l *link) extend() { l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+linkSilence) }
+func (l *link) extend() {
+	l.extended = false
+	l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+linkSilence)
+}
 
 // expire ends a call on which nothing has come in time. The server may have
-// answered while the loop was late.
+// answered while the loop was late: that is waited for once more, and not again.
 func (l *link) expire() {
-	if l.conn != nil && !l.conn.Quiet() {
+	if l.conn != nil && !l.extended && !l.conn.Quiet() {
+		l.extended = true
 		l.set.core.Loop.Set(&l.due, l.set.core.Loop.Now()+leastAgentWait)
 		return
 	}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -57,6 +57,7 @@
 	mute       bool // an agent that does not answer: the log tells so
 	chunk      chunks
 	due        core.Deadline // of the present call, or of the next line
+	extended   bool          // due has been put off for bytes on their way
 
 	random       *rand.Rand
 	lastContact  time.Duration // when the latest call began or the latest line came
@@ -127,11 +128,13 @@
 	w.callBy(now + left/2 + time.Duration(w.random.Int64N(int64(left/2))))
 }
 
-// expire ends a call or a watch on which nothing has come in time. An agent may
-// have answered while the loop was late.
+// expire ends a call or a watch on which nothing has come in time. An answer may
+// have come while the loop was late: it is waited for once more, and not again,
+// since unread bytes need not make a whole line.
 func (w *watch) expire() {
-	if w.conn != nil && !w.conn.Quiet() {
-		w.set.core.Step("", "discovery's silence put off", "age", w.set.core.Loop.Now()-w.lastContact)
+	if w.conn != nil && !w.extended && !w.conn.Quiet() {
+		w.extended = true
+		w.set.core.Step("", "discovery's timeout extended", "age", w.set.core.Loop.Now()-w.lastContact)
 		w.set.core.Loop.Set(&w.due, w.set.core.Loop.Now()+leastAgentWait)
 		return
 	}
@@ -178,7 +181,7 @@
 		w.conn.Close()
 	}
 	w.in, w.text, w.conn, w.out, w.ok, w.live, w.chunk, w.seen = nil, objects{}, nil, false, false, false, chunks{}, 0
-	w.nextAt = 0
+	w.nextAt, w.extended = 0, false
 	w.generation++
 }
 
@@ -302,7 +305,7 @@
 	w.lastContact = loop.Now()
 	loop.Set(&w.due, w.lastContact+watchLine)
 	first := !w.live
-	w.live, w.mute = true, false
+	w.live, w.mute, w.extended = true, false, false
 	if len(text) == 0 && w.set.first != nil {
 		w.set.begin(nil)
 		return nil
