--- /dev/null
+++ b/cmd/hollyyoke/leftover_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// These tests cut a backend off in the middle of a request, as a partition does:
+// what the daemon wrote stays in its kernel, which goes on sending it when the way
+// is free again. What was given up meanwhile must not arrive then.
+
+// cutOff is a backend whose machine takes in only the begin of a request until it is released.
+type cutOff struct {
+	*backend
+	release chan struct{}
+	mu      sync.Mutex
+	whole   []string // the ids of the requests that arrived whole, and when
+	at      []time.Time
+	began   chan struct{} // a connection has come
+}
+
+// narrowWindow leaves a listener's connections room for little more than a packet.
+func narrowWindow(_, _ string, raw syscall.RawConn) (err error) {
+	const room = 1 // the kernel makes the least of it that it allows
+	controlErr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, room)
+	})
+	if err == nil {
+		err = controlErr
+	}
+	return err
+}
+
+func newCutOff(w *world, name string) *cutOff {
+	ln, err := (&net.ListenConfig{Control: narrowWindow}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { ln.Close() })
+	c := &cutOff{backend: &backend{name: name, ln: ln}, release: make(chan struct{}), began: make(chan struct{}, 100)}
+	w.backends = append(w.backends, c.backend)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go c.serve(conn)
+		}
+	}()
+	return c
+}
+
+func (c *cutOff) serve(conn net.Conn) {
+	defer conn.Close()
+	c.began <- struct{}{}
+	<-c.release
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(req.Body); err != nil {
+			return
+		}
+		c.mu.Lock()
+		c.whole, c.at = append(c.whole, req.Header.Get("X-Correlation-Id")), append(c.at, time.Now())
+		c.mu.Unlock()
+	}
+}
+
+func (c *cutOff) arrived() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.whole
+}
+
+// stuckBody is larger than the window and smaller than what the daemon's kernel takes.
+var stuckBody = strings.Repeat("x", 8<<10)
+
+// afterReturn releases the backend and gives what is left time to arrive.
+func (c *cutOff) afterReturn() []string {
+	close(c.release)
+	time.Sleep(time.Second) // the kernel tries a closed window again after 0.2, 0.4 and 0.8 s
+	return c.arrived()
+}
+
+// A request is given up as its time is over, as its client leaves, and as its backend is removed
+// and the grace has passed. The way to the backend is free again later.
+func TestNothingArrivesAfterItWasGivenUp(t *testing.T) {
+	type scenario struct {
+		name   string
+		giveUp func(w *world, c *cutOff)
+	}
+	send := func(w *world, c *cutOff, left int) (status chan int) {
+		status = make(chan int, 1)
+		go func() {
+			got, _, _ := w.post("renewal", "stuck", stuckBody, left)
+			status <- got
+		}()
+		<-c.began
+		return status
+	}
+	scenarios := []scenario{
+		{"its time is over", func(w *world, c *cutOff) { <-send(w, c, 500) }},
+		{"its client leaves", func(w *world, c *cutOff) {
+			conn, err := net.Dial("tcp", w.listen)
+			if err != nil {
+				w.t.Error(err)
+				return
+			}
+			io.WriteString(conn, "POST /renewal/k HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: stuck\r\nContent-Length: 8192\r\n\r\n"+stuckBody)
+			<-c.began
+			time.Sleep(50 * time.Millisecond)
+			conn.Close()
+			time.Sleep(300 * time.Millisecond)
+		}},
+		{"its backend is removed", func(w *world, c *cutOff) {
+			status := send(w, c, 0)
+			w.changes <- `{"seq":42,"whole":false,"hosts":[` + c.entry("gone") + `]}`
+			select {
+			case got := <-status:
+				if got != 502 {
+					w.t.Errorf("its backend is removed: the client has %d", got)
+				}
+			case <-time.After(drainGrace + time.Second):
+				w.t.Error("its backend is removed: the client waits for it")
+			}
+		}},
+	}
+	var all sync.WaitGroup
+	for _, s := range scenarios {
+		w := &world{t: t}
+		c := newCutOff(w, "s-cut")
+		w.start()
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			s.giveUp(w, c)
+			if got := c.afterReturn(); len(got) > 0 {
+				t.Errorf("%s: %v arrived afterwards", s.name, got)
+			}
+		}()
+	}
+	all.Wait()
+}
