What was given up is closed by a reset, so that nothing of it arrives later

The kernel goes on sending what it holds, and a cut that ended delivered requests to workers removed since, seconds after the grace. Changed: a request that its worker has not begun to answer is given up by SO_LINGER 0 and a reset; where a worker drains or is removed, what its kernel has not acknowledged when the grace ends is given up as well.

--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
@@ -950,6 +951,43 @@
 	c.sever()
 }
 
+// Abort closes the connection at once by a reset, so that nothing arrives any more
+// of what the peer has not taken: after an orderly close the kernel goes on sending
+// what it holds, for minutes, and delivers it once a way that was cut off is free.
+// False tells that the kernel refused, and the close is an orderly one.
+func (c *Conn) Abort() (reset bool) {
+	if c.Handle == 0 {
+		return true
+	}
+	const tries = 3 // setsockopt may fail for a moment
+	c.control(func(fd int) {
+		for range tries {
+			if err := syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1}); err == nil {
+				reset = true
+				return
+			}
+		}
+	})
+	c.Close()
+	return reset
+}
+
+// Unacknowledged is how many bytes of those written the peer's kernel has not
+// acknowledged; 0 also where the system does not tell.
+func (c *Conn) Unacknowledged() (bytes int) {
+	if c.Handle == 0 {
+		return 0
+	}
+	c.control(func(fd int) {
+		var queued int32
+		_, _, errno := syscall.Syscall(syscall.SYS_IOCTL, uintptr(fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&queued)))
+		if errno == 0 {
+			bytes = int(queued)
+		}
+	})
+	return bytes + int(c.Waiting())
+}
+
 // sever ends the connection and leaves its descriptor for nbio's poller to
 // close, which hears of it at once. Guards the next owner of that number: closed
 // here, while the poller still had an event of it, the event closed a connection
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -265,6 +266,47 @@
 	return b.state != hollyyoke.Running && now-b.told > max(grace-drainSlack, 0)
 }
 
+// left is told that a backend drains or has gone. What has not reached it when the
+// grace is over must not reach it any more, as it would once a way that was cut
+// off is free.
+func (s *Backends) left(b *backend) {
+	const behind = time.Millisecond // late asks for more than the time itself
+	grace := s.core.Settings.DrainGrace
+	s.core.Loop.After(max(grace-drainSlack, 0)+behind, func() {
+		if !b.late(s.core.Loop.Now(), grace) { // it has come back, and may have left anew
+			return
+		}
+		for _, l := range s.linesTo(b) {
+			if l.phase == waiting && l.conn.Unacknowledged() > 0 {
+				l.giveUp()
+			}
+		}
+	})
+}
+
+// linesTo finds the connections that carry attempts to a backend, in the order in which those were made.
+func (s *Backends) linesTo(b *backend) (lines []*line) {
+	for _, l := range s.lines {
+		if l.b == b && l.conn != nil {
+			lines = append(lines, l)
+		}
+	}
+	slices.SortFunc(lines, func(a, b *line) int { return cmp.Compare(a.attempt, b.attempt) })
+	return lines
+}
+
+// giveUp ends an attempt whose request has not arrived whole. It may have run
+// all the same where all of it was handed to the kernel.
+func (l *line) giveUp() {
+	l.tellSent()
+	l.close() // first: until then what waits here may still leave, on another goroutine
+	o := hollyyoke.Superseded
+	if l.conn.Passed(l.mark) {
+		o = hollyyoke.Severed
+	}
+	l.settle(o, hollyyoke.Load{}, nil)
+}
+
 // send writes the request of the line's attempt or probe.
 func (l *line) send() {
 	s := l.set
@@ -453,11 +495,7 @@
 		if l.tellSent(); l.conn.Passed(l.mark) {
 			return
 		}
-		o := hollyyoke.Superseded
-		if l.close(); l.conn.Passed(l.mark) { // it left meanwhile
-			o = hollyyoke.Severed
-		}
-		l.settle(o, hollyyoke.Load{}, nil)
+		l.giveUp()
 	default:
 		l.unlist()
 		l.close()
@@ -537,13 +575,20 @@
 	}
 }
 
+// close closes the connection. A request on it that its backend has not begun to
+// answer may not have arrived yet, and must not arrive later: it is given up.
 func (l *line) close() {
 	l.set.core.Loop.Clear(&l.due)
 	l.free()
-	if l.conn != nil {
-		l.set.core.Step(l.correlationID(), "connection closed", "backend", l.b.name, "phase", l.phase)
-		l.conn.Close()
+	if l.conn == nil {
+		return
+	}
+	l.set.core.Step(l.correlationID(), "connection closed", "backend", l.b.name, "phase", l.phase)
+	if l.phase == waiting {
+		l.conn.Abort()
+		return
 	}
+	l.conn.Close()
 }
 
 // Closed is told that the backend has closed, or the connection broke.
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -192,6 +192,7 @@
 func (s *Backends) gone(b *backend) {
 	if b.state != hollyyoke.Deleted {
 		b.state, b.told = hollyyoke.Deleted, s.core.Loop.Now()
+		s.left(b)
 	}
 	b.closeIdle()
 	delete(s.hosts, b.name)
@@ -260,6 +261,9 @@
 		}
 		if b.host = list[i]; b.state != e.State {
 			b.state, b.told = e.State, now
+			if e.State == hollyyoke.Stopping {
+				s.left(b)
+			}
 		}
 	}
 }
