--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -268,7 +268,7 @@
 
 // left is told that a backend drains or has gone. What has not reached it when the
 // grace is over must not reach it any more, as it would once a way that was cut
-// off is free.
+// off is free. Of one that has gone, only an answer shows that the request was there.
 func (s *Backends) left(b *backend) {
 	const behind = time.Millisecond // late asks for more than the time itself
 	grace := s.core.Settings.DrainGrace
@@ -277,7 +277,7 @@
 			return
 		}
 		for _, l := range s.linesTo(b) {
-			if l.phase == waiting && l.conn.Unacknowledged() > 0 {
+			if l.phase == waiting && (b.state == hollyyoke.Deleted || l.conn.Unacknowledged() > 0) {
 				l.giveUp()
 			}
 		}
