A list of workers counts as current for 6 s over all calls; then workers are asked or held

Cause: each call to discovery had its own 3 s and each failure its own pause, and requests went on by a list of any age. Changed: internal/freshness owns how old the list is; no call, failure or heartbeat of half a line moves its bound. Where it is over, a request goes only to a worker that answers a probe first and has been in touch since (discovery answers nobody: refused, 503, no connection), or waits (discovery was there and told nothing whole, or the process was held up).

--- a/api.go
+++ b/api.go
@@ -237,6 +237,8 @@
 	PeerMessage                   // ignored: dispatchers share nothing
 	ColdCharge                    // Worker, Charge: what the same dispatcher's other process, while there is one, sent
 	Reconfigured                  // Settings: those that may change while running; Event.Settings tells which
+	Suspended                     // Entries, by Worker: they get nothing until Resumed, whatever lists say meanwhile
+	Resumed                       // Entries, by Worker
 )
 
 // ListKind tells how the entries of a WorkerList event are meant.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -83,6 +83,8 @@
 		d.charged(d.workers[ev.Worker], ev.Charge)
 	case Reconfigured:
 		d.reconfigure(ev.Settings)
+	case Suspended, Resumed:
+		d.suspend(ev.Entries, ev.Kind == Suspended)
 	}
 	d.drain()
 	out, d.actions = d.actions, nil
@@ -338,7 +340,7 @@
 
 // allowed is the gate of the rules: open to the class, not draining, no effect that could happen twice.
 func (d *Dispatcher) allowed(r *request, w *worker) bool {
-	if w.State != Running || !r.class.mayRunOn(w) || d.sealed(r) {
+	if w.State != Running || w.suspended || !r.class.mayRunOn(w) || d.sealed(r) {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -679,7 +681,7 @@
 		}
 	}
 	r.value *= r.class.LateWorth
-	if r.queued && (d.priceC+d.priceK > 0 || !d.leaseFree(r)) || d.inTheWay(r) {
+	if r.queued && (d.priceC+d.priceK > 0 || !d.leaseFree(r) || d.allSuspended()) || d.inTheWay(r) {
 		d.giveUp(r)
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,6 +101,13 @@
 	Subscribe()                         // ask for list changes from now on
 }
 
+// Aging is a Carrier whose list of backends may be too old to act on. Refresh is
+// called before each event that may make the module send; it suspends and resumes
+// backends by what is known at that moment.
+type Aging interface {
+	Refresh()
+}
+
 // answerMargin is by how much the final answer leaves before the client gives
 // up. It covers the way there and a late timer on a shared core.
 const answerMargin = 12 * time.Millisecond
@@ -589,6 +596,38 @@
 	c.handle(ev)
 }
 
+// Suspend tells that a source cannot answer for backends of its list for now: they
+// get nothing until Resume. What is out at them goes on.
+func (c *Core) Suspend(source Carrier, backends []string) {
+	c.suspension(hollyyoke.Suspended, source, backends)
+}
+
+// Resume takes a suspension back.
+func (c *Core) Resume(source Carrier, backends []string) {
+	c.suspension(hollyyoke.Resumed, source, backends)
+}
+
+func (c *Core) suspension(kind hollyyoke.EventKind, source Carrier, backends []string) {
+	var entries []hollyyoke.Entry
+	for _, name := range backends {
+		if l, ok := c.listed[name]; ok && l.source == source {
+			entries = append(entries, l.entry)
+		}
+	}
+	if len(entries) > 0 {
+		c.handle(hollyyoke.Event{Kind: kind, Entries: entries})
+	}
+}
+
+// refresh brings up to date what the sources know of the age of their lists.
+func (c *Core) refresh() {
+	for _, s := range c.sources {
+		if aging, ok := s.(Aging); ok {
+			aging.Refresh()
+		}
+	}
+}
+
 // unlist forgets a backend, if it is listed.
 func (c *Core) unlist(name string) {
 	l, ok := c.listed[name]
@@ -602,11 +641,15 @@
 
 // handle feeds the module. What an action brings about at once waits its turn.
 func (c *Core) handle(ev hollyyoke.Event) {
+	outermost := !c.handling
+	if outermost {
+		c.handling = true
+		c.refresh() // what that tells the module comes first
+	}
 	c.pending = append(c.pending, ev)
-	if c.handling {
+	if !outermost {
 		return
 	}
-	c.handling = true
 	for len(c.pending) > 0 {
 		ev := c.pending[0]
 		c.pending = append(c.pending[:0], c.pending[1:]...)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -26,12 +26,19 @@
 	stopped bool
 	wake    chan struct{}
 
+	// Stalled is called on the loop's goroutine, before anything else, when the loop
+	// goes on after it was held up for longer than stallTime; nil: nobody wants to know.
+	Stalled func()
+
 	spare []func()
 	due   deadlines
 	seq   uint64
 	fired time.Duration // up to when deadlines have been fired
 }
 
+// stallTime is by how much a deadline is late that tells of a process that was held up.
+const stallTime = 500 * time.Millisecond
+
 // NewLoop returns a loop whose clock reads Unix time.
 func NewLoop() *Loop {
 	now := time.Now()
@@ -62,6 +69,9 @@
 	if stopped {
 		return true
 	}
+	if l.Stalled != nil && len(l.due) > 0 && l.Now()-l.due[0].at > stallTime {
+		l.Stalled()
+	}
 	for _, f := range work {
 		f()
 	}
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,142 @@
+// Package freshness decides whether a list of workers is still good enough to act
+// on. It owns what is known of the list's age: when its source was last heard whole,
+// and how the calls since ended. It is pure: time is an argument, and it must never
+// read a clock, a socket or a list.
+//
+// The protocol counts a change as notified a fixed time after its source had it and
+// could be reached, whatever became of the calls meanwhile. That bound holds over all
+// calls together, so it is measured here, from the last moment up to which everything
+// is known, and no call or failure moves it.
+package freshness
+
+import "time"
+
+// Knowledge says what may be done by a list.
+type Knowledge uint8
+
+const (
+	// Current: no change can count as notified yet that the list lacks.
+	Current Knowledge = iota
+	// Unconfirmed: the list may be old, and its source answers nobody, as far as can
+	// be seen here. A worker may be sent to that shows by itself that it still serves.
+	Unconfirmed
+	// Unknown: the list may be old though its source can be reached, so any worker of
+	// it may have been removed. Nothing may be sent.
+	Unknown
+)
+
+func (k Knowledge) String() string { return [...]string{"current", "unconfirmed", "unknown"}[k] }
+
+// Failure says how far a call got that brought nothing.
+type Failure uint8
+
+const (
+	// NotReached: no connection, a reset or refusal before an answer began, or an
+	// answer that says that the source is down or crowded, which look alike.
+	NotReached Failure = iota
+	// BrokenOff: the source took the call and told nothing, or not all of it.
+	BrokenOff
+)
+
+const (
+	// NotifiedWithin is the protocol's bound: a change counts as notified this long
+	// after its source had it and could be reached.
+	NotifiedWithin = 6 * time.Second
+
+	// margin is how much earlier the list counts as old. The grace that a removed
+	// worker has beyond the bound is left to what is on its way.
+	margin = 100 * time.Millisecond
+
+	// failureLasts is for how long a failed call tells of its source: calls come
+	// within 3.8 s of the last contact, and take 3 s at the most.
+	failureLasts = 8 * time.Second
+
+	// proofGap is how long a worker may go without showing that it serves before it
+	// may have been found silent, removed and started anew unseen.
+	proofGap = 4 * time.Second
+
+	// Resettled is how long after a stall of the process what is read may have been
+	// written before it.
+	resettled = 100 * time.Millisecond
+)
+
+// Tracker follows the age of one list. Its zero value has heard nothing since time 0.
+type Tracker struct {
+	heardAt    time.Duration // up to when everything is known
+	failed     bool          // a call has ended in vain since
+	failure    Failure       // the latest of those
+	failedAt   time.Duration
+	stallEnded time.Duration
+}
+
+// Start begins with a list that was complete at a time.
+func (t *Tracker) Start(now time.Duration) { *t = Tracker{heardAt: now} }
+
+// Heard tells that a whole message of the source has come: its news, or word that
+// there are none. It returns whether the list counts as heard at that time; a message
+// that is read right after the process was held up may have waited for long.
+func (t *Tracker) Heard(now time.Duration) bool {
+	if t.stallEnded > 0 && now < t.stallEnded+resettled {
+		return false
+	}
+	t.heardAt, t.failed = now, false
+	return true
+}
+
+// Stalled tells that the process was held up until now.
+func (t *Tracker) Stalled(now time.Duration) { t.stallEnded = now }
+
+// Failed tells that a call or watch has ended without news.
+func (t *Tracker) Failed(now time.Duration, f Failure) {
+	t.failed, t.failure, t.failedAt = true, f, now
+}
+
+// OldAt is when the list ceases to be current, unless its source is heard before.
+func (t *Tracker) OldAt() time.Duration { return t.heardAt + NotifiedWithin - margin }
+
+// HeardAt is the time up to which everything is known.
+func (t *Tracker) HeardAt() time.Duration { return t.heardAt }
+
+// Knowledge tells what the list is good for now.
+func (t *Tracker) Knowledge(now time.Duration) Knowledge {
+	switch {
+	case now < t.OldAt():
+		return Current
+	case t.failed && t.failure == NotReached && now < t.failedAt+failureLasts:
+		return Unconfirmed
+	}
+	return Unknown
+}
+
+// Proof is what a worker has shown of itself. Its zero value has shown nothing.
+type Proof struct {
+	at     time.Duration // when it last showed that it serves
+	broken bool          // it did not for too long, or showed that it does not
+	by     time.Duration // the list's HeardAt by which broken holds
+}
+
+// Shown tells that the worker has answered.
+func (p *Proof) Shown(now time.Duration, t *Tracker) {
+	p.check(now, t)
+	p.at = now
+}
+
+// Denied tells that the worker has not answered, or said that it does not serve.
+func (p *Proof) Denied(t *Tracker) { p.broken, p.by = true, t.HeardAt() }
+
+// Holds tells whether the worker has shown without a gap, since the list was last
+// current, that it serves. One that fell silent for long may have been removed, and
+// an answer of it after that proves nothing.
+func (p *Proof) Holds(now time.Duration, t *Tracker) bool {
+	p.check(now, t)
+	return !p.broken
+}
+
+func (p *Proof) check(now time.Duration, t *Tracker) {
+	if p.broken && p.by != t.HeardAt() { // the list has been heard since
+		p.broken = false
+	}
+	if now-max(p.at, t.HeardAt()+NotifiedWithin) > proofGap {
+		p.Denied(t)
+	}
+}
--- /dev/null
+++ b/internal/freshness/freshness_test.go
@@ -0,0 +1,113 @@
+package freshness
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const s = time.Second
+
+func TestKnowledge(t *testing.T) {
+	type step struct {
+		at    time.Duration
+		event string // "", "heard", "not reached", "broken off", "stalled"
+		want  Knowledge
+	}
+	for name, steps := range map[string][]step{
+		"heard in time": {{5 * s, "heard", Current}, {10 * s, "", Current}, {10900 * time.Millisecond, "", Unknown}},
+		"silence":       {{5800 * time.Millisecond, "", Current}, {6 * s, "", Unknown}},
+		"two calls that break off move nothing": {
+			{3 * s, "broken off", Current}, {5800 * time.Millisecond, "broken off", Current}, {6 * s, "", Unknown}, {7 * s, "heard", Current}},
+		"an outage": {{2 * s, "not reached", Current}, {5 * s, "not reached", Current}, {6 * s, "", Unconfirmed},
+			{9 * s, "not reached", Unconfirmed}, {16 * s, "", Unconfirmed}, {17 * s, "", Unknown}},
+		"an outage whose end brings half an answer": {{5 * s, "not reached", Current}, {7 * s, "broken off", Unknown}},
+		"a broken answer, then an outage":           {{5 * s, "broken off", Current}, {7 * s, "not reached", Unconfirmed}},
+		"what is read right after a stall may be old": {
+			{10 * s, "stalled", Unknown}, {10*s + time.Millisecond, "heard", Unknown}, {11 * s, "heard", Current}},
+		"a short stall": {{2 * s, "heard", Current}, {3 * s, "stalled", Current}, {3*s + time.Millisecond, "heard", Current}, {8 * s, "", Unknown}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tracker Tracker
+			tracker.Start(0)
+			for i, step := range steps {
+				switch step.event {
+				case "heard":
+					tracker.Heard(step.at)
+				case "not reached":
+					tracker.Failed(step.at, NotReached)
+				case "broken off":
+					tracker.Failed(step.at, BrokenOff)
+				case "stalled":
+					tracker.Stalled(step.at)
+				}
+				if got := tracker.Knowledge(step.at); got != step.want {
+					t.Errorf("step %d, %v %s: %v, not %v", i, step.at, step.event, got, step.want)
+				}
+			}
+		})
+	}
+}
+
+// Whatever calls end in vain, in any order, the list is never current beyond the bound.
+func TestNoFailureMovesTheBound(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		var tracker Tracker
+		tracker.Start(0)
+		for now := time.Duration(0); now < 20*s; now += time.Duration(random.IntN(int(s))) {
+			switch random.IntN(3) {
+			case 0:
+				tracker.Failed(now, Failure(random.IntN(2)))
+			case 1:
+				tracker.Stalled(now)
+			}
+			if k := tracker.Knowledge(now); k == Current && now >= NotifiedWithin {
+				t.Fatalf("seed %d: current at %v, though nothing was heard since the start", seed, now)
+			}
+		}
+	}
+}
+
+func TestProof(t *testing.T) {
+	var tracker Tracker
+	tracker.Start(0)
+	var steady, lapsed, denied Proof
+	for now := s; now < 30*s; now += 2 * s {
+		steady.Shown(now, &tracker)
+	}
+	if !steady.Holds(30*s, &tracker) {
+		t.Error("a worker that answered all the time is not believed")
+	}
+	if !lapsed.Holds(9*s, &tracker) {
+		t.Error("a worker of a list that was current 3 s ago is not believed")
+	}
+	lapsed.Shown(11*s, &tracker)
+	if lapsed.Holds(11*s, &tracker) {
+		t.Error("a worker that was silent for too long is believed since it answers again")
+	}
+	denied.Denied(&tracker)
+	denied.Shown(7*s, &tracker)
+	if denied.Holds(7*s, &tracker) {
+		t.Error("a worker that said that it does not serve is believed")
+	}
+	tracker.Heard(31 * s)
+	for name, p := range map[string]*Proof{"lapsed": &lapsed, "denied": &denied} {
+		if !p.Holds(31*s, &tracker) {
+			t.Errorf("%s: not believed, though the list was heard since", name)
+		}
+	}
+}
+
+func ExampleTracker() {
+	var list Tracker
+	list.Start(0)
+	list.Failed(3*time.Second, BrokenOff)
+	fmt.Println(list.Knowledge(5*time.Second), list.Knowledge(6*time.Second))
+	list.Failed(7*time.Second, NotReached)
+	fmt.Println(list.Knowledge(8 * time.Second))
+	// Output:
+	// current unknown
+	// unconfirmed
+}
--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -12,6 +12,8 @@
 // This file reads the answers of backends to attempts and probes. It must never
 // take an answer for one that its request was not made for.
 
+const statusOK = 200
+
 // Data takes in what the backend sent.
 func (l *line) Data(_ *net.Conn, b *net.Buffer) {
 	if l.phase == resting { // nothing was asked: what comes is no answer to anything
@@ -21,6 +23,9 @@
 		return
 	}
 	l.tellSent()
+	if !l.probe {
+		l.shown()
+	}
 	if !collect(&l.set.engine.Pool, &l.in, b) {
 		l.broken()
 		return
@@ -33,6 +38,12 @@
 		}
 	}
 	l.cut()
+	if l.over && l.confirming {
+		l.set.core.Loop.Clear(&l.due)
+		l.last = l.last || l.in != nil
+		l.answered()
+		return
+	}
 	if l.over {
 		l.last = l.last || l.in != nil || l.held // bytes behind the answer, or some of the request still here
 		// Idle first, told then: the attempt that the module starts on this news finds the connection.
@@ -244,16 +255,22 @@
 // done is told that the answer has ended. One without its last object is a reset.
 func (l *line) done() error {
 	if l.probe {
+		confirming := l.confirming
 		l.probe = false
 		l.set.core.Loop.Clear(&l.due)
 		o, load := hollyyoke.Errored, hollyyoke.Load{}
-		if l.status == 200 {
+		if l.status == statusOK {
 			o = hollyyoke.Completed
+			l.shown()
 			if l.text != nil {
 				load = settings.Load(&l.set.core.Settings, l.text.Bytes())
 			}
 		}
-		l.set.core.Probed(l.b.name, o, load)
+		l.over = true
+		if !confirming {
+			l.set.core.Probed(l.b.name, o, load)
+		}
+		return nil
 	}
 	if l.text != nil && l.attempt != 0 && l.end == nil { // the last line may lack its line end
 		if err := l.news(l.text.Bytes()); err != nil {
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -11,6 +11,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/freshness"
 	"hollyyoke.example/hollyyoke/internal/membership"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
@@ -42,6 +43,10 @@
 
 	reconfigure func(changes []setting) error // puts changed settings in force, all or none
 
+	age       freshness.Tracker   // how old what hosts holds is
+	knowledge freshness.Knowledge // as the module was told last
+	oldDue    core.Deadline       // when the list ceases to be current
+
 	follower *follower // follows versioned changes in place of the watch; nil: the watch is open
 	control  ControlStats
 }
@@ -53,6 +58,10 @@
 	told       time.Duration // when that state was told
 	host       host          // discovery's words
 	idle       []*line       // the one used last at the end
+
+	proof     freshness.Proof // that it serves
+	confirmed time.Duration   // when the latest probe left that it answered; 0: never
+	suspended bool            // the module was told to send it nothing
 }
 
 // phase is where the answer on a line stands.
@@ -73,6 +82,10 @@
 	attempt uint64 // the attempt whose outcome is owed; 0: none
 	job     core.Attempt
 	probe   bool
+
+	confirming bool          // the probe was made for the attempt, whose request follows
+	asked      time.Duration // when that probe left
+
 	mark    int64         // behind the last byte of the request
 	tail    byte          // that byte, until it is sent
 	held    bool          // it is not sent yet
@@ -141,6 +154,8 @@
 	s.watch = watch{set: s, addr: discovery, random: rand.New(rand.NewPCG(c.Seed, 0))}
 	s.watch.due.Fire, s.watch.next.Fire = s.watch.expire, s.watch.open
 	s.reconfigure = s.reconfigureCore
+	s.oldDue.Fire = s.Refresh
+	c.Loop.Stalled = func() { s.age.Stalled(c.Loop.Now()) }
 	s.due.Fire = func() { s.begin(nil) }
 	c.Listen(s)
 	return s
@@ -301,7 +316,7 @@
 	l.tellSent()
 	l.close() // first: until then what waits here may still leave, on another goroutine
 	o := hollyyoke.Superseded
-	if l.conn.Passed(l.mark) {
+	if l.conn.Passed(l.mark) && !l.confirming {
 		o = hollyyoke.Severed
 	}
 	l.settle(o, hollyyoke.Load{}, nil)
@@ -322,6 +337,23 @@
 		l.rest()
 		return
 	}
+	if l.attempt != 0 {
+		switch s.admit(l.b, now) {
+		case suspended:
+			l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
+			l.rest()
+			return
+		case confirm:
+			l.ask(now)
+			return
+		}
+	}
+	l.write(now)
+}
+
+// write writes the request of the line's attempt, or a probe.
+func (l *line) write(now time.Duration) {
+	s := l.set
 	l.held = !l.probe && now < s.wary
 	l.leaves = now
 	if l.held {
@@ -329,7 +361,11 @@
 	}
 	out := s.out[:0]
 	if l.probe {
-		s.core.Loop.Set(&l.due, now+probeTime) // here, so that one on a new connection has it too
+		patience := probeTime
+		if l.confirming {
+			patience = s.connectTime()
+		}
+		s.core.Loop.Set(&l.due, now+patience) // here, so that one on a new connection has it too
 		out = append(out, "GET /load HTTP/1.1\r\nHost: "...)
 		out = append(out, l.b.dial...)
 		out = append(out, "\r\n\r\n"...)
@@ -368,9 +404,10 @@
 		l.unsent()
 		return
 	}
-	if l.held {
+	switch {
+	case l.held:
 		s.core.Loop.Set(&l.due, l.leaves)
-	} else {
+	case !l.probe:
 		l.bound()
 	}
 	l.tellSent()
@@ -399,7 +436,7 @@
 
 // tellSent tells that the attempt's last byte has left, if it has.
 func (l *line) tellSent() {
-	if l.attempt != 0 && l.phase != resting && !l.held && l.conn.Passed(l.mark) {
+	if l.attempt != 0 && !l.confirming && l.phase != resting && !l.held && l.conn.Passed(l.mark) {
 		l.set.core.Sent(l.attempt)
 	}
 }
@@ -419,6 +456,11 @@
 		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
 		return
 	}
+	if s.admit(l.b, now) == suspended {
+		l.close()
+		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
+		return
+	}
 	if s.core.Abandoned(l.attempt) { // it has stopped the attempt
 		return
 	}
@@ -440,22 +482,12 @@
 // left: nothing ran. A kept one may have been dead for long, which says nothing
 // of the backend, and the attempt goes on on another. So may one new one, once.
 func (l *line) unsent() {
-	s, f := l.set, l.attempt
-	if !l.kept && l.fresh || f == 0 {
+	if !l.kept && l.fresh || l.attempt == 0 {
 		l.fail(hollyyoke.RefusedConn)
 		return
 	}
-	fresh := l.fresh || !l.kept
-	l.attempt = 0
-	n := l.b.take(l.job.Settled)
-	if n == nil {
-		n = s.dial(l.b)
-	}
-	n.attempt, n.job, n.fresh = f, l.job, fresh
-	s.lines[f] = n
-	if n.conn != nil && !s.core.Abandoned(f) {
-		n.send()
-	}
+	l.confirming, l.probe = false, false
+	l.move(l.fresh || !l.kept)
 }
 
 // appendTarget appends what a job concerns, as its client wrote it or, where its wire has no paths, made anew.
@@ -505,6 +537,13 @@
 // fail tells how what was wanted of the line ended, unless that is told.
 func (l *line) fail(o hollyyoke.Outcome) {
 	l.lost = true
+	if l.confirming {
+		l.unconfirmed()
+		return
+	}
+	if o == hollyyoke.RefusedConn && l.attempt != 0 {
+		l.b.proof.Denied(&l.set.age)
+	}
 	if l.probe {
 		l.probe = false
 		l.set.core.Probed(l.b.name, o, hollyyoke.Load{})
@@ -535,13 +574,12 @@
 		return true
 	}
 	l.close() // first: until then what waits here may still leave, on another goroutine
-	return l.phase == resting || !l.conn.Passed(l.mark)
+	return l.phase == resting || l.confirming || !l.conn.Passed(l.mark)
 }
 
 // rest keeps the line for the next attempt, for a while.
 func (l *line) rest() {
-	l.phase, l.probe, l.over, l.held, l.status = resting, false, false, false, 0
-	l.free()
+	l.resetAnswer()
 	if l.conn == nil || l.conn.Handle == 0 {
 		return
 	}
@@ -560,6 +598,12 @@
 	}
 }
 
+// resetAnswer forgets the answer that was read, so that the next request can go out.
+func (l *line) resetAnswer() {
+	l.phase, l.probe, l.confirming, l.over, l.held, l.status = resting, false, false, false, false, 0
+	l.free()
+}
+
 func (l *line) free() {
 	l.set.engine.Pool.Put(l.in)
 	l.set.engine.Pool.Put(l.text)
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	stdnet "net"
@@ -152,7 +153,7 @@
 			t.Errorf("%d peers: the module was told %d times, and set as many timers", peers, n)
 		}
 		r.do(func() { // the module's timer may have no delay
-			b.watch.fail("broken")
+			b.watch.fail(errors.New("broken"))
 			b.Subscribe()
 			if b.watch.out && r.core.Loop.Now() < b.watch.notBefore {
 				t.Error("called again without a pause")
--- /dev/null
+++ b/internal/platform/knowledge.go
@@ -0,0 +1,207 @@
+package platform
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/freshness"
+	"hollyyoke.example/hollyyoke/internal/net"
+)
+
+// This file owns what may be done by the list of backends as it grows old: it
+// suspends and resumes backends at the module, and lets a request out only to one
+// that may have it. It must never let a list count as current longer than
+// internal/freshness says.
+
+// admission is what may become of a request that is ready to leave for a backend.
+type admission uint8
+
+const (
+	admitted  admission = iota
+	confirm             // once the backend has shown that it still serves
+	suspended           // not at present
+)
+
+// Refresh brings up to date what may be done by the list.
+func (s *Backends) Refresh() {
+	knowledge := s.knowledgeNow()
+	if knowledge == s.knowledge {
+		return
+	}
+	s.knowledge = knowledge
+	now := s.core.Loop.Now()
+	s.core.Log(fmt.Sprintf("the list of workers is %v, discovery was last heard %v ago", knowledge, (now - s.age.HeardAt()).Round(time.Millisecond)))
+	if knowledge == freshness.Unknown {
+		s.suspendAll()
+		return
+	}
+	s.resume(func(b *backend) bool { return knowledge == freshness.Current || b.proof.Holds(now, &s.age) })
+}
+
+// knowledgeNow tells what the list is good for. One that nobody renews does not
+// grow old, and where backends cannot be asked, the last list is served by while
+// discovery answers nobody.
+func (s *Backends) knowledgeNow() freshness.Knowledge {
+	if s.follower != nil || s.watch.addr == "" || s.first != nil {
+		return freshness.Current
+	}
+	knowledge := s.age.Knowledge(s.core.Loop.Now())
+	if knowledge == freshness.Unconfirmed && !s.core.Settings.Probing {
+		return freshness.Current
+	}
+	return knowledge
+}
+
+// heard tells that a whole line of discovery has come.
+func (s *Backends) heard() {
+	if s.age.Heard(s.core.Loop.Now()) {
+		s.core.Loop.Set(&s.oldDue, s.age.OldAt())
+	}
+	s.Refresh()
+}
+
+// suspendAll suspends all backends that are listed as running.
+func (s *Backends) suspendAll() {
+	var names []string
+	for name, b := range s.hosts {
+		if b.state == hollyyoke.Running && !b.suspended {
+			b.suspended = true
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names) // a map's order would make runs differ
+	s.core.Suspend(s, names)
+}
+
+// suspend suspends one backend until the list is current again.
+func (s *Backends) suspend(b *backend) {
+	if b.suspended || s.hosts[b.name] != b {
+		return
+	}
+	b.suspended = true
+	s.core.Step("", "worker suspended", "backend", b.name)
+	s.core.Suspend(s, []string{b.name})
+}
+
+// resume takes back the suspension of those that may be sent to.
+func (s *Backends) resume(may func(*backend) bool) {
+	var names []string
+	for name, b := range s.hosts {
+		if b.suspended && may(b) {
+			b.suspended = false
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, strings.Compare)
+	s.core.Resume(s, names)
+}
+
+// admit tells what may become of a request that is ready to leave for a backend.
+func (s *Backends) admit(b *backend, now time.Duration) admission {
+	switch s.knowledgeNow() {
+	case freshness.Current:
+		return admitted
+	case freshness.Unknown:
+		return suspended
+	}
+	if !b.proof.Holds(now, &s.age) {
+		s.suspend(b)
+		return suspended
+	}
+	if b.confirmed > 0 && now-b.confirmed <= s.core.Settings.DrainGrace/confirmedPart {
+		return admitted
+	}
+	return confirm
+}
+
+// confirmedPart is the part of a drain's grace for which an answer to a probe holds,
+// counted from when the probe left: the backend may begin to drain right after it.
+const confirmedPart = 2
+
+// ask asks the backend of the line's attempt whether it still serves, before its request.
+func (l *line) ask(now time.Duration) {
+	l.confirming, l.probe, l.asked = true, true, now
+	l.write(now)
+}
+
+// answered goes on with the attempt of a line whose backend has answered a probe made for it.
+func (l *line) answered() {
+	l.confirming = false
+	served := l.status == statusOK
+	reusable := !l.last
+	attempt := l.attempt
+	l.resetAnswer()
+	if !served {
+		l.deny()
+		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
+		l.rest()
+		return
+	}
+	l.b.confirmed = l.asked
+	if l.set.core.Abandoned(attempt) {
+		return
+	}
+	if reusable {
+		l.send()
+		return
+	}
+	l.move(false)
+	l.close()
+}
+
+// unconfirmed ends an attempt whose backend has not answered the probe made for it.
+// A kept connection may have been dead for long: the attempt goes on on another.
+func (l *line) unconfirmed() {
+	l.confirming, l.probe = false, false
+	if l.kept {
+		l.move(l.fresh)
+		return
+	}
+	l.deny()
+	l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
+}
+
+// deny books that the line's backend has not shown that it serves.
+func (l *line) deny() {
+	l.b.proof.Denied(&l.set.age)
+	if l.set.knowledge == freshness.Unconfirmed {
+		l.set.suspend(l.b)
+	}
+}
+
+// shown books that the line's backend has answered.
+func (l *line) shown() { l.b.proof.Shown(l.set.core.Loop.Now(), &l.set.age) }
+
+// move takes the line's attempt to another connection of the same backend.
+func (l *line) move(fresh bool) {
+	s, attempt := l.set, l.attempt
+	l.attempt = 0
+	n := l.b.take(l.job.Settled)
+	if n == nil {
+		n = s.dial(l.b)
+	}
+	n.attempt, n.job, n.fresh = attempt, l.job, fresh
+	s.lines[attempt] = n
+	if n.conn != nil && !s.core.Abandoned(attempt) {
+		n.send()
+	}
+}
+
+// failure tells what a call to discovery that ended in vain says of it.
+func (w *watch) failure(err error) freshness.Failure {
+	switch {
+	case w.conn == nil, errStatus(err), net.Local(err):
+		return freshness.NotReached
+	case w.pushed():
+		if w.ok && !w.live {
+			return freshness.BrokenOff
+		}
+		return freshness.NotReached
+	case err == errSilentWatch, w.ok && !w.live, w.midLine():
+		return freshness.BrokenOff
+	}
+	return freshness.NotReached
+}
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -63,6 +63,8 @@
 		}
 	}
 	s.watch.seq, s.watch.lastContact = list.Seq, s.core.Loop.Now()
+	s.age.Start(s.core.Loop.Now())
+	s.core.Loop.Set(&s.oldDue, s.age.OldAt())
 	entries, err := s.entries(list.Hosts)
 	if err != nil {
 		return err
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -9,6 +9,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/freshness"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
@@ -58,6 +59,7 @@
 	chunk      chunks
 	due        core.Deadline // of the present call, or of the next line
 	extended   bool          // due has been put off for bytes on their way
+	limit      time.Duration // due at the latest
 
 	random       *rand.Rand
 	lastContact  time.Duration // when the latest call began or the latest line came
@@ -72,6 +74,7 @@
 	watchConnect = time.Second
 	watchCall    = 3 * time.Second // from the begin of a call to its first line: discovery handles calls in turn
 	watchLine    = 3 * time.Second // between lines; one comes every 2 s at the latest
+	watchPart    = time.Second     // between the parts of an answer that has begun, or of a line
 
 	// The protocol counts a change as told notifiedWithin after discovery had it
 	// and could be reached, whatever became of the calls meanwhile. Discovery may
@@ -138,9 +141,24 @@
 		w.set.core.Loop.Set(&w.due, w.set.core.Loop.Now()+leastAgentWait)
 		return
 	}
-	w.fail("silent")
+	w.fail(errSilentWatch)
 }
 
+// errSilentWatch ends a call or a watch on which nothing has come in time.
+var errSilentWatch = errors.New("silent")
+
+// errWatchEnded ends one that discovery has ended.
+var errWatchEnded = errors.New("the watch ended")
+
+// errStatus tells whether discovery has answered that it has no list at present.
+func errStatus(err error) bool {
+	var status statusError
+	return errors.As(err, &status)
+}
+
+// midLine tells whether a part of a line has come and its rest has not.
+func (w *watch) midLine() bool { return w.text.depth > 0 || w.chunk.left > 0 }
+
 // open makes the call, in place of one that stands.
 func (w *watch) open() {
 	w.drop()
@@ -153,7 +171,8 @@
 	w.lastContact = loop.Now()
 	w.set.core.Step("", "discovery called", "version", w.seq)
 	connect, call := w.timeouts()
-	loop.Set(&w.due, w.lastContact+call)
+	w.limit = w.lastContact + call
+	loop.Set(&w.due, w.limit)
 	w.set.engine.DialReserved(w.addr, connect, w, func(c *net.Conn, err error) {
 		switch {
 		case generation != w.generation:
@@ -161,7 +180,7 @@
 				c.Close()
 			}
 		case err != nil:
-			w.fail(err.Error())
+			w.fail(err)
 		default:
 			w.conn = c
 			request := []byte("GET /v1/servers?watch=1&after=" + strconv.FormatInt(w.seq, 10) +
@@ -188,20 +207,27 @@
 // fail ends a call that brought nothing, or a watch that broke. The module says
 // when to ask again, within what the protocol leaves; an agent is called again
 // at once, and the list known at the start then waits for its whole time.
-func (w *watch) fail(why string) {
+func (w *watch) fail(why error) {
 	lastContact, now := w.lastContact, w.set.core.Loop.Now()
+	failure := w.failure(why)
 	w.drop()
+	w.set.age.Failed(now, failure)
+	defer w.set.Refresh()
 	if !w.pushed() {
-		w.set.core.Log("discovery: " + why)
+		w.set.core.Log("discovery: " + why.Error())
 		w.notBefore = now + leastPause
 		w.set.begin(nil)
 		w.tellModule()
+		if failure == freshness.BrokenOff { // it is there, and the bound runs
+			w.callBy(w.notBefore)
+			return
+		}
 		w.callInTime(lastContact)
 		return
 	}
 	if !w.mute {
 		w.mute = true // an outage has one line in the log, not one for each call
-		w.set.core.Log("discovery: " + why)
+		w.set.core.Log("discovery: " + why.Error())
 	}
 	w.callBy(now + max(w.set.core.Settings.DrainGrace/agentPauses, leastAgentWait))
 }
@@ -219,7 +245,7 @@
 // Closed is told that discovery ended the call.
 func (w *watch) Closed(c *net.Conn, _ error) {
 	if c == w.conn {
-		w.fail("the watch ended")
+		w.fail(errWatchEnded)
 	}
 }
 
@@ -243,10 +269,20 @@
 			err = errMalformed // no room for the end of what is a line at the most
 		}
 		if err != nil && w.conn == c {
-			w.fail(err.Error())
+			w.fail(err)
 			return
 		}
 	}
+	w.boundPart()
+}
+
+// boundPart gives up an answer whose rest is long in coming, so that calls that
+// break off leave time for others within the bound.
+func (w *watch) boundPart() {
+	if w.conn == nil || !w.ok || w.live && !w.midLine() {
+		return
+	}
+	w.set.core.Loop.Set(&w.due, min(w.limit, w.set.core.Loop.Now()+watchPart))
 }
 
 func (w *watch) read() error {
@@ -256,8 +292,11 @@
 		if !ok {
 			return err
 		}
-		if string(h.b) != "200" || !h.has("Transfer-Encoding", "chunked") {
-			return errors.New("status " + string(h.b))
+		if status, _ := number(h.b); status != statusOK {
+			return statusError(status)
+		}
+		if !h.has("Transfer-Encoding", "chunked") {
+			return errMalformed
 		}
 		w.ok = true
 		w.in.Cut(h.size)
@@ -268,7 +307,7 @@
 			return err
 		}
 		if w.chunk.done {
-			return errors.New("the watch ended")
+			return errWatchEnded
 		}
 		if used == 0 {
 			return nil
@@ -303,7 +342,9 @@
 func (w *watch) line(text []byte) error {
 	loop := w.set.core.Loop
 	w.lastContact = loop.Now()
-	loop.Set(&w.due, w.lastContact+watchLine)
+	w.limit = w.lastContact + watchLine
+	loop.Set(&w.due, w.limit)
+	defer w.set.heard()
 	first := !w.live
 	w.live, w.mute, w.extended = true, false, false
 	if len(text) == 0 && w.set.first != nil {
--- a/state.go
+++ b/state.go
@@ -44,6 +44,7 @@
 	suspect   bool
 	backoff   time.Duration
 	retryAt   time.Duration // when a suspect may be tried again
+	suspended bool          // it gets nothing for now
 }
 
 // zone is what a dispatcher knows of the workers of one zone together.
@@ -100,13 +101,14 @@
 
 // Dispatcher decides for one dispatcher. It is not safe for concurrent use.
 type Dispatcher struct {
-	s       Settings
-	rng     *rand.Rand
-	now     time.Duration
-	actions []Action
-	horizon time.Duration // span of the recent mix
-	beat    time.Duration // interval of the sweep
-	beating bool
+	suspended int // workers that get nothing for now
+	s         Settings
+	rng       *rand.Rand
+	now       time.Duration
+	actions   []Action
+	horizon   time.Duration // span of the recent mix
+	beat      time.Duration // interval of the sweep
+	beating   bool
 
 	workers   map[string]*worker
 	fleet     []*worker      // the workers
@@ -551,7 +553,7 @@
 		d.count(w, -1)
 		d.reached(e.Zone) // a zone where workers start is there
 		*w = worker{Entry: w.Entry, place: w.place, hash: w.hash, out: w.out, unstarted: w.unstarted,
-			waitFrom: d.now, coldAt: d.now}
+			waitFrom: d.now, coldAt: d.now, suspended: w.suspended}
 	default:
 		d.count(w, -1)
 	}
@@ -594,6 +596,7 @@
 
 // remove forgets a worker that is gone. Attempts there go on.
 func (d *Dispatcher) remove(w *worker) {
+	d.suspend([]Entry{w.Entry}, false)
 	d.count(w, -1)
 	w.State = Deleted
 	delete(d.workers, w.Worker)
