The list known at the start serves only once discovery was heard, or has had its time

The list was 18 s old, and the workers that it named ran again and were not listed yet. A probe would not have helped: the workers answer. Changed: a process that starts holds requests and says 503 on /healthz until discovery was heard; where its calls fail for 4 s, or 8 s whatever they bring, it serves by what workers show of themselves. A predecessor hands over how old its list is. TestStartWithAnOldList starts without waiting for /healthz, which it waited for before, and checks both its answers.

--- a/cmd/hollyyoke/main_test.go
+++ b/cmd/hollyyoke/main_test.go
@@ -69,6 +69,7 @@
 	config   map[string]any
 	path     string              // of the file
 	env      []string            // beyond what it is told anyway
+	unready  bool                // start does not wait until it says that it is ready
 	files    []*os.File          // that it inherits
 	first    chan string         // where discovery's first word comes from; nil: it has nothing to tell
 	script   func(conn net.Conn) // answers each call to discovery; nil: tell does
@@ -222,6 +223,10 @@
 	w.write()
 	w.launch(args...)
 	w.client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	if w.unready {
+		w.says("listening on")
+		return
+	}
 	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
 		if resp, err := w.client.Get("http://" + w.listen + "/healthz"); err == nil {
 			resp.Body.Close()
@@ -604,9 +609,12 @@
 // client kept out has nobody else to go to, but sends none by that list until
 // discovery has told what has changed.
 func TestStartWithAnOldList(t *testing.T) {
-	w := &world{t: t, first: make(chan string, 1)}
+	w := &world{t: t, first: make(chan string, 1), unready: true}
 	old := w.backend("s-old", done)
 	w.start()
+	if status := w.health(); status != 503 {
+		t.Errorf("before the list is known to be good: healthz says %d", status)
+	}
 	fresh := w.backend("s-new", done)
 	answer := make(chan int)
 	for i := range 4 {
@@ -625,6 +633,9 @@
 	if n, m := len(old.arrivals()), len(fresh.arrivals()); n != 0 || m != 4 {
 		t.Errorf("the old list's backend got %d, the new one %d", n, m)
 	}
+	if status := w.health(); status != 200 {
+		t.Errorf("afterwards: healthz says %d", status)
+	}
 }
 
 // Idle connections to a backend are closed before it may close them.
--- /dev/null
+++ b/cmd/hollyyoke/startlist_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// A process starts by a list that is old: discovery has removed a backend since,
+// whose machine runs on. Nothing may go there, neither before discovery was heard
+// nor after, however large the fleet is and however discovery is asked.
+func TestStartsByAnOldList(t *testing.T) {
+	for _, peers := range []int{1, 300} {
+		for _, discovery := range []string{"ask", "push"} {
+			t.Run(fmt.Sprintf("%d %s", peers, discovery), func(t *testing.T) {
+				t.Parallel()
+				r := newRemoval(t, func(r *removal, _ int, conn net.Conn) {
+					if discovery == "ask" { // calls are handled in turn; an agent answers at once
+						time.Sleep(500 * time.Millisecond)
+					}
+					io.WriteString(conn, lineHead+r.change())
+					heartbeats(conn, nil)
+				})
+				r.config = map[string]any{"settings": settingsOf(peers, discovery)}
+				r.start()
+				stop, over := make(chan struct{}), make(chan struct{})
+				go func() { r.load(stop); close(over) }()
+				time.Sleep(3 * time.Second)
+				close(stop)
+				<-over
+				if n := len(r.removed.arrivals()); n > 0 {
+					t.Errorf("%d requests went to the removed backend", n)
+				}
+				if r.answered(200) == 0 {
+					t.Error("no request was served")
+				}
+			})
+		}
+	}
+}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -17,11 +17,11 @@
 const (
 	// Current: no change can count as notified yet that the list lacks.
 	Current Knowledge = iota
-	// Unconfirmed: the list may be old, and its source answers nobody, as far as can
-	// be seen here. A worker may be sent to that shows by itself that it still serves.
+	// Unconfirmed: the list may be old. A worker may be sent to that shows by itself
+	// that it still serves; where workers cannot be asked, the last list is served by.
 	Unconfirmed
-	// Unknown: the list may be old though its source can be reached, so any worker of
-	// it may have been removed. Nothing may be sent.
+	// Unknown: the list may be old, and nothing else tells which workers may have been
+	// removed. Nothing may be sent.
 	Unknown
 )
 
@@ -55,13 +55,26 @@
 	// may have been found silent, removed and started anew unseen.
 	proofGap = 4 * time.Second
 
-	// Resettled is how long after a stall of the process what is read may have been
+	// startHold is how long a process that has just started waits for its source, also
+	// where calls fail: the list that it was given may be of any age, and workers that
+	// came back after they had been removed answer before they are listed again.
+	startHold = 4 * time.Second
+
+	// longestHold is how long it waits, whatever becomes of its calls: it has to be
+	// ready within 10 s.
+	longestHold = 8 * time.Second
+
+	// resettled is how long after a stall of the process what is read may have been
 	// written before it.
 	resettled = 100 * time.Millisecond
 )
 
 // Tracker follows the age of one list. Its zero value has heard nothing since time 0.
 type Tracker struct {
+	CanAsk bool // workers may be asked whether they still serve
+
+	startedAt  time.Duration
+	unheard    bool          // the source has not been heard since the start
 	heardAt    time.Duration // up to when everything is known
 	failed     bool          // a call has ended in vain since
 	failure    Failure       // the latest of those
@@ -69,8 +82,10 @@
 	stallEnded time.Duration
 }
 
-// Start begins with a list that was complete at a time.
-func (t *Tracker) Start(now time.Duration) { *t = Tracker{heardAt: now} }
+// Start begins with a list that was complete at a time unknown, maybe long ago.
+func (t *Tracker) Start(now time.Duration) {
+	*t = Tracker{CanAsk: t.CanAsk, startedAt: now, unheard: true, heardAt: now - NotifiedWithin}
+}
 
 // Heard tells that a whole message of the source has come: its news, or word that
 // there are none. It returns whether the list counts as heard at that time; a message
@@ -79,10 +94,18 @@
 	if t.stallEnded > 0 && now < t.stallEnded+resettled {
 		return false
 	}
-	t.heardAt, t.failed = now, false
+	t.heardAt, t.failed, t.unheard = now, false, false
 	return true
 }
 
+// Relayed tells that another process of the same dispatcher has handed its list over,
+// and how long ago that one heard its source.
+func (t *Tracker) Relayed(now, age time.Duration) {
+	if at := now - age; at > t.heardAt && age < NotifiedWithin {
+		t.heardAt, t.unheard = at, false
+	}
+}
+
 // Stalled tells that the process was held up until now.
 func (t *Tracker) Stalled(now time.Duration) { t.stallEnded = now }
 
@@ -99,15 +122,31 @@
 
 // Knowledge tells what the list is good for now.
 func (t *Tracker) Knowledge(now time.Duration) Knowledge {
+	notReached := t.failed && t.failure == NotReached && now < t.failedAt+failureLasts
 	switch {
 	case now < t.OldAt():
 		return Current
-	case t.failed && t.failure == NotReached && now < t.failedAt+failureLasts:
+	case t.unheard && now >= t.startedAt+longestHold:
+		return Unconfirmed
+	case t.unheard && now < t.startedAt+startHold:
+		return Unknown
+	case notReached, t.CanAsk && !t.unheard:
 		return Unconfirmed
 	}
 	return Unknown
 }
 
+// NextLook is when Knowledge may change by itself; 0: it will not.
+func (t *Tracker) NextLook(now time.Duration) time.Duration {
+	next := time.Duration(0)
+	for _, at := range []time.Duration{t.OldAt(), t.startedAt + startHold, t.startedAt + longestHold, t.failedAt + failureLasts} {
+		if at > now && (next == 0 || at < next) {
+			next = at
+		}
+	}
+	return next
+}
+
 // Proof is what a worker has shown of itself. Its zero value has shown nothing.
 type Proof struct {
 	at     time.Duration // when it last showed that it serves
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -30,7 +30,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var tracker Tracker
-			tracker.Start(0)
+			tracker.Start(-startHold)
+			tracker.Heard(0)
 			for i, step := range steps {
 				switch step.event {
 				case "heard":
@@ -50,12 +51,58 @@
 	}
 }
 
+// The list that a process starts with is of no use before its source was heard; if
+// nobody answers there, it is, after a while.
+func TestStart(t *testing.T) {
+	var heard, refused, silent Tracker
+	for _, tracker := range []*Tracker{&heard, &refused, &silent} {
+		tracker.Start(100 * s)
+		if k := tracker.Knowledge(100 * s); k != Unknown {
+			t.Errorf("at the start: %v", k)
+		}
+	}
+	heard.Heard(101 * s)
+	refused.Failed(101*s, NotReached)
+	for at, want := range map[time.Duration][3]Knowledge{
+		102 * s: {Current, Unknown, Unknown}, 105 * s: {Current, Unconfirmed, Unknown}, 108 * s: {Unknown, Unconfirmed, Unconfirmed},
+	} {
+		if got := [3]Knowledge{heard.Knowledge(at), refused.Knowledge(at), silent.Knowledge(at)}; got != want {
+			t.Errorf("%v after the start: %v, not %v", at-100*s, got, want)
+		}
+	}
+}
+
+// Where workers can be asked, a list that was heard once is never of no use.
+func TestAsking(t *testing.T) {
+	tracker := Tracker{CanAsk: true}
+	tracker.Start(0)
+	tracker.Heard(s)
+	tracker.Failed(5*s, BrokenOff)
+	if k := tracker.Knowledge(8 * s); k != Unconfirmed {
+		t.Errorf("%v", k)
+	}
+}
+
+func TestRelayed(t *testing.T) {
+	var tracker Tracker
+	tracker.Start(100 * s)
+	tracker.Relayed(100*s, 7*s)
+	if k := tracker.Knowledge(100 * s); k != Unknown {
+		t.Errorf("by a list that was old already: %v", k)
+	}
+	tracker.Relayed(101*s, 2*s)
+	if a, b := tracker.Knowledge(104*s), tracker.Knowledge(105*s); a != Current || b != Unknown {
+		t.Errorf("by a list heard 2 s before: %v, then %v", a, b)
+	}
+}
+
 // Whatever calls end in vain, in any order, the list is never current beyond the bound.
 func TestNoFailureMovesTheBound(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		var tracker Tracker
-		tracker.Start(0)
+		tracker.Start(-startHold)
+		tracker.Heard(0)
 		for now := time.Duration(0); now < 20*s; now += time.Duration(random.IntN(int(s))) {
 			switch random.IntN(3) {
 			case 0:
@@ -72,7 +119,7 @@
 
 func TestProof(t *testing.T) {
 	var tracker Tracker
-	tracker.Start(0)
+	tracker.Heard(0)
 	var steady, lapsed, denied Proof
 	for now := s; now < 30*s; now += 2 * s {
 		steady.Shown(now, &tracker)
@@ -102,7 +149,8 @@
 
 func ExampleTracker() {
 	var list Tracker
-	list.Start(0)
+	list.Start(-time.Minute)
+	list.Heard(0)
 	list.Failed(3*time.Second, BrokenOff)
 	fmt.Println(list.Knowledge(5*time.Second), list.Knowledge(6*time.Second))
 	list.Failed(7*time.Second, NotReached)
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -351,7 +351,7 @@
 	}
 	if c.Listen != "" {
 		n.fronts.platform = platform.NewFront(d, engine, c.buffers(), func() bool {
-			return d.Backends() > 0 || backends.Listed()
+			return (d.Backends() > 0 || backends.Listed()) && backends.Usable()
 		})
 		if n.entry != nil {
 			n.fronts.platform.Use(n.entry)
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -45,7 +45,8 @@
 
 	age       freshness.Tracker   // how old what hosts holds is
 	knowledge freshness.Knowledge // as the module was told last
-	oldDue    core.Deadline       // when the list ceases to be current
+	oldDue    core.Deadline       // when that may change by itself
+	usable    bool                // it has been good for something since the start
 
 	follower *follower // follows versioned changes in place of the watch; nil: the watch is open
 	control  ControlStats
@@ -154,7 +155,8 @@
 	s.watch = watch{set: s, addr: discovery, random: rand.New(rand.NewPCG(c.Seed, 0))}
 	s.watch.due.Fire, s.watch.next.Fire = s.watch.expire, s.watch.open
 	s.reconfigure = s.reconfigureCore
-	s.oldDue.Fire = s.Refresh
+	s.oldDue.Fire = s.look
+	s.age.CanAsk = c.Settings.Probing
 	c.Loop.Stalled = func() { s.age.Stalled(c.Loop.Now()) }
 	s.due.Fire = func() { s.begin(nil) }
 	c.Listen(s)
--- a/internal/platform/knowledge.go
+++ b/internal/platform/knowledge.go
@@ -27,12 +27,12 @@
 
 // Refresh brings up to date what may be done by the list.
 func (s *Backends) Refresh() {
-	knowledge := s.knowledgeNow()
+	knowledge, now := s.knowledgeNow(), s.core.Loop.Now()
+	s.usable = s.usable || s.first == nil && knowledge != freshness.Unknown
 	if knowledge == s.knowledge {
 		return
 	}
 	s.knowledge = knowledge
-	now := s.core.Loop.Now()
 	s.core.Log(fmt.Sprintf("the list of workers is %v, discovery was last heard %v ago", knowledge, (now - s.age.HeardAt()).Round(time.Millisecond)))
 	if knowledge == freshness.Unknown {
 		s.suspendAll()
@@ -41,9 +41,16 @@
 	s.resume(func(b *backend) bool { return knowledge == freshness.Current || b.proof.Holds(now, &s.age) })
 }
 
+// look is told that what may be done by the list may have changed by itself.
+func (s *Backends) look() {
+	s.Refresh()
+	if next := s.age.NextLook(s.core.Loop.Now()); next > 0 {
+		s.core.Loop.Set(&s.oldDue, next)
+	}
+}
+
 // knowledgeNow tells what the list is good for. One that nobody renews does not
-// grow old, and where backends cannot be asked, the last list is served by while
-// discovery answers nobody.
+// grow old, and where backends cannot be asked, an unconfirmed one is served by.
 func (s *Backends) knowledgeNow() freshness.Knowledge {
 	if s.follower != nil || s.watch.addr == "" || s.first != nil {
 		return freshness.Current
@@ -57,10 +64,12 @@
 
 // heard tells that a whole line of discovery has come.
 func (s *Backends) heard() {
-	if s.age.Heard(s.core.Loop.Now()) {
-		s.core.Loop.Set(&s.oldDue, s.age.OldAt())
+	now := s.core.Loop.Now()
+	s.age.Heard(now)
+	s.look()
+	if s.knowledge == freshness.Unknown { // what is listed anew too
+		s.suspendAll()
 	}
-	s.Refresh()
 }
 
 // suspendAll suspends all backends that are listed as running.
@@ -200,7 +209,9 @@
 			return freshness.BrokenOff
 		}
 		return freshness.NotReached
-	case err == errSilentWatch, w.ok && !w.live, w.midLine():
+	case err == errWatchEnded && w.live && !w.midLine(): // as when it goes down
+		return freshness.NotReached
+	case w.ok:
 		return freshness.BrokenOff
 	}
 	return freshness.NotReached
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -37,6 +37,10 @@
 	// Settings are those that were changed up to that version. A list without them
 	// may come from one who does not know of any.
 	Settings []setting `json:"settings,omitzero"`
+
+	// AgeMs is how long ago, in milliseconds, discovery was last heard whole by who
+	// hands the list over. Discovery's own lists have none.
+	AgeMs *int64 `json:"age_ms,omitempty"`
 }
 
 type host struct {
@@ -64,7 +68,7 @@
 	}
 	s.watch.seq, s.watch.lastContact = list.Seq, s.core.Loop.Now()
 	s.age.Start(s.core.Loop.Now())
-	s.core.Loop.Set(&s.oldDue, s.age.OldAt())
+	s.look()
 	entries, err := s.entries(list.Hosts)
 	if err != nil {
 		return err
@@ -106,6 +110,7 @@
 	s.first = nil
 	s.core.Loop.Clear(&s.due)
 	s.core.List(s, hollyyoke.ListPersisted, entries)
+	s.look()
 }
 
 // Tell tells where discovery is, and the list in its words, for a successor.
@@ -123,6 +128,8 @@
 		l.Hosts = append(l.Hosts, h)
 	}
 	slices.SortFunc(l.Hosts, func(a, b host) int { return strings.Compare(a.Host, b.Host) })
+	age := (s.core.Loop.Now() - s.age.HeardAt()).Milliseconds()
+	l.AgeMs = &age
 	list, err = json.Marshal(l)
 	return s.watch.addr, list, err
 }
@@ -146,6 +153,10 @@
 	}
 	s.watch.seq = max(s.watch.seq, list.Seq)
 	s.replace(entries)
+	if list.AgeMs != nil {
+		s.age.Relayed(s.core.Loop.Now(), time.Duration(*list.AgeMs)*time.Millisecond)
+	}
+	s.look()
 	return nil
 }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -39,8 +39,15 @@
 	}
 }
 
-// Heard tells whether the module has a list: discovery's, or the known one after its time.
-func (s *Backends) Heard() bool { return s.first == nil }
+// Heard tells whether the module has a list that has been good for something:
+// discovery's, or the known one after its time.
+func (s *Backends) Heard() bool { return s.first == nil && s.Usable() }
+
+// Usable tells whether what is listed has been good enough to send by since the start.
+func (s *Backends) Usable() bool {
+	s.Refresh()
+	return s.usable
+}
 
 // watch is the one open call to discovery, or the wait for the module to ask for it again.
 type watch struct {
--- a/internal/rehearsal/sysfault/sockets.go
+++ b/internal/rehearsal/sysfault/sockets.go
@@ -3,29 +3,28 @@
 package sysfault
 
 import (
-	"fmt"
-	"os"
-	"strconv"
-	"strings"
+	"golang.org/x/sys/unix"
 )
 
-// Columns of /proc/PID/net/tcp.
-const (
-	peerColumn  = 2
-	inodeColumn = 9
-)
-
-// peerPort finds the port of a TCP socket's peer by the socket's inode; 0: none is known.
-func peerPort(pid int, inode string) int {
-	table, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", pid))
-	for _, line := range strings.Split(string(table), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) <= inodeColumn || fields[inodeColumn] != inode {
-			continue
-		}
-		_, port, _ := strings.Cut(fields[peerColumn], ":")
-		n, _ := strconv.ParseInt(port, 16, 32)
-		return int(n)
+// peerPort finds the port of the peer of a connection that another process has
+// open; 0: there is none.
+func peerPort(pid, fd int) int {
+	process, err := unix.PidfdOpen(pid, 0)
+	if err != nil {
+		return 0
+	}
+	defer unix.Close(process)
+	own, err := unix.PidfdGetfd(process, fd, 0)
+	if err != nil {
+		return 0
+	}
+	defer unix.Close(own)
+	peer, err := unix.Getpeername(own)
+	if err != nil {
+		return 0
+	}
+	if v4, ok := peer.(*unix.SockaddrInet4); ok {
+		return v4.Port
 	}
 	return 0
 }
--- a/internal/rehearsal/sysfault/sysfault.go
+++ b/internal/rehearsal/sysfault/sysfault.go
@@ -78,6 +78,7 @@
 	random  *rand.Rand
 	started time.Time
 	threads map[int]*thread
+	peers   map[string]int // ports by inode
 	struck  [calls]atomic.Int64
 	over    chan struct{}
 	once    sync.Once
@@ -111,7 +112,7 @@
 // Start starts a command under a plan. Its output must be files: who reads them
 // through pipes would wait for a process that is not theirs to wait for.
 func Start(command *exec.Cmd, plan Plan) (*Process, error) {
-	p := &Process{plan: plan, random: rand.New(rand.NewPCG(plan.Seed, 0)), threads: map[int]*thread{}, over: make(chan struct{})}
+	p := &Process{plan: plan, random: rand.New(rand.NewPCG(plan.Seed, 0)), threads: map[int]*thread{}, peers: map[string]int{}, over: make(chan struct{})}
 	ready := make(chan error)
 	go p.trace(command, ready)
 	if err := <-ready; err != nil {
@@ -319,7 +320,7 @@
 	if !ok || peer == 0 {
 		return ok
 	}
-	return peerPort(p.PID, strings.TrimSuffix(inode, "]")) == peer
+	return p.peerOf(inode, fd) == peer
 }
 
 // isFile tells whether a descriptor is of a file of the program's own, not of its log.
@@ -327,6 +328,18 @@
 	return fd > uint64(syscall.Stderr) && strings.HasPrefix(p.target(fd), "/") && !strings.HasPrefix(p.target(fd), "/dev/")
 }
 
+// peerOf finds the port of a socket's peer, and remembers it by the socket's inode.
+func (p *Process) peerOf(inode string, fd uint64) int {
+	if port, ok := p.peers[inode]; ok {
+		return port
+	}
+	port := peerPort(p.PID, int(fd))
+	if port != 0 {
+		p.peers[inode] = port
+	}
+	return port
+}
+
 func (p *Process) target(fd uint64) string {
 	target, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", p.PID, fd))
 	return target
