One guard that starts, sends, repeats and closes pass, with counts of violations

A violation is counted and logged, never a crash; /control/invariants tells both counts by rule. The carrier's two lists of the same questions (send and release) are one now.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 	"hollyyoke.example/hollyyoke/internal/core"
 	"hollyyoke.example/hollyyoke/internal/durable"
 	"hollyyoke.example/hollyyoke/internal/entry"
+	"hollyyoke.example/hollyyoke/internal/invariant"
 	"hollyyoke.example/hollyyoke/internal/jobs"
 	"hollyyoke.example/hollyyoke/internal/net"
 	"hollyyoke.example/hollyyoke/internal/platform"
@@ -197,6 +198,8 @@
 		}
 	case "/control/counters":
 		act = func() { k.figures() }
+	case "/control/invariants":
+		act = func() { k.invariants() }
 	case "/control/out-of-service":
 		method, act = "PUT", func() { k.service(true) }
 	case "/control/in-service":
@@ -415,6 +418,16 @@
 	k.answer(200, text, "")
 }
 
+// invariants tells, by rule, what the guard kept from happening, and what happened
+// all the same.
+func (k *call) invariants() {
+	guard := &k.api.core.Guard
+	k.tell(struct {
+		Prevented invariant.Counts `json:"prevented"`
+		Violated  invariant.Counts `json:"violated"`
+	}{guard.Prevented(), guard.Violated()})
+}
+
 // figures words what the core has counted.
 func (k *call) figures() {
 	c, members := k.api.core, k.api.members
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -14,6 +14,7 @@
 
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
+	"hollyyoke.example/hollyyoke/internal/invariant"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
 
@@ -243,3 +244,16 @@
 		t.Errorf("figures %v,\n   want %v", got, want)
 	}
 }
+
+// The guard's counts are told by rule, apart from the figures, whose keys stay.
+func TestInvariants(t *testing.T) {
+	r := newRig(t)
+	r.do(func() {
+		r.core.Guard.MaySend(invariant.Send{Now: 2, Deadline: 1})
+		r.core.Guard.CheckClosed(true, "a session")
+	})
+	_, body := r.call(t, "GET /control/invariants HTTP/1.1\r\nHost: d\r\n\r\n")
+	if want := `{"prevented":{"deadline":1},"violated":{"unanswered":1}}`; strings.TrimSpace(body) != want {
+		t.Errorf("%q, not %q", body, want)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hollyyoke.example/hollyyoke"
+	"hollyyoke.example/hollyyoke/internal/invariant"
 	"hollyyoke.example/hollyyoke/internal/settings"
 )
 
@@ -126,6 +127,9 @@
 	Taken   func(name uint64)                    // a req of that name has come
 	Charged func(backend string, charge float64) // a cold backend got an attempt
 
+	// Guard is passed by each start, send, repeat and close.
+	Guard invariant.Guard
+
 	// Through takes all attempts, in place of the sources that list their
 	// backends; nil: those do. It is for measurements without backends.
 	Through Carrier
@@ -135,7 +139,8 @@
 	outstanding Table[outstanding]
 	sources     []Carrier // those that list backends
 	listed      map[string]listing
-	ready       int // those listed that take new work
+	left        map[string]time.Duration // when backends that drain or have gone were notified to
+	ready       int                      // those listed that take new work
 	pending     []hollyyoke.Event
 	actions     []hollyyoke.Action
 	handling    bool
@@ -237,7 +242,7 @@
 	var key [16]byte
 	_, _ = rand.Read(key[:]) // never fails
 	return &Core{
-		Loop: loop, Settings: s, Seed: seed, Log: func(string) {}, module: m, listed: map[string]listing{},
+		Loop: loop, Settings: s, Seed: seed, Log: func(string) {}, module: m, listed: map[string]listing{}, left: map[string]time.Duration{},
 		tallies: make([]Tally, len(s.Classes)),
 		ids:     ids{key: key, open: map[uint64]int{}, past: map[uint64]struct{}{}},
 	}, nil
@@ -511,6 +516,7 @@
 	if f := c.outstanding.Get(handle); f != nil && !f.sent {
 		f.sent, f.left = true, true
 		c.counts.Sent++
+		c.checkSent(f)
 		if r := c.reqs.Get(f.req); c.Trace != nil && r != nil {
 			c.Trace(r.job.ID, "sent", "number", f.attempt, "backend", f.backend)
 		}
@@ -567,6 +573,7 @@
 		for name, l := range c.listed {
 			if l.source == source {
 				c.unlist(name)
+				c.noteLeft(hollyyoke.Entry{Worker: name, State: hollyyoke.Deleted})
 			}
 		}
 		var others []hollyyoke.Entry
@@ -586,6 +593,7 @@
 	}
 	for _, e := range entries {
 		c.unlist(e.Worker)
+		c.noteLeft(e)
 		if e.State != hollyyoke.Deleted {
 			c.listed[e.Worker] = listing{e, source}
 		}
@@ -596,6 +604,28 @@
 	c.handle(ev)
 }
 
+// noteLeft books when a backend was notified to drain or to have gone.
+func (c *Core) noteLeft(e hollyyoke.Entry) {
+	now := c.Loop.Now()
+	if e.State == hollyyoke.Running {
+		delete(c.left, e.Worker)
+	} else if _, known := c.left[e.Worker]; !known {
+		c.left[e.Worker] = now
+	}
+	if len(c.left) > mostLeft { // only what lately left can still be sent to by mistake
+		for name, at := range c.left {
+			if now-at > leftKept {
+				delete(c.left, name)
+			}
+		}
+	}
+}
+
+const (
+	mostLeft = 4096 // backends that have left and are remembered, before old ones are forgotten
+	leftKept = time.Minute
+)
+
 // Suspend tells that a source cannot answer for backends of its list for now: they
 // get nothing until Resume. What is out at them goes on.
 func (c *Core) Suspend(source Carrier, backends []string) {
@@ -717,6 +747,28 @@
 	return l.source
 }
 
+// start is what the guard must know of an attempt of a request, the nth from 0 on.
+func (c *Core) start(r *req, n int) invariant.Start {
+	return invariant.Start{
+		Now: c.Loop.Now(), Deadline: r.deadline, Answered: r.answered,
+		Fragile:    c.Settings.Classes[r.job.Class].Repeat == hollyyoke.Fragile,
+		MayHaveRun: slices.ContainsFunc(r.attempts[:n], func(a attempt) bool { return !a.neverRan }),
+	}
+}
+
+// checkSent checks an attempt whose last byte has left.
+func (c *Core) checkSent(f *outstanding) {
+	r := c.reqs.Get(f.req)
+	if r == nil {
+		return
+	}
+	at, left := c.left[f.backend]
+	now := c.Loop.Now()
+	c.Guard.CheckSent(c.start(r, f.attempt), invariant.Send{
+		Now: now, Deadline: r.deadline, Left: left, LeftAt: at, Grace: c.Settings.DrainGrace,
+	}, "request "+r.job.ID+" to "+f.backend)
+}
+
 // assign starts the next attempt of a req.
 func (c *Core) assign(handle uint64, backend string, charge float64) {
 	r := c.reqs.Get(handle)
@@ -729,7 +781,8 @@
 	if !r.answered {
 		c.abandoned(r) // guards against an attempt for a client whose end has not been told yet
 	}
-	if r.answered || !ok || n >= max(c.Settings.MaxAttempts, 1) || c.Loop.Now() >= r.deadline {
+	_, may := c.Guard.MayStart(c.start(r, n))
+	if !may || !ok || n >= max(c.Settings.MaxAttempts, 1) {
 		r.attempts = append(r.attempts, attempt{neverRan: true})
 		c.handle(hollyyoke.Event{
 			Kind: hollyyoke.Response, Request: handle, Attempt: n, Worker: backend,
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -23,6 +23,7 @@
 	"hollyyoke.example/hollyyoke/internal/durable"
 	"hollyyoke.example/hollyyoke/internal/entry"
 	"hollyyoke.example/hollyyoke/internal/faktory"
+	"hollyyoke.example/hollyyoke/internal/invariant"
 	"hollyyoke.example/hollyyoke/internal/net"
 	"hollyyoke.example/hollyyoke/internal/platform"
 	"hollyyoke.example/hollyyoke/internal/settings"
@@ -315,6 +316,9 @@
 	}
 	log = log.With("name", c.Name)
 	d.Log = func(text string) { log.Info(text) }
+	d.Guard.Report = func(rule invariant.Rule, subject string) {
+		d.Log(fmt.Sprintf("rule %v broken: %s", rule, subject))
+	}
 	if f.Trace {
 		d.Trace = func(id, step string, more ...any) { log.Info(step, append(more, "id", id)...) }
 	}
--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -12,6 +12,7 @@
 	"hollyyoke.example/hollyyoke"
 	"hollyyoke.example/hollyyoke/internal/core"
 	"hollyyoke.example/hollyyoke/internal/freshness"
+	"hollyyoke.example/hollyyoke/internal/invariant"
 	"hollyyoke.example/hollyyoke/internal/membership"
 	"hollyyoke.example/hollyyoke/internal/net"
 )
@@ -328,31 +329,39 @@
 func (l *line) send() {
 	s := l.set
 	now := s.core.Loop.Now()
-	// Guards the drain rule: a connect may have taken so long that the news is too old by now.
-	if l.attempt != 0 && (l.b.late(now, s.core.Settings.DrainGrace) || l.job.Deadline <= now) {
-		l.settle(hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
+	if l.attempt != 0 && !l.mayLeave(now) {
 		l.rest()
 		return
 	}
-	if l.expired(now) {
-		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
-		l.rest()
+	if l.attempt != 0 && s.admit(l.b, now) == confirm {
+		l.ask(now)
 		return
 	}
-	if l.attempt != 0 {
-		switch s.admit(l.b, now) {
-		case suspended:
-			l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
-			l.rest()
-			return
-		case confirm:
-			l.ask(now)
-			return
-		}
-	}
 	l.write(now)
 }
 
+// mayLeave tells whether the request of the line's attempt, or the rest of it, may
+// leave now. A connect may have taken so long that what the attempt was made by holds
+// no more. If not, the attempt is over, and has never run.
+func (l *line) mayLeave(now time.Duration) bool {
+	s := l.set
+	rule, may := s.core.Guard.MaySend(invariant.Send{
+		Now: now, Deadline: l.job.Deadline, RepeatBy: l.job.Until,
+		Left: l.b.state != hollyyoke.Running, LeftAt: l.b.told, Grace: max(s.core.Settings.DrainGrace-drainSlack, 0),
+		OldList: s.admit(l.b, now) == suspended,
+	})
+	if may {
+		return true
+	}
+	s.core.Step(l.correlationID(), "request kept back", "backend", l.b.name, "rule", rule)
+	outcome := hollyyoke.Superseded
+	if rule == invariant.Drain || rule == invariant.Deadline {
+		outcome = hollyyoke.RefusedConn
+	}
+	l.settle(outcome, hollyyoke.Load{}, nil)
+	return false
+}
+
 // write writes the request of the line's attempt, or a probe.
 func (l *line) write(now time.Duration) {
 	s := l.set
@@ -423,11 +432,6 @@
 	return l.job.Job.ID
 }
 
-// expired tells whether a repeat must not leave any more.
-func (l *line) expired(now time.Duration) bool {
-	return l.attempt != 0 && l.job.Until > 0 && now >= l.job.Until
-}
-
 // bound sees to it that a repeat that the socket has not taken whole is given up
 // in time: what waits here would leave whenever the backend makes room.
 func (l *line) bound() {
@@ -448,19 +452,8 @@
 	l.held = false
 	s := l.set
 	now := s.core.Loop.Now()
-	if l.b.late(now, s.core.Settings.DrainGrace) || l.job.Deadline <= now { // as in send
-		l.close()
-		l.settle(hollyyoke.RefusedConn, hollyyoke.Load{}, nil)
-		return
-	}
-	if l.expired(now) {
-		l.close()
-		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
-		return
-	}
-	if s.admit(l.b, now) == suspended {
+	if !l.mayLeave(now) {
 		l.close()
-		l.settle(hollyyoke.Superseded, hollyyoke.Load{}, nil)
 		return
 	}
 	if s.core.Abandoned(l.attempt) { // it has stopped the attempt
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -220,6 +220,7 @@
 
 // drop closes a session on which nothing is owed, at once.
 func (s *session) drop() {
+	s.front.core.Guard.CheckClosed(s.busy && !s.gone, "client session")
 	s.forget()
 	s.conn.Close()
 }
@@ -448,6 +449,7 @@
 
 // end ends a session on which nothing is owed.
 func (s *session) end() {
+	s.front.core.Guard.CheckClosed(s.busy && !s.gone, "client session")
 	s.forget()
 	s.conn.End()
 }
