A worker whose start is news counts as just started, whatever the wall clock says

A process that starts while its machine's clock is an hour ahead took each fresh worker for a warm one (slow start broken). Now the start of a worker that changes or appears among changes is believed only as far as it leaves the worker cold.

--- /dev/null
+++ b/starttime_test.go
@@ -0,0 +1,52 @@
+package hollyyoke
+
+import (
+	"testing"
+	"time"
+)
+
+// A machine whose wall clock is an hour off at the start of the process takes no
+// fresh worker for a warm one, in either direction.
+func TestFreshWorkersUnderAWrongClock(t *testing.T) {
+	const hour, warm = time.Hour, 8 * time.Second
+	for name, c := range map[string]struct {
+		list  ListKind
+		known time.Duration // told start of the worker in the first list; -1: it is not in it
+		told  time.Duration // told start in the list at hand, whose time is now
+		now   time.Duration
+		cold  bool
+	}{
+		"a new one, the clock is ahead":            {ListChanges, -1, 2*hour - time.Second, 3 * hour, true},
+		"a restarted one, the clock is ahead":      {ListChanges, hour, 2*hour - time.Second, 3 * hour, true},
+		"a new one, the clock is behind":           {ListChanges, -1, 3 * hour, 2 * hour, true},
+		"a new one, the clock is right":            {ListChanges, -1, 2*hour - time.Second, 2 * hour, true},
+		"one known for long":                       {ListChanges, hour, hour, 3 * hour, false},
+		"one of a whole list, started an hour ago": {ListComplete, -1, 2 * hour, 3 * hour, false},
+		"one that started before time was told":    {ListChanges, -1, 0, 3 * hour, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, err := New(Settings{Classes: []Class{{Deadline: time.Second}}, ColdFrom: 0.3, WarmAfter: warm, FallMultiple: 4, FallWindow: time.Second}, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			first := []Entry{{Worker: "other"}}
+			if c.known >= 0 {
+				first = append(first, Entry{Worker: "w", LastStart: c.known})
+			}
+			d.Handle(c.now-hour/2, Event{Kind: WorkerList, List: ListComplete, Entries: first}, nil)
+			list := Event{Kind: WorkerList, List: c.list, Entries: []Entry{{Worker: "w", LastStart: c.told}, {Worker: "other"}}}
+			d.Handle(c.now, list, nil)
+			if cold := d.warmth(d.workers["w"]) < 1; cold != c.cold {
+				t.Errorf("cold %v, not %v", cold, c.cold)
+			}
+			d.Handle(c.now+time.Second, list, nil) // told again, it is no news
+			if cold := d.warmth(d.workers["w"]) < 1; cold != c.cold {
+				t.Errorf("told again: cold %v, not %v", cold, c.cold)
+			}
+			d.Handle(c.now+warm+time.Second, Event{Kind: TimerDue, Timer: beatTimer}, nil)
+			if c.now >= c.told && d.warmth(d.workers["w"]) < 1 {
+				t.Error("it does not become warm")
+			}
+		})
+	}
+}
--- a/state.go
+++ b/state.go
@@ -45,6 +45,7 @@
 	backoff   time.Duration
 	retryAt   time.Duration // when a suspect may be tried again
 	suspended bool          // it gets nothing for now
+	toldStart time.Duration // by the list; LastStart is the time that it counts as started
 }
 
 // zone is what a dispatcher knows of the workers of one zone together.
@@ -522,7 +523,7 @@
 		}
 	}
 	for _, e := range ev.Entries {
-		d.update(e)
+		d.update(e, !complete)
 	}
 	for _, e := range ev.Entries { // only now: a list may name a worker twice, and its last word counts
 		if w := d.workers[e.Worker]; w != nil && w.State == Deleted {
@@ -537,27 +538,32 @@
 }
 
 // update takes in what a list says of one worker.
-func (d *Dispatcher) update(e Entry) {
-	w := d.workers[e.Worker]
+func (d *Dispatcher) update(e Entry, news bool) {
+	w, told := d.workers[e.Worker], e.LastStart
 	switch {
 	case w == nil && e.State == Deleted:
 		return
 	case w == nil:
 		w = &worker{coldAt: d.now, hash: hash(e.Worker)}
+		e.LastStart = d.startTime(told, news)
 		d.workers[e.Worker] = w
 		d.fleet = insert(d.fleet, inFleet, w)
 		d.ringChanged(w)
 		d.reached(e.Zone)
-	case e.LastStart > w.LastStart:
+	case told > w.toldStart:
 		d.setSuspect(w, false)
 		d.count(w, -1)
 		d.reached(e.Zone) // a zone where workers start is there
 		*w = worker{Entry: w.Entry, place: w.place, hash: w.hash, out: w.out, unstarted: w.unstarted,
 			waitFrom: d.now, coldAt: d.now, suspended: w.suspended}
+		e.LastStart = d.startTime(told, news)
 	default:
 		d.count(w, -1)
+		if told == w.toldStart {
+			e.LastStart = w.LastStart
+		}
 	}
-	w.Entry, w.listed = e, d.lists
+	w.Entry, w.listed, w.toldStart = e, d.lists, told
 	d.count(w, 1)
 	d.enlist(w)
 	if d.s.LiveWeights && e.Weight > 0 {
