--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,8 @@
 	@awk '{ gsub(/\t/, "    ") } length > 110 { print FILENAME ":" FNR ": line over 110 characters"; bad = 1 } END { exit bad }' dispatcher.go
 	go vet ./...
 	go tool staticcheck ./...
-	@bad=$$(go list -f '{{join .Imports "\n"}}' ./internal/admit ./internal/jobs ./internal/membership | grep -E '^(net|net/http|os|os/.*|syscall|io)$$|hollyyoke'); \
-	if [ -n "$$bad" ]; then echo "internal/admit, jobs and membership decide and do no I/O, but import $$bad" >&2; exit 1; fi
+	@bad=$$(go list -f '{{join .Imports "\n"}}' ./internal/admit ./internal/jobs ./internal/membership ./internal/freshness ./internal/invariant | grep -E '^(net|net/http|os|os/.*|syscall|io)$$|hollyyoke'); \
+	if [ -n "$$bad" ]; then echo "internal/admit, jobs, membership, freshness and invariant decide and do no I/O, but import $$bad" >&2; exit 1; fi
 	@bad=$$(go list -deps ./cmd/hollyyoke-serve | grep -E '^net/http$$|internal/rehearsal|alecthomas/kong|gonum|protobuf|klauspost|HdrHistogram'); \
 	if [ -n "$$bad" ]; then echo "the daemon must not link $$bad" >&2; exit 1; fi
 	@bad=$$(go list -f '{{join .Imports "\n"}}' ./internal/core | grep -E 'internal/(platform|faktory|net|control|node)$$'); \
--- a/internal/rehearsal/soak/daemon.go
+++ b/internal/rehearsal/soak/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -73,14 +74,26 @@
 	return d, nil
 }
 
+// Ports below those that the kernel gives to connections of its own choice: a
+// dispatcher that starts again needs the one it had.
+const (
+	firstPort = 15000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
 // freeAddr is an address on loopback that was free a moment ago.
 func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1)+int64(os.Getpid()))%(lastPort-firstPort)
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String(), nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 // launch starts a process, by the list that the first one was given.
