--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -433,3 +433,27 @@
 		t.Fatalf("%v, %+v, before %+v", err, c.Settings, before)
 	}
 }
+
+// What is read right after the process was held up may have waited since it was.
+func TestWaitingAfterAStall(t *testing.T) {
+	var now time.Duration
+	loop := NewVirtual(func() time.Duration { return now })
+	stalls := 0
+	loop.Stalled = func() { stalls++ }
+	var due Deadline
+	due.Fire = func() { loop.Set(&due, now+time.Second) }
+	loop.Set(&due, time.Second)
+	for ; now < 10*time.Second; now += 500 * time.Millisecond {
+		if loop.Turn(); loop.Waiting() != now {
+			t.Errorf("at %v, without a stall: since %v", now, loop.Waiting())
+		}
+	}
+	begin := now - 500*time.Millisecond
+	now += 7 * time.Second
+	if loop.Turn(); loop.Waiting() != begin || stalls != 1 {
+		t.Errorf("right after a stall: since %v, not %v; %d stalls", loop.Waiting(), begin, stalls)
+	}
+	if now += afterStall; loop.Waiting() != now {
+		t.Errorf("later: since %v", loop.Waiting())
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -30,6 +30,9 @@
 	// goes on after it was held up for longer than stallTime; nil: nobody wants to know.
 	Stalled func()
 
+	stallFrom, stallTo time.Duration // the latest stall; 0: there was none
+	turned             time.Duration // when the latest turn ended
+
 	spare []func()
 	due   deadlines
 	seq   uint64
@@ -69,18 +72,42 @@
 	if stopped {
 		return true
 	}
-	if l.Stalled != nil && len(l.due) > 0 && l.Now()-l.due[0].at > stallTime {
-		l.Stalled()
-	}
+	l.noticeStall()
 	for _, f := range work {
 		f()
 	}
 	clear(work)
 	l.spare = work[:0]
 	l.fire()
+	l.turned = l.Now()
 	return false
 }
 
+// noticeStall books that the loop was held up, which a deadline shows that is long past.
+func (l *Loop) noticeStall() {
+	now := l.Now()
+	if len(l.due) == 0 || now-l.due[0].at <= stallTime {
+		return
+	}
+	l.stallFrom, l.stallTo = l.turned, now
+	if l.Stalled != nil {
+		l.Stalled()
+	}
+}
+
+// afterStall is how long after a stall what is read may have waited for its end.
+const afterStall = 100 * time.Millisecond
+
+// Waiting is since when what is read now may have been waiting: since now, but right
+// after a stall of the process since its begin.
+func (l *Loop) Waiting() time.Duration {
+	now := l.Now()
+	if l.stallTo > 0 && now < l.stallTo+afterStall {
+		return l.stallFrom
+	}
+	return now
+}
+
 // Next is when the next Turn has something to do; false: never, as things stand.
 func (l *Loop) Next() (at time.Duration, ok bool) {
 	l.mu.Lock()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -364,7 +364,7 @@
 // arrive whole in time; the bytes that follow change nothing.
 func (s *session) begin() {
 	now := s.front.core.Loop.Now()
-	s.since = now
+	s.since = s.front.core.Loop.Waiting()
 	s.by = now + requestTime
 	if !s.spoken {
 		s.spoken = true
--- a/internal/rehearsal/soak/clients.go
+++ b/internal/rehearsal/soak/clients.go
@@ -36,6 +36,13 @@
 	mu       sync.Mutex
 	requests []request
 	arrivals []arrival
+	broken   int // requests that broke off on their way to a worker
+}
+
+func (r *records) brokeOff() {
+	r.mu.Lock()
+	r.broken++
+	r.mu.Unlock()
 }
 
 func (r *records) arrived(a arrival) {
--- a/internal/rehearsal/soak/judge.go
+++ b/internal/rehearsal/soak/judge.go
@@ -7,7 +7,7 @@
 
 // judge checks the records against the rules.
 func (r *run) judge() Report {
-	report := Report{Seed: r.Seed, Requests: len(r.records.requests), Arrivals: len(r.records.arrivals), Faults: len(schedule(r.Seed, r.Config))}
+	report := Report{Seed: r.Seed, Requests: len(r.records.requests), Arrivals: len(r.records.arrivals), BrokenOff: r.records.broken, Faults: len(schedule(r.Seed, r.Config))}
 	for _, d := range r.daemons {
 		d.ask()
 		report.Violations = append(report.Violations, d.violations()...)
--- a/internal/rehearsal/soak/soak.go
+++ b/internal/rehearsal/soak/soak.go
@@ -175,14 +175,15 @@
 	Served     int // of them
 	Excused    int // their dispatcher was killed, ended or could not be reached
 	Arrivals   int // attempts that came to workers
+	BrokenOff  int // requests that broke off on their way to a worker
 	Faults     int // injected
 	Violations []string
 }
 
 // String tells the report in a few lines, the seed first.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: %d requests, %d answered in time (%d served), %d excused; %d attempts at workers; %d faults; %d violations",
-		r.Seed, r.Requests, r.Answered, r.Served, r.Excused, r.Arrivals, r.Faults, len(r.Violations))
+	text := fmt.Sprintf("seed %d: %d requests, %d answered in time (%d served), %d excused; %d attempts at workers, %d broken off on the way; %d faults; %d violations",
+		r.Seed, r.Requests, r.Answered, r.Served, r.Excused, r.Arrivals, r.BrokenOff, r.Faults, len(r.Violations))
 	const most = 20
 	shown := r.Violations[:min(len(r.Violations), most)]
 	return strings.Join(append([]string{text}, shown...), "\n  ")
--- a/internal/rehearsal/soak/worker.go
+++ b/internal/rehearsal/soak/worker.go
@@ -96,7 +96,10 @@
 			return
 		}
 		came := time.Now()
-		io.Copy(io.Discard, req.Body)
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			w.records.brokeOff() // before its last byte, so it has never been there
+			return
+		}
 		draining, hangs := w.state()
 		time.Sleep(hangs)
 		if req.Method == http.MethodGet {
--- a/starttime.go
+++ b/starttime.go
@@ -4,13 +4,17 @@
 
 // This file owns how far a told time of a worker's start is believed.
 
+// clockError is by how much the clock of this machine may have been ahead when the
+// process started. Clocks are stepped by seconds or by an hour.
+const clockError = 90 * time.Minute
+
 // startTime is when a worker counts as started. One whose start is news counts as
-// just started where the time told lies so long ago that it would be warm: that time
-// is compared with the clock of this machine, which may have been wrong by an hour
-// when the process started, and a fresh worker would be sent all that a warm one
-// takes. A worker that was out of reach and is as warm as told gets less for a while.
+// just started where the time told would make it warm, and a clock that is ahead may
+// be the reason: a fresh worker would be sent all that a warm one takes. A worker that
+// was out of reach and is as warm as told gets less for a while.
 func (d *Dispatcher) startTime(told time.Duration, news bool) time.Duration {
-	if news && told > 0 && d.s.WarmAfter > 0 && d.now-told >= d.s.WarmAfter {
+	age := d.now - told
+	if news && told > 0 && d.s.WarmAfter > 0 && age >= d.s.WarmAfter && age < d.s.WarmAfter+clockError {
 		return d.now
 	}
 	return told
--- a/starttime_test.go
+++ b/starttime_test.go
@@ -22,6 +22,7 @@
 		"a new one, the clock is right":            {ListChanges, -1, 2*hour - time.Second, 2 * hour, true},
 		"one known for long":                       {ListChanges, hour, hour, 3 * hour, false},
 		"one of a whole list, started an hour ago": {ListComplete, -1, 2 * hour, 3 * hour, false},
+		"a new one that started long ago":          {ListChanges, -1, hour, 4 * hour, false},
 		"one that started before time was told":    {ListChanges, -1, 0, 3 * hour, false},
 	} {
 		t.Run(name, func(t *testing.T) {
