--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -399,7 +399,9 @@
 		out = append(out, j.Body...)
 	}
 	s.out = out
-	s.core.Step(l.correlationID(), "request written", "backend", l.b.name, "probe", l.probe, "bytes", len(out), "kept", l.kept, "listed_for", now-l.b.told)
+	if s.core.Trace != nil {
+		s.core.Step(l.correlationID(), "request written", "backend", l.b.name, "probe", l.probe, "bytes", len(out), "kept", l.kept, "listed_for", now-l.b.told)
+	}
 	l.phase = waiting
 	whole := len(out)
 	if l.held {
@@ -622,7 +624,9 @@
 	if l.conn == nil {
 		return
 	}
-	l.set.core.Step(l.correlationID(), "connection closed", "backend", l.b.name, "phase", l.phase)
+	if l.set.core.Trace != nil {
+		l.set.core.Step(l.correlationID(), "connection closed", "backend", l.b.name, "phase", l.phase)
+	}
 	if l.phase == waiting {
 		l.conn.Abort()
 		return
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -349,3 +349,31 @@
 		t.Errorf("the request ended as %v", v)
 	}
 }
+
+// A line that cannot be read tells nothing: the list is as old as before.
+func TestMalformedLineRenewsNothing(t *testing.T) {
+	for name, bad := range map[string]string{"no JSON": "{]\n", "a host without a name": `{"seq":44,"hosts":[{"host":"","health":"ready"}]}` + "\n"} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t).asking(t, 1, time.Hour)
+			addr, came := calls(t)
+			b := r.follow(t, addr)
+			c := receive(t, came)
+			io.WriteString(c, watchHead+chunk(newWorld+"\n"))
+			heardAt := time.Duration(0)
+			until(t, "the list is heard", func() (heard bool) {
+				r.do(func() { heard, heardAt = b.hosts["new"] != nil, b.age.HeardAt() })
+				return heard
+			})
+			io.WriteString(c, chunk(bad))
+			until(t, "the line is refused", func() (refused bool) {
+				r.do(func() { refused = b.watch.conn == nil || b.watch.generation > 2 })
+				return refused
+			})
+			r.do(func() {
+				if b.age.HeardAt() != heardAt {
+					t.Errorf("heard at %v, not at %v", b.age.HeardAt(), heardAt)
+				}
+			})
+		})
+	}
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -264,7 +264,9 @@
 	}
 	defer w.set.engine.Pool.Put(b)
 	w.set.control.BytesRead += int64(len(b.Bytes()))
-	w.set.core.Step("", "discovery's bytes", "bytes", len(b.Bytes()))
+	if w.set.core.Trace != nil {
+		w.set.core.Step("", "discovery's bytes", "bytes", len(b.Bytes()))
+	}
 	for w.conn == c && len(b.Bytes()) > 0 {
 		if w.in == nil {
 			w.in = w.set.engine.Pool.Get()
@@ -346,12 +348,16 @@
 }
 
 // line takes in one line: the list, changes, or a line that only shows liveness.
-func (w *watch) line(text []byte) error {
+func (w *watch) line(text []byte) (err error) {
 	loop := w.set.core.Loop
 	w.lastContact = loop.Now()
 	w.limit = w.lastContact + watchLine
 	loop.Set(&w.due, w.limit)
-	defer w.set.heard()
+	defer func() {
+		if err == nil { // what cannot be read tells nothing
+			w.set.heard()
+		}
+	}()
 	first := !w.live
 	w.live, w.mute, w.extended = true, false, false
 	if len(text) == 0 && w.set.first != nil {
