--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -51,10 +51,6 @@
 	// within 3.8 s of the last contact, and take 3 s at the most.
 	failureLasts = 8 * time.Second
 
-	// proofGap is how long a worker may go without showing that it serves before it
-	// may have been found silent, removed and started anew unseen.
-	proofGap = 4 * time.Second
-
 	// startHold is how long a process that has just started waits for its source, also
 	// where calls fail: the list that it was given may be of any age, and workers that
 	// came back after they had been removed answer before they are listed again.
@@ -147,35 +143,16 @@
 	return next
 }
 
-// Proof is what a worker has shown of itself. Its zero value has shown nothing.
+// Proof is what a worker has shown of itself since the list was last current. Its
+// zero value has shown nothing against it.
 type Proof struct {
-	at     time.Duration // when it last showed that it serves
-	broken bool          // it did not for too long, or showed that it does not
-	by     time.Duration // the list's HeardAt by which broken holds
-}
-
-// Shown tells that the worker has answered.
-func (p *Proof) Shown(now time.Duration, t *Tracker) {
-	p.check(now, t)
-	p.at = now
+	denied bool
+	by     time.Duration // the list's HeardAt by which denied holds
 }
 
-// Denied tells that the worker has not answered, or said that it does not serve.
-func (p *Proof) Denied(t *Tracker) { p.broken, p.by = true, t.HeardAt() }
-
-// Holds tells whether the worker has shown without a gap, since the list was last
-// current, that it serves. One that fell silent for long may have been removed, and
-// an answer of it after that proves nothing.
-func (p *Proof) Holds(now time.Duration, t *Tracker) bool {
-	p.check(now, t)
-	return !p.broken
-}
+// Denied tells that the worker could not be reached, or said that it does not serve.
+func (p *Proof) Denied(t *Tracker) { p.denied, p.by = true, t.HeardAt() }
 
-func (p *Proof) check(now time.Duration, t *Tracker) {
-	if p.broken && p.by != t.HeardAt() { // the list has been heard since
-		p.broken = false
-	}
-	if now-max(p.at, t.HeardAt()+NotifiedWithin) > proofGap {
-		p.Denied(t)
-	}
-}
+// Holds tells whether the worker may still be asked. One that denied itself may have
+// been removed: what it answers after that proves nothing until the list is current.
+func (p *Proof) Holds(t *Tracker) bool { return !p.denied || p.by != t.HeardAt() }
--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -23,9 +23,6 @@
 		return
 	}
 	l.tellSent()
-	if !l.probe {
-		l.shown()
-	}
 	if !collect(&l.set.engine.Pool, &l.in, b) {
 		l.broken()
 		return
@@ -261,7 +258,6 @@
 		o, load := hollyyoke.Errored, hollyyoke.Load{}
 		if l.status == statusOK {
 			o = hollyyoke.Completed
-			l.shown()
 			if l.text != nil {
 				load = settings.Load(&l.set.core.Settings, l.text.Bytes())
 			}
--- a/internal/platform/knowledge.go
+++ b/internal/platform/knowledge.go
@@ -38,7 +38,7 @@
 		s.suspendAll()
 		return
 	}
-	s.resume(func(b *backend) bool { return knowledge == freshness.Current || b.proof.Holds(now, &s.age) })
+	s.resume(func(b *backend) bool { return knowledge == freshness.Current || b.proof.Holds(&s.age) })
 }
 
 // look is told that what may be done by the list may have changed by itself.
@@ -116,7 +116,7 @@
 	case freshness.Unknown:
 		return suspended
 	}
-	if !b.proof.Holds(now, &s.age) {
+	if !b.proof.Holds(&s.age) {
 		s.suspend(b)
 		return suspended
 	}
@@ -181,9 +181,6 @@
 	}
 }
 
-// shown books that the line's backend has answered.
-func (l *line) shown() { l.b.proof.Shown(l.set.core.Loop.Now(), &l.set.age) }
-
 // move takes the line's attempt to another connection of the same backend.
 func (l *line) move(fresh bool) {
 	s, attempt := l.set, l.attempt
