--- a/cmd/hollyyoke-rehearse/scale.go
+++ b/cmd/hollyyoke-rehearse/scale.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -85,22 +86,21 @@
 	return s, nil
 }
 
+// beside is the program given, or else the one of that name beside this one.
+func beside(self, given, name string) string {
+	return cmp.Or(given, filepath.Join(filepath.Dir(self), name))
+}
+
 func (c *scaleCmd) programs() (p scale.Programs, err error) {
 	self, err := os.Executable()
 	if err != nil {
 		return p, err
 	}
-	beside := func(given, name string) string {
-		if given != "" {
-			return given
-		}
-		return filepath.Join(filepath.Dir(self), name)
-	}
 	return scale.Programs{
 		Hollow: []string{self, "scale-hollow"},
 		Origin: []string{self, "scale-origin"},
-		Daemon: beside(c.Daemon, "hollyyoke-serve"),
-		Relay:  beside(c.Relay, "hollyyoke-relay"),
+		Daemon: beside(self, c.Daemon, "hollyyoke-serve"),
+		Relay:  beside(self, c.Relay, "hollyyoke-relay"),
 	}, nil
 }
 
--- a/cmd/hollyyoke-rehearse/soak.go
+++ b/cmd/hollyyoke-rehearse/soak.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"hollyyoke.example/hollyyoke/internal/rehearsal/soak"
@@ -26,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	program := cmp.Or(c.Daemon, filepath.Join(filepath.Dir(self), "hollyyoke-serve"))
+	program := beside(self, c.Daemon, "hollyyoke-serve")
 	failed := 0
 	for i := range c.Seeds {
 		report, err := soak.Run(context.Background(), soak.Config{
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -763,9 +763,9 @@
 		return
 	}
 	at, left := c.left[f.backend]
-	now := c.Loop.Now()
-	c.Guard.CheckSent(c.start(r, f.attempt), invariant.Send{
-		Now: now, Deadline: r.deadline, Left: left, LeftAt: at, Grace: c.Settings.DrainGrace,
+	start := c.start(r, f.attempt)
+	c.Guard.CheckSent(start, invariant.Send{
+		Now: start.Now, Deadline: r.deadline, Left: left, LeftAt: at, Grace: c.Settings.DrainGrace,
 	}, "request "+r.job.ID+" to "+f.backend)
 }
 
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -84,14 +84,13 @@
 }
 
 // Heard tells that a whole message of the source has come: its news, or word that
-// there are none. It returns whether the list counts as heard at that time; a message
-// that is read right after the process was held up may have waited for long.
-func (t *Tracker) Heard(now time.Duration) bool {
+// there are none. A message that is read right after the process was held up may have
+// waited for long, and renews nothing.
+func (t *Tracker) Heard(now time.Duration) {
 	if t.stallEnded > 0 && now < t.stallEnded+resettled {
-		return false
+		return
 	}
 	t.heardAt, t.failed, t.unheard = now, false, false
-	return true
 }
 
 // Relayed tells that another process of the same dispatcher has handed its list over,
--- a/internal/net/net.go
+++ b/internal/net/net.go
@@ -954,22 +954,20 @@
 // Abort closes the connection at once by a reset, so that nothing arrives any more
 // of what the peer has not taken: after an orderly close the kernel goes on sending
 // what it holds, for minutes, and delivers it once a way that was cut off is free.
-// False tells that the kernel refused, and the close is an orderly one.
-func (c *Conn) Abort() (reset bool) {
+// Where the kernel refuses, the close is an orderly one.
+func (c *Conn) Abort() {
 	if c.Handle == 0 {
-		return true
+		return
 	}
 	const tries = 3 // setsockopt may fail for a moment
 	c.control(func(fd int) {
 		for range tries {
 			if err := syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1}); err == nil {
-				reset = true
 				return
 			}
 		}
 	})
 	c.Close()
-	return reset
 }
 
 // Unacknowledged is how many bytes of those written the peer's kernel has not
--- a/internal/platform/knowledge.go
+++ b/internal/platform/knowledge.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"hollyyoke.example/hollyyoke"
@@ -64,8 +63,7 @@
 
 // heard tells that a whole line of discovery has come.
 func (s *Backends) heard() {
-	now := s.core.Loop.Now()
-	s.age.Heard(now)
+	s.age.Heard(s.core.Loop.Now())
 	s.look()
 	if s.knowledge == freshness.Unknown { // what is listed anew too
 		s.suspendAll()
@@ -104,7 +102,7 @@
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, strings.Compare)
+	slices.Sort(names)
 	s.core.Resume(s, names)
 }
 
--- a/internal/rehearsal/sysfault/sysfault.go
+++ b/internal/rehearsal/sysfault/sysfault.go
@@ -13,7 +13,6 @@
 	"os/exec"
 	"runtime"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -81,7 +80,6 @@
 	peers   map[string]int // ports by inode
 	struck  [calls]atomic.Int64
 	over    chan struct{}
-	once    sync.Once
 	status  syscall.WaitStatus
 	lost    error
 }
@@ -137,7 +135,7 @@
 // binds a tracee to the thread that traces it.
 func (p *Process) trace(command *exec.Cmd, ready chan<- error) {
 	runtime.LockOSThread() // and never unlocked: the thread ends with the goroutine
-	defer p.once.Do(func() { close(p.over) })
+	defer close(p.over)
 	if command.SysProcAttr == nil {
 		command.SysProcAttr = &syscall.SysProcAttr{}
 	}
