Jobs: a report counts only under a lease that its sender's worker has or had

Callers saw a renewal that was pushed with +OK, never handed out, and done: an ACK of anyone, without a fence, completed it. Cause: a job that was never leased has fence 0, and a report without a fence has 0 too; the machine compared the two numbers and never asked whether there had been a lease.

Machine.standing now says for all reports what their fence is to the job: 0 is nobody's, and a job whose newest lease was given back or never delivered has no worker that could have run it. connection.fenceOf gives a session the fence of leases of its own wid alone. It holds since there is no other way from a report to a job: Ack, Fail, Start and Extend all ask standing.

The same fault was in BEAT (another's wid renewed its leases, or drained it), TRACK SET, and ACK and FAIL of direct jobs.

--- a/internal/faktory/delivery.go
+++ b/internal/faktory/delivery.go
@@ -7,6 +7,7 @@
 	"hollyyoke.example/hollyyoke/decision"
 	"hollyyoke.example/hollyyoke/internal/dispatch"
 	"hollyyoke.example/hollyyoke/internal/eventloop"
+	"hollyyoke.example/hollyyoke/internal/jobs"
 )
 
 // jobDelivery is an attempt of the dispatcher at a worker of this front end: its
@@ -39,6 +40,7 @@
 	}
 	delivery.handedOut = true
 	delivery.worker.inProgress++
+	s.jids.handedOut(request.ID, delivery.worker.name)
 	c.resume()
 	s.dispatcher.AttemptStarted(delivery.attempt.Handle)
 }
@@ -60,14 +62,10 @@
 	s.dispatcher.AttemptEnded(delivery.attempt.Handle, outcome, decision.LoadReport{}, nil)
 }
 
-// findHandedOut returns the oldest delivery of a jid that is handed out, to
-// worker unless that is nil.
+// findHandedOut returns the oldest delivery of a jid that is handed out to worker.
 func (s *Server) findHandedOut(worker *registeredWorker, jid string) (oldest *jobDelivery) {
 	for _, delivery := range s.deliveries {
-		if !delivery.handedOut || delivery.attempt.Request.ID != jid {
-			continue
-		}
-		if worker != nil && delivery.worker != worker {
+		if !delivery.handedOut || delivery.worker != worker || delivery.attempt.Request.ID != jid {
 			continue
 		}
 		if oldest == nil || delivery.attempt.Handle < oldest.attempt.Handle {
@@ -79,6 +77,9 @@
 
 // endLease ends the delivery that was handed out under a lease, if there is one.
 func (s *Server) endLease(jid string, fence uint64, outcome decision.AttemptOutcome) {
+	if fence == jobs.NoFence { // that of direct jobs
+		return
+	}
 	for _, delivery := range s.deliveries {
 		if delivery.handedOut && delivery.attempt.Request.ID == jid && delivery.attempt.Fence == fence {
 			s.endAttempt(delivery, outcome)
--- a/internal/faktory/foreignreport_test.go
+++ b/internal/faktory/foreignreport_test.go
@@ -10,6 +10,9 @@
 // A paid renewal was lost without having run: an ACK from any connection, the producer's own or that of a worker that
 // never fetched it, ended a stored job that no worker had been given, and a FETCH afterwards found nothing. These tests
 // send every report from connections that do not have the job: nothing of it may change, and it must still run once.
+// The cause of the first: fence 0 of a report that has none was the fence 0 of a job without a lease (TRACK GET went
+// from "enqueued" to "success"). Of the others: the session of a report was asked for only where it named no fence, and
+// not at all by BEAT and by direct jobs.
 
 // foreignReports are reports about a job by a connection that has no lease of it, without a fence and under one.
 func foreignReports(jid string, fence uint64) (commands []string) {
--- a/internal/faktory/jidmemory.go
+++ b/internal/faktory/jidmemory.go
@@ -31,6 +31,7 @@
 type jidEntry struct {
 	status     jidStatus
 	since      time.Duration
+	worker     string                    // that its job was last handed out to; empty: to none of this front end
 	onResponse []func(dispatch.Response) // called with the final answer of a job in progress
 }
 
@@ -64,6 +65,14 @@
 	m.entries[id] = &jidEntry{status: jidInProgress, since: now}
 }
 
+// handedOut records the worker that a job in progress was handed out to.
+func (m *jidMemory) handedOut(id, worker string) {
+	entry := m.entries[id]
+	if entry != nil && entry.status == jidInProgress {
+		entry.worker = worker
+	}
+}
+
 // whenFinished calls onResponse with the final answer of a job in progress.
 func (m *jidMemory) whenFinished(id string, onResponse func(dispatch.Response)) {
 	entry := m.entries[id]
@@ -91,16 +100,18 @@
 	}
 }
 
-// confirm records a late ACK: a job that may have run has run.
-func (m *jidMemory) confirm(id string, now time.Duration) {
-	if m.status(id) == jidMayHaveRun {
+// confirm records a late ACK of a worker: a job that may have run there has run.
+func (m *jidMemory) confirm(id, worker string, now time.Duration) {
+	entry := m.entries[id]
+	if entry != nil && entry.status == jidMayHaveRun && entry.worker == worker {
 		m.complete(id, jidServed, now)
 	}
 }
 
 // complete records how a job that does not run again has ended.
 func (m *jidMemory) complete(id string, status jidStatus, now time.Duration) {
-	m.entries[id] = &jidEntry{status: status, since: now}
+	entry := m.entries[id]
+	m.entries[id] = &jidEntry{status: status, since: now, worker: entry.worker}
 	m.completed = append(m.completed, completedJid{id: id, since: now})
 	m.expire(now)
 }
--- a/internal/faktory/reports.go
+++ b/internal/faktory/reports.go
@@ -26,27 +26,24 @@
 		c.writeLine(replyMalformed + "BEAT: " + singleLine(err.Error()))
 		return
 	}
-	name := workerNamePrefix + message.Wid
-	worker := c.server.workers[name]
-	if worker == nil {
-		worker = c.worker
+	c.writeLine(replyOK)
+	if c.worker == nil || !c.worker.isNamed(message.Wid) {
+		return // a session speaks for its own worker alone
 	}
 	if queues := c.server.durable; queues != nil {
-		if message.Wid == "" && c.worker != nil {
-			name = c.worker.name
-		}
-		queues.Heartbeat(name)
-	}
-	c.writeLine(replyOK)
-	if worker == nil {
-		return
+		queues.Heartbeat(c.worker.name)
 	}
 	switch message.State {
 	case stateQuiet, stateTerminate, stateTerminating:
-		worker.drain()
+		c.worker.drain()
 	}
 }
 
+// isNamed reports whether a BEAT's wid is the worker's; a BEAT may leave it out.
+func (w *registeredWorker) isNamed(wid string) bool {
+	return wid == "" || workerNamePrefix+wid == w.name
+}
+
 // decodeReport decodes a worker's message about a job, which must name one; else
 // it answers the command.
 func (c *connection) decodeReport(verb string, rest []byte) (message word, ok bool) {
@@ -82,7 +79,8 @@
 }
 
 // handleCompletion handles ACK and FAIL: the outcome of a job. For a direct job
-// that is not handed out, or not any more, the answer is +OK too.
+// that is not handed out to the connection's worker, or not any more, the answer
+// is +OK too.
 func (c *connection) handleCompletion(verb string, rest []byte) {
 	message, ok := c.decodeReport(verb, rest)
 	if !ok {
@@ -107,22 +105,25 @@
 	return decision.Failed
 }
 
-// completeDirect ends the attempt of a direct job that is handed out to worker,
-// or to any worker if that is nil. An ACK that comes after the end of the
-// attempt is the proof that the job ran.
+// completeDirect ends the attempt of a direct job that is handed out to worker.
+// An ACK that comes after the end of the attempt is the proof that the job ran.
+// A producer's connection, which has no worker, has no job to report.
 func (s *Server) completeDirect(verb string, worker *registeredWorker, jid string) {
+	if worker == nil {
+		return
+	}
 	delivery := s.findHandedOut(worker, jid)
 	if delivery != nil {
 		s.endAttempt(delivery, outcomeOf(verb))
 		return
 	}
 	if verb == commandAck {
-		s.jids.confirm(jid, s.dispatcher.Loop.Now())
+		s.jids.confirm(jid, worker.name, s.dispatcher.Loop.Now())
 	}
 }
 
 // completeDurable handles the ACK or FAIL of a durable job. It is answered once
-// the report is on disk.
+// the report is on disk. One that does not count changes nothing.
 func (c *connection) completeDurable(verb string, job jobs.Job, message word) {
 	queues := c.server.durable
 	fence := c.fenceOf(job, message)
@@ -134,18 +135,21 @@
 		started := message.Started == nil || *message.Started
 		queues.Fail(message.Jid, fence, failureReason(message), started, onStored)
 	}
-	delete(queues.progress, message.Jid)
+	if fence == job.Fence {
+		delete(queues.progress, message.Jid)
+	}
 	c.server.endLease(message.Jid, fence, outcomeOf(verb))
 }
 
-// fenceOf returns the fence of the lease that a worker's message is about: that
-// of the message, or else that of the job's newest lease if the connection's
-// worker has it; 0: neither. No message counts for the lease of another worker.
+// fenceOf returns the fence of the lease that a message is about: that of the
+// message, or else that of the job's newest lease. It is jobs.NoFence for every
+// connection but those of the worker that has or had that lease: a fence is a
+// small number that a mistaken client can hit, so knowing it proves nothing.
 func (c *connection) fenceOf(job jobs.Job, message word) uint64 {
-	if message.Fence == 0 && c.worker != nil && c.worker.name == job.Worker {
-		return job.Fence
+	if c.worker == nil || c.worker.name != job.Worker {
+		return jobs.NoFence
 	}
-	return message.Fence
+	return cmp.Or(message.Fence, job.Fence)
 }
 
 // failureReason is what is stored of a FAIL.
--- a/internal/faktory/track.go
+++ b/internal/faktory/track.go
@@ -74,8 +74,8 @@
 	c.writeBulk(raw)
 }
 
-// handleTrackSet records the progress of a job, and extends its lease if it
-// says until when.
+// handleTrackSet records the progress of a job that the connection's worker has,
+// and extends its lease if it says until when.
 func (c *connection) handleTrackSet(rest []byte) {
 	var message word
 	err := json.Unmarshal(rest, &message)
@@ -89,10 +89,15 @@
 		c.writeLine(replyUnknown + "jid: no such job is in work")
 		return
 	}
+	fence := c.fenceOf(job, message)
+	if fence != job.Fence {
+		c.writeLine(leaseResultLine(jobs.ErrLeaseVoid))
+		return
+	}
 	now := c.server.dispatcher.Loop.Now()
 	until, err := time.Parse(time.RFC3339Nano, message.Until)
 	if err == nil {
-		queues.Extend(message.Jid, c.fenceOf(job, message), min(time.Duration(until.UnixNano()), now+maxLease))
+		queues.Extend(message.Jid, fence, min(time.Duration(until.UnixNano()), now+maxLease))
 	}
 	if len(queues.progress) >= maxProgressEntries {
 		clear(queues.progress) // of jobs whose workers never closed them
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// NoFence is the fence of no lease.
+const NoFence uint64 = 0
+
 // Job is a job as it is stored. The JSON names belong to the store's file format and must stay. Times are Unix times.
 type Job struct {
 	ID            string `json:"ID"` // unique until the job is deleted
@@ -13,8 +16,8 @@
 	State         State  `json:"State"`
 
 	// The newest lease.
-	Fence           uint64    `json:"Fence"`   // higher than that of any earlier lease of any job
-	Worker          string    `json:"Worker"`  // who holds or held it
+	Fence           uint64    `json:"Fence"`   // higher than that of any earlier lease of any job; NoFence: it was never leased
+	Worker          string    `json:"Worker"`  // who holds or held it; empty: nobody, or the lease was given back unstarted
 	WorkerGuarantee Guarantee `json:"Honours"` // what that worker has promised
 
 	RequiresDeduplication bool          `json:"Only"`  // it may have run: only a worker that Deduplicates may have it
--- a/internal/jobs/lease.go
+++ b/internal/jobs/lease.go
@@ -28,16 +28,38 @@
 	return cmp.Or(entry.LeaseDuration, m.config.LeaseDuration)
 }
 
-// holdsLease reports whether a report under a fence is one under the job's newest lease, and that lease is in force.
-func (m *Machine) holdsLease(entry *jobEntry, fence uint64) bool {
-	return entry != nil && entry.State.IsHeld() && (entry.Fence == fence || m.config.ignoreFences)
+// leaseStanding is what a report's fence is to the job that the report is about.
+type leaseStanding uint8
+
+const (
+	leaseVoid    leaseStanding = iota // no lease of the job, or not its newest one
+	leaseInForce                      // its worker has the job
+	leaseExpired                      // its worker had the job, and may have run it
+)
+
+// standing decides which lease a report is under; all reports are judged by it. A job that was never leased has fence 0,
+// as has a report without a fence, so 0 is nobody's. A job whose newest lease was given back, or never delivered, has no
+// worker: nobody can have run it.
+func (m *Machine) standing(entry *jobEntry, fence uint64) leaseStanding {
+	switch {
+	case entry == nil:
+		return leaseVoid
+	case m.config.ignoreFences && entry.State.IsHeld():
+		return leaseInForce
+	case fence == NoFence || fence != entry.Fence || entry.Worker == "":
+		return leaseVoid
+	case entry.State.IsHeld():
+		return leaseInForce
+	default:
+		return leaseExpired
+	}
 }
 
 // Start reports that a worker asks to start a job. A worker that HonorsFences starts it only on GrantStart, which
 // comes once the start is stored; asked again, it is granted again. With ErrLeaseVoid the worker must not start it.
 func (m *Machine) Start(now time.Duration, id string, fence uint64) ([]Effect, error) {
 	entry := m.jobs[id]
-	if !m.holdsLease(entry, fence) {
+	if m.standing(entry, fence) != leaseInForce {
 		return nil, ErrLeaseVoid
 	}
 	if entry.State == Leased && entry.beingStored() && !m.config.ignoreFences {
@@ -66,7 +88,7 @@
 // Extend renews one lease until a time that its worker asks for.
 func (m *Machine) Extend(id string, fence uint64, until time.Duration) {
 	entry := m.jobs[id]
-	if m.holdsLease(entry, fence) {
+	if m.standing(entry, fence) == leaseInForce {
 		entry.DueAt = max(entry.DueAt, until)
 	}
 }
@@ -75,6 +97,7 @@
 // where the job is in doubt or waits to run again: it is the proof that the job ran.
 func (m *Machine) Ack(now time.Duration, id string, fence uint64, result []byte) []Effect {
 	entry := m.jobs[id]
+	standing := m.standing(entry, fence)
 	switch {
 	case entry == nil:
 		m.emit(Effect{Kind: AnswerReport, Err: ErrUnknownJob})
@@ -82,7 +105,7 @@
 		m.afterStored(entry, Effect{Kind: AnswerReport, Job: entry.Job})
 	case entry.State == Done:
 		m.emit(Effect{Kind: AnswerReport, Job: entry.Job})
-	case m.holdsLease(entry, fence) || entry.Fence == fence && entry.State.acceptsLateAck():
+	case standing == leaseInForce || standing == leaseExpired && entry.State.acceptsLateAck():
 		m.finish(now, entry, Done)
 		entry.Reason = ""
 		entry.Payload = nil
@@ -102,8 +125,9 @@
 		m.emit(Effect{Kind: AnswerReport, Err: ErrUnknownJob})
 		return m.takeEffects()
 	}
-	lateReport := entry.Fence == fence && entry.State == InDoubt
-	if !m.holdsLease(entry, fence) && !lateReport {
+	standing := m.standing(entry, fence)
+	lateReport := standing == leaseExpired && entry.State == InDoubt
+	if standing != leaseInForce && !lateReport {
 		m.emit(Effect{Kind: AnswerReport, Job: entry.Job, Err: ErrLeaseVoid})
 		return m.takeEffects()
 	}
--- a/internal/jobs/report_test.go
+++ b/internal/jobs/report_test.go
@@ -7,8 +7,10 @@
 )
 
 // A paid job was lost without having run: an ACK without a fence ended a job that was stored and that no worker had
-// ever been given, and its producer found it done. A report counts only under a lease that a worker has, or had until
-// it expired. These tests report jobs in every state in which nobody has such a lease.
+// ever been given, and its producer found it done. The cause: a job that was never leased has fence 0, a report without
+// a fence has 0 too, and Ack compared the two numbers alone; the test showed "reply r done" for a job that was never
+// delivered. A report counts only under a lease that a worker has, or had until it expired. These tests report jobs in
+// every state in which nobody has such a lease.
 
 // unleasedJob is a non-idempotent job that no worker has or has had in its hands, and a fence that is no lease of it.
 type unleasedJob struct {
