Decision: an attempt that has not left is not taken for lost, and not failed

Callers saw 502, perhaps run, for a renewal of which no byte had left: while it was being dialed it became late, and a later request started first.

Cause: the machine counted an attempt as sent when it was assigned, and took one that was being dialed for one on an idle connection that may be dead. Now AttemptSent tells it when the last byte has left (Settings.SendNotices, on in the daemon; the simulator's adapter sends as it assigns). Where it fails a request, the dispatcher first stops what was never delivered; if that shows that nothing ran, the client gets a rejection. It holds since the worker client's word decides, whatever the machine believes.

--- a/cmd/dispatcher/syscalls_test.go
+++ b/cmd/dispatcher/syscalls_test.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -36,34 +35,11 @@
 		faultinject.Rule{Call: faultinject.SocketWrite, Probability: 0.5, Short: 40, After: after, For: span})
 }
 
-// tracedLatencyObjective is the latency objective of requests to a daemon that runs under ptrace. It is long, since such
-// a daemon is slow, the more so on a busy machine, and requests that are late are rejected. And where it is short beside
-// the connect timeout, a request that is late while it is still being dialed may fail as one that may have run: see
-// TestOvertakenRequestThatWasNeverSentIsRejected of internal/dispatch.
-const tracedLatencyObjective = 2 * time.Second
-
-// settingsWithObjective returns the settings of the tests, with another latency objective of all classes.
-func settingsWithObjective(t *testing.T, objective time.Duration) json.RawMessage {
-	t.Helper()
-	var settings map[string]any
-	if err := json.Unmarshal([]byte(settingsWithIdle(defaultConnectionIdle)), &settings); err != nil {
-		t.Fatal(err)
-	}
-	for _, class := range settings["classes"].([]any) {
-		class.(map[string]any)["slo_us"] = objective.Microseconds()
-	}
-	changed, err := json.Marshal(settings)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return changed
-}
-
 // All clients get their answers while system calls fail for a moment, are short or are
 // interrupted; no renewal runs twice, and all is served afterwards.
 func TestServesOverFailingSystemCalls(t *testing.T) {
 	const after, span = time.Second, 4 * time.Second
-	d := &testDaemon{t: t, config: map[string]any{"settings": settingsWithObjective(t, tracedLatencyObjective)}}
+	d := &testDaemon{t: t}
 	workers := []*testWorker{d.addWorker("s-1", respondDoneAndClose), d.addWorker("s-2", respondDoneAndClose)}
 	d.trace(faultinject.Plan{Seed: 1, Rules: momentary(0.1, after, span)})
 	begun := time.Now()
--- a/decision/attempt.go
+++ b/decision/attempt.go
@@ -1,11 +1,15 @@
 package decision
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // attempt is one send of a request to a worker. Its number is its index in request.attempts.
 type attempt struct {
 	worker       *worker
-	sentAt       time.Duration
+	sentAt       time.Duration // when it was assigned
+	leftAt       time.Duration // when its last byte left; 0: not yet, as while its connection is dialed
 	startedAt    time.Duration // when it was first known to run; 0: not yet
 	lastSeen     time.Duration // when the worker last reported on it, at first when it was sent
 	ended        bool
@@ -46,6 +50,9 @@
 	worker.load.freeSlots -= request.slots
 	m.zones.get(worker.Zone).lastAttemptAt = m.now
 	attempt := attempt{worker: worker, sentAt: m.now, lastSeen: m.now}
+	if !m.settings.SendNotices {
+		attempt.leftAt = m.now
+	}
 	attempt.connectionIdle = m.takeIdleConnection(worker)
 	if worker.unstarted == 0 {
 		worker.unstartedSince = m.now
@@ -59,6 +66,13 @@
 	m.emit(Action{Kind: Assign, Request: request.id, Worker: worker.Name, Reservation: reservation})
 }
 
+// handleSent records that the last byte of an attempt has left.
+func (m *Machine) handleSent(event Event) {
+	if _, attempt := m.outstandingAttempt(&event); attempt != nil {
+		attempt.leftAt = cmp.Or(attempt.leftAt, m.now)
+	}
+}
+
 // handleProgress records that an attempt has started, or how far it is.
 func (m *Machine) handleProgress(event Event) {
 	request, attempt := m.outstandingAttempt(&event)
@@ -66,6 +80,7 @@
 		return
 	}
 	attempt.lastSeen = m.now
+	attempt.leftAt = cmp.Or(attempt.leftAt, m.now)
 	m.markSeen(attempt.worker)
 	if lostRequest, lost := m.overtakenAttempt(request, attempt); lost != nil {
 		m.recordDeadConnection(lost)
--- a/decision/connection.go
+++ b/decision/connection.go
@@ -108,8 +108,15 @@
 	m.closeIdleConnections(attempt.worker)
 }
 
+// leftAfter reports whether an attempt left later than another one. One that has not left yet is not lost,
+// whatever is thought of its connection: idleConnections counts those, too, that a worker has announced to
+// close, so it may be on a new one that is still being dialed.
+func (a *attempt) leftAfter(other *attempt) bool {
+	return other.leftAt > 0 && a.leftAt > other.leftAt
+}
+
 // overtakenAttempt returns the possibly lost request of a worker and its attempt, if the given attempt of
-// another request was sent later and has started first. Otherwise it returns nil for both.
+// another request left later and has started first. Otherwise it returns nil for both.
 func (m *Machine) overtakenAttempt(request *request, attempt *attempt) (*request, *attempt) {
 	worker := attempt.worker
 	suspected := worker.possiblyLost
@@ -118,7 +125,7 @@
 	}
 	worker.possiblyLost = nil
 	lost := suspected.unstartedAttempt()
-	if lost == nil || lost.worker != worker || lost.sentAt >= attempt.sentAt || suspected.ended {
+	if lost == nil || lost.worker != worker || !attempt.leftAfter(lost) || suspected.ended {
 		return nil, nil
 	}
 	return suspected, lost
--- a/decision/event.go
+++ b/decision/event.go
@@ -21,6 +21,7 @@
 	SettingsChanged                     // Settings
 	WorkersSuspended                    // Endpoints, by Name: they get nothing until WorkersResumed
 	WorkersResumed                      // Endpoints, by Name
+	AttemptSent                         // Request, Attempt, Worker: see Settings.SendNotices
 )
 
 // Event is one thing that happened to a dispatcher.
--- a/decision/machine.go
+++ b/decision/machine.go
@@ -99,6 +99,10 @@
 		m.handleArrival(event)
 	case AttemptEnded:
 		m.handleAttemptEnded(event)
+	case AttemptSent:
+		m.handleSent(event)
+		m.actions = nil
+		return out // it frees nothing that a waiting request could use
 	case AttemptStarted, AttemptProgressed:
 		m.handleProgress(event)
 	case HealthChecked:
--- a/decision/settings.go
+++ b/decision/settings.go
@@ -92,6 +92,7 @@
 	MaxRetryAfter         time.Duration // the longest Delay of Reject
 	ConnectTimeout        time.Duration
 	ConnectionIdleTimeout time.Duration // connections unused for so long are closed by workers; 0: unknown
+	SendNotices           bool          // AttemptSent says when the last byte has left; else Assign sends
 	StartNotices          bool          // workers report when a request starts to run
 	StartsInOrder         bool          // workers start waiting requests in the order in which they came
 	ProgressInterval      time.Duration // interval of progress reports; 0: none
--- a/decision/sweep.go
+++ b/decision/sweep.go
@@ -90,7 +90,7 @@
 	unstarted := request.unstartedAttempt()
 	if unstarted != nil && m.settings.StartNotices {
 		switch {
-		case unstarted.connectionIdle > m.connections.safeIdleTime:
+		case unstarted.leftAt > 0 && unstarted.connectionIdle > m.connections.safeIdleTime:
 			m.rejectOrFail(request)
 			return
 		case unstarted.connectionIdle > m.sweepInterval && m.settings.StartsInOrder:
--- a/internal/dispatch/attemptreport.go
+++ b/internal/dispatch/attemptreport.go
@@ -18,6 +18,12 @@
 	d.counters.total.Sent++
 	d.checkSent(attempt)
 	d.traceAttempt(attempt, StepSent)
+	d.handle(decision.Event{
+		Kind:    decision.AttemptSent,
+		Request: attempt.requestHandle,
+		Attempt: attempt.number,
+		Worker:  attempt.worker,
+	})
 }
 
 // checkSent has the guard check an attempt after its last byte was sent.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,6 +47,7 @@
 
 // New returns a Dispatcher that knows no workers. It returns an error if the settings are invalid.
 func New(loop *eventloop.Loop, config decision.Settings, seed uint64) (*Dispatcher, error) {
+	config.SendNotices = true
 	machine, err := decision.New(config, seed)
 	if err != nil {
 		return nil, err
--- a/internal/dispatch/neversent_test.go
+++ b/internal/dispatch/neversent_test.go
@@ -10,7 +10,9 @@
 
 // A renewal that is still being dialed gives up its place once it can only be late and an answer that is late earns
 // nothing. It was answered as failed and perhaps run, though no byte of it had left: a member whose renewal could have
-// been sent again at once was told to look whether it had been charged.
+// been sent again at once was told to look whether it had been charged. The cause is that of
+// TestOvertakenRequestThatWasNeverSentIsRejected: the machine counts what is assigned as sent. The response recorded was
+// "failed, may have run: true" for an attempt of which the worker client had sent nothing.
 func TestLateRequestThatWasNeverSentIsRejected(t *testing.T) {
 	now := time.Hour
 	client := &dialingClient{sent: map[uint64]bool{}}
--- a/internal/dispatch/overtaken_test.go
+++ b/internal/dispatch/overtaken_test.go
@@ -96,6 +96,11 @@
 
 // A non-idempotent request whose attempt has never been sent, since its connection is still being dialed, has not run. It
 // must not fail as one that may have run when a later request starts at the same worker before it.
+//
+// It did: a renewal was answered with 502 in 1 of 60 runs of TestServesOverFailingSystemCalls beside load. The daemon's
+// trace showed "assigned", five "dial retried" within 110 ms and no "request written" before the 502. The cause: the
+// machine counted an attempt as sent when it was assigned, took it for one on an idle connection since it counts those,
+// too, that a worker has announced to close, and took the later request's start as proof that the connection was dead.
 func TestOvertakenRequestThatWasNeverSentIsRejected(t *testing.T) {
 	test := newOvertakingTest(t)
 	test.accept(1) // leaves a connection that the machine counts as idle, though the worker may have closed it
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -29,10 +29,24 @@
 	if request == nil {
 		return
 	}
+	if response.Outcome == Failed && d.provesUnsent(request) {
+		response = Response{Outcome: Rejected, RetryAfter: d.Settings.MaxRetryAfter}
+	}
 	d.respond(request, response)
 	d.cleanUp(request)
 }
 
+// provesUnsent stops the attempts of a request that has failed by the machine's word and were never delivered. It
+// reports whether that shows that nothing of the request ran. The machine counts each outstanding attempt as one that
+// may have run; whether its last byte has left is known here alone.
+func (d *Dispatcher) provesUnsent(request *openRequest) bool {
+	if request.answered || !request.mayHaveRun() {
+		return false
+	}
+	d.stopUndelivered(request)
+	return !request.mayHaveRun()
+}
+
 // respond gives a request its final response, if it has none yet.
 func (d *Dispatcher) respond(request *openRequest, response Response) {
 	if request.answered {
