Failing test: silent connections hold up clients beside them for a second

Seen by callers: one dispatcher, 512 descriptors; 400 connections come at once and send nothing. With 600 connections 0.3 s earlier, kept connections are closed and their clients wait, too: 200 after 1.4 to 1.9 s, two not at all in their time plus 1.5 s. With 1500 nobody is answered in that time. Lost is what comes more than 0.5 s late. 400 that come one by one, 1 ms apart, hold nobody up.

--- /dev/null
+++ b/cmd/dispatcher/crowd_test.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// A crowd of connections that send nothing takes all descriptors. Clients with little time left that connected right
+// after it were answered after 1.22 to 1.29 s, or not within their time plus a second: late, which is lost. A silent
+// newcomer must not hold up a client who writes.
+
+const (
+	crowdDescriptors = 512
+	crowdClients     = 12
+	crowdTimeLeft    = 400 * time.Millisecond
+	answerSlack      = 500 * time.Millisecond // after its time an answer earns nothing; later it is lost
+)
+
+// crowdClient sends requests with little time left, on a connection that it keeps.
+type crowdClient struct {
+	address string
+	conn    net.Conn // nil: it has none
+	reader  *bufio.Reader
+}
+
+// connect opens a new connection.
+func (c *crowdClient) connect() error {
+	conn, err := net.DialTimeout("tcp", c.address, testTimeout)
+	if err != nil {
+		return err
+	}
+	c.conn = conn
+	c.reader = bufio.NewReader(conn)
+	return nil
+}
+
+// request sends a request and returns why it is lost, or nil. A request on a connection that is closed without a byte
+// of an answer has crossed the close, and is sent once more, on a new connection.
+func (c *crowdClient) request(id string) error {
+	var err error
+	for try := range 2 {
+		if c.conn == nil {
+			if err := c.connect(); err != nil {
+				return err
+			}
+		}
+		var crossed bool
+		crossed, err = c.exchange(fmt.Sprint(id, "-", try))
+		if err == nil {
+			return nil
+		}
+		c.conn.Close()
+		c.conn = nil
+		if !crossed {
+			return err
+		}
+	}
+	return err
+}
+
+// exchange sends a request and reads its answer. crossed reports that the connection was closed with no answer.
+func (c *crowdClient) exchange(id string) (crossed bool, err error) {
+	head := fmt.Sprintf("POST /status-check/k HTTP/1.1\r\nX-Correlation-Id: %s\r\nX-Time-Left-Ms: %d\r\nContent-Length: 1\r\n\r\nx",
+		id, crowdTimeLeft.Milliseconds())
+	if _, err := io.WriteString(c.conn, head); err != nil {
+		return true, err
+	}
+	sentAt := time.Now()
+	c.conn.SetReadDeadline(sentAt.Add(crowdTimeLeft + answerSlack + time.Second))
+	if _, err := c.reader.Peek(1); err != nil {
+		timeout, isNet := err.(net.Error)
+		return !(isNet && timeout.Timeout()), fmt.Errorf("no answer after %v: %w", time.Since(sentAt), err)
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return false, err
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return false, err
+	}
+	if took := time.Since(sentAt); took > crowdTimeLeft+answerSlack {
+		return false, fmt.Errorf("%d after %v", response.StatusCode, took)
+	}
+	if response.Close {
+		c.conn.Close()
+		c.conn = nil
+	}
+	return false, nil
+}
+
+// openCrowd opens connections that send nothing, with a pause between two of them, and returns once all are connected or
+// the daemon has ended them.
+func openCrowd(t *testing.T, address string, size int, pause time.Duration) {
+	t.Helper()
+	var opened sync.WaitGroup
+	for range size {
+		opened.Go(func() {
+			conn, err := net.DialTimeout("tcp", address, testTimeout)
+			if err != nil {
+				t.Errorf("the crowd: %v", err)
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+		})
+		time.Sleep(pause)
+	}
+	opened.Wait()
+}
+
+// crowdTest says how a crowd comes.
+type crowdTest struct {
+	name  string
+	size  int
+	pause time.Duration // between two of its connections
+	lead  time.Duration // of the crowd before the clients' first requests on new connections
+}
+
+// Clients beside a crowd of silent connections get their answers in time, on connections that they keep and on new ones.
+func TestSilentCrowdHoldsNobodyUp(t *testing.T) {
+	for _, test := range []crowdTest{
+		{"400 at once", 400, 0, 0},
+		{"600 at once, 0.3 s earlier", 600, 0, 300 * time.Millisecond},
+		{"400 one by one", 400, time.Millisecond, 0},
+		{"1500 at once", 1500, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) { runCrowd(t, test) })
+	}
+}
+
+// runCrowd opens a crowd beside clients on kept connections, and has clients with new connections ask after it.
+func runCrowd(t *testing.T, test crowdTest) {
+	daemon := &testDaemon{t: t, config: limitedDescriptors(crowdDescriptors)}
+	daemon.addWorker("s-1", respondDone)
+	daemon.addWorker("s-2", respondDone)
+	daemon.start()
+	var clients sync.WaitGroup
+	crowdCame := make(chan struct{})
+	for number := range crowdClients {
+		kept := &crowdClient{address: daemon.listen}
+		if err := kept.request(fmt.Sprintf("before-%d", number)); err != nil {
+			t.Fatalf("client %d before the crowd: %v", number, err)
+		}
+		clients.Go(func() { runKeptClient(t, number, kept, crowdCame) })
+		clients.Go(func() {
+			<-crowdCame
+			newcomer := &crowdClient{address: daemon.listen}
+			if err := newcomer.request(fmt.Sprintf("first-%d", number)); err != nil {
+				t.Errorf("the first request on the new connection %d: %v", number, err)
+			}
+		})
+	}
+	openCrowd(t, daemon.listen, test.size, test.pause)
+	time.Sleep(test.lead)
+	close(crowdCame)
+	clients.Wait()
+	if descriptors := daemon.openDescriptors(); descriptors > crowdDescriptors {
+		t.Errorf("%d descriptors, at most %d", descriptors, crowdDescriptors)
+	}
+}
+
+// runKeptClient sends requests on a kept connection, before, beside and for a second after the crowd.
+func runKeptClient(t *testing.T, number int, client *crowdClient, crowdCame <-chan struct{}) {
+	const pause = 20 * time.Millisecond
+	end := time.Time{}
+	for i := 0; end.IsZero() || time.Now().Before(end); i++ {
+		if err := client.request(fmt.Sprintf("kept-%d-%d", number, i)); err != nil {
+			t.Errorf("request %d on the kept connection %d: %v", i, number, err)
+		}
+		time.Sleep(pause)
+		select {
+		case <-crowdCame:
+			crowdCame = nil
+			end = time.Now().Add(time.Second)
+		default:
+		}
+	}
+}
