Faktory: connections are evicted again and again while a new one waits

Callers saw: a producer that connects behind 300 silent connections gets its answer after 6.3 s. Cause: the acceptor asks once for room; nothing could be closed then, since all were new, and nobody asked again before the time for HELLO was over.

--- a/internal/faktory/crowd_test.go
+++ b/internal/faktory/crowd_test.go
@@ -9,7 +9,8 @@
 
 // Connections that send nothing fill the front end's limit, and more wait. A producer that connects behind them waited
 // until the first of them was closed for its silence, 5 s later: their eviction was tried once, when they were new, and
-// not again. See TestSilentCrowdHoldsNobodyUp of cmd/dispatcher for the HTTP front end.
+// not again (6.3 s to the answer, where HELLO is due after 5 s). See TestSilentCrowdHoldsNobodyUp of cmd/dispatcher for
+// the HTTP front end.
 func TestSilentCrowdHoldsNoProducerUp(t *testing.T) {
 	const (
 		crowd    = 300 // the front end of these tests takes 200
--- a/internal/faktory/server.go
+++ b/internal/faktory/server.go
@@ -7,6 +7,7 @@
 	"hollyyoke.example/hollyyoke/internal/connlimit"
 	"hollyyoke.example/hollyyoke/internal/dispatch"
 	"hollyyoke.example/hollyyoke/internal/durable"
+	"hollyyoke.example/hollyyoke/internal/eventloop"
 	"hollyyoke.example/hollyyoke/internal/listener"
 	"hollyyoke.example/hollyyoke/internal/slotmap"
 	"hollyyoke.example/hollyyoke/internal/transport"
@@ -18,6 +19,9 @@
 
 	// evictionBatch is how many connections are closed at a time when there are too many.
 	evictionBatch = 16
+
+	// shedInterval is the time between attempts to close some.
+	shedInterval = 10 * time.Millisecond
 )
 
 // Server is the server role: the PUSH of a producer becomes a request to the
@@ -34,6 +38,7 @@
 	gate        *listener.Gate
 	acceptor    *transport.Acceptor
 	connections slotmap.Map[connection] // by the token that the dispatcher and the gate use
+	shedTimer   eventloop.Deadline      // set while none can be closed for a new one
 
 	workers    map[string]*registeredWorker // by name
 	deliveries map[uint64]*jobDelivery      // by the handle of their attempt
@@ -71,6 +76,7 @@
 		jids:           jids,
 		startedAt:      dispatcher.Loop.Now(),
 	}
+	server.shedTimer.Fire = server.shedConnections
 	dispatcher.AddSource(server)
 	return server
 }
@@ -101,6 +107,7 @@
 }
 
 func (s *Server) accept(conn *transport.Conn) transport.Handler {
+	s.dispatcher.Loop.Clear(&s.shedTimer)
 	accepted := &connection{server: s, conn: conn}
 	accepted.input.pool = &s.engine.Pool
 	accepted.token = s.connections.Insert(accepted)
@@ -114,12 +121,19 @@
 	return accepted
 }
 
-// shedConnections closes some idle connections, since there are too many.
+// shedConnections closes some idle connections, since there are too many and a
+// new one may wait. While none can be closed it tries again: connections become
+// candidates with time, and the acceptor asks once.
 func (s *Server) shedConnections() {
-	for range evictionBatch {
-		if !s.gate.EvictOne(connlimit.ForUnknown) {
-			return
+	for evicted := range evictionBatch {
+		if s.gate.EvictOne(connlimit.ForUnknown) {
+			continue
 		}
+		if evicted == 0 {
+			loop := s.dispatcher.Loop
+			loop.Set(&s.shedTimer, loop.Now()+shedInterval)
+		}
+		return
 	}
 }
 
