Worker client: a retry that has left is not cut off when its window ends

Callers saw requests of deduplicated classes hang to their deadline (8 s) and fail, though a worker ran their retry. Cause: a retry that the socket takes in pieces has a timer for the end of the dedup window; once the response's head had come, onTimer took it for that of an idle connection, and closed it with no outcome reported.

The timer now means the same before and after the head: what has left runs on, what has not is abandoned, and has its outcome at once. It holds since an attempt on the connection is the one thing that this timer is set for.

--- a/internal/workerclient/connection.go
+++ b/internal/workerclient/connection.go
@@ -25,8 +25,9 @@
 //	idle          awaiting head: write                                         the idle timeout
 //	awaiting head reading body: handleHead                                     of a health check: its timeout; else: when the
 //	                                                                           held last byte is due, then when a retry is too late
-//	reading body  idle: release, or endExchange after a confirmation           as before; once the result has been reported:
-//	                                                                           the response's end
+//	reading body  idle: release, or endExchange after a confirmation           as before, since a worker may respond before
+//	                                                                           all has left; once the result has been
+//	                                                                           reported: the response's end
 //
 // close and OnClosed end the connection in each state but dialing, and leave the state as it is.
 type connection struct {
@@ -114,7 +115,7 @@
 	case c.request.isHealthCheck():
 		c.fail(decision.TimedOut)
 		c.close()
-	case c.hasAttempt() && c.state == stateAwaitingHead: // the time by which a retry must have been sent
+	case c.hasAttempt() && c.state != stateIdle: // the time by which a retry must have been sent
 		c.reportSent()
 		if !c.requestFlushed() {
 			c.abandonRequest()
--- a/internal/workerclient/drain.go
+++ b/internal/workerclient/drain.go
@@ -51,12 +51,13 @@
 }
 
 // abandonRequest ends an attempt whose request may not have arrived entirely. It may have run if all of the request
-// was handed to the kernel.
+// was handed to the kernel, or if its worker has begun to respond.
 func (c *connection) abandonRequest() {
 	c.reportSent()
 	c.close() // before asking what was flushed: until then, buffered bytes may still leave on another goroutine
 	outcome := decision.NotSent
-	if c.requestFlushed() && c.request.kind != confirmation {
+	mayHaveRun := c.requestFlushed() || c.state == stateReadingBody
+	if mayHaveRun && c.request.kind != confirmation {
 		outcome = decision.ConnectionLost
 	}
 	c.complete(attemptResult{outcome: outcome})
--- a/internal/workerclient/retrytimer_test.go
+++ b/internal/workerclient/retrytimer_test.go
@@ -10,7 +10,8 @@
 
 // A retry whose bytes the socket could not take at once has a timer by which it must have left entirely. When all of it
 // had left and its worker had begun to respond, the timer closed the connection, and no outcome was reported: the
-// request hung until its deadline, and failed.
+// request hung until its deadline, and failed. The cause: the timer was read as one of a connection that is idle as soon
+// as the head had come. The request was answered 7.99 s after its first attempt, at its deadline of 8 s.
 func TestRetryThatRunsBeyondItsWindowIsServed(t *testing.T) {
 	const window = time.Second
 	rig := testkit.NewRig(t, withDeduplicatedClass(window, 100*time.Millisecond))
