Durable jobs: a push from within a rejection is not rejected with it

Callers saw: a push is rejected on a full disk, repeated at once from within the rejection, and rejected again, though its write was on its way; the job is stored and runs for a producer that heard that it was not.

Cause: rejectPush answered until no producer of that ID waited any more, and so took in one that came meanwhile. It now takes those who wait out of the list first, so that no later one can be among them.

--- a/internal/durable/rejectpush_test.go
+++ b/internal/durable/rejectpush_test.go
@@ -12,7 +12,9 @@
 
 // A producer whose push was rejected, since the disk was full, pushes the job again at once, from within the rejection.
 // The second push was rejected with the first, though its write was on its way: the job was stored, and run, for a
-// producer that had heard that it was not.
+// producer that had heard that it was not. The cause: the rejection went on until no producer of that ID waited, and so
+// took in those who came while it was under way (second push "not kept: no space left on device", job announced as
+// runnable).
 func TestPushAgainFromWithinItsRejection(t *testing.T) {
 	var diskFull atomic.Bool
 	writeError := func() error {
--- a/internal/durable/storing.go
+++ b/internal/durable/storing.go
@@ -50,11 +50,13 @@
 	}
 }
 
-// rejectPush answers all producers of a job that could not be stored.
+// rejectPush answers all producers of a job that could not be stored: the one that pushed it and those who pushed it
+// again meanwhile. One that pushes it again from within its answer is not among them: its job is new.
 func (s *Service) rejectPush(job jobs.Job, err error) {
+	rejected := s.pushWaiters.takeAll(job.ID)
 	s.carryOut(s.machine.StoreFailed(job.ID, job.Version, err))
-	for len(s.pushWaiters[job.ID]) > 0 { // those who have pushed it again meanwhile
-		s.pushWaiters.notifyFirst(job.ID, &jobs.NotStoredError{Cause: err})
+	for _, onStored := range rejected {
+		onStored(&jobs.NotStoredError{Cause: err})
 	}
 }
 
--- a/internal/durable/waiters.go
+++ b/internal/durable/waiters.go
@@ -20,6 +20,13 @@
 	waiting[0](err)
 }
 
+// takeAll removes and returns the callers that wait for a change of a job.
+func (w waiters) takeAll(id string) []func(error) {
+	waiting := w[id]
+	delete(w, id)
+	return waiting
+}
+
 // answerWhenStored carries out the effects of a caller's request. The caller is answered at once where the effects
 // have an answer of that kind, and else when the machine gives one, after the change is stored.
 func (s *Service) answerWhenStored(effects []jobs.Effect, kind jobs.EffectKind, waiting waiters, id string, done func(error)) {
