HTTP front end: a request's method is read before it leaves the input

Callers saw: POST /nonsense with a HEAD pipelined behind it gets a 404 with no body and a close, and the HEAD no answer. Cause: respondDirectly read the method from the input after the request was removed from it, where that of the next one stood. It is read before. All other uses of a message after consume or detach were read: none is left.

--- a/internal/httpfront/pipelinedhead_test.go
+++ b/internal/httpfront/pipelinedhead_test.go
@@ -9,7 +9,8 @@
 )
 
 // A request that the front end answers by itself, with a pipelined HEAD behind it, got the answer of a HEAD: without its
-// body, and with a close, so that the HEAD had no answer.
+// body, and with a close, so that the HEAD had no answer. The cause: the method was read from the input after the request
+// had been removed from it, where the next one's stands then (404 with "" and "unexpected EOF" for the HEAD).
 func TestPipelinedHeadLeavesTheAnswerBeforeItAlone(t *testing.T) {
 	for _, test := range []struct {
 		name, request string
--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -81,8 +81,9 @@
 
 // respondDirectly removes a request from the input and responds to it.
 func (c *clientConnection) respondDirectly(message *httpwire.Message, response httpResponse) {
+	isHead := bytes.Equal(message.Method(), []byte("HEAD")) // before consume: message lies in the input
 	c.input.consume(message.Size)
-	if bytes.Equal(message.Method(), []byte("HEAD")) { // its response has no body, so that the length would mislead
+	if isHead { // its response has no body, so that the length would mislead
 		c.closeAfterResponse = true
 		response.body = nil
 	}
