Faktory: INFO counts the jobs that may run; QUEUE checks its operation first

Callers saw: INFO counts a queue's jobs after QUEUE REMOVE or FLUSH discarded them; QUEUE STOP nothing is answered UNKNOWN in place of MALFORMED.

Cause: INFO counted the entries of the scheduler's queue, where a discarded job stays until it comes up; QUEUE looked at the names before the operation. The state machine now counts the ready jobs of each class, which cannot lag behind.

--- a/internal/durable/scheduler.go
+++ b/internal/durable/scheduler.go
@@ -130,7 +130,7 @@
 		if s.paused[s.dispatcher.Settings.Classes[class].Name] {
 			continue
 		}
-		for s.Waiting(class) > 0 {
+		for s.queues.length(class) > 0 {
 			job, known := s.service.Get(s.queues.pop(class))
 			if known && job.State == jobs.Ready {
 				return job, class, true
@@ -194,9 +194,6 @@
 	})
 }
 
-// Waiting is the number of jobs of a class that may run and are not at the dispatcher.
-func (s *Scheduler) Waiting(class int) int { return s.queues.length(class) }
-
 // Paused lists the paused classes by name, sorted.
 func (s *Scheduler) Paused() []string { return slices.Sorted(maps.Keys(s.paused)) }
 
--- a/internal/durable/service.go
+++ b/internal/durable/service.go
@@ -238,6 +238,9 @@
 // Counts is the number of jobs by state; states without jobs are left out.
 func (s *Service) Counts() map[jobs.State]int { return s.machine.Counts() }
 
+// ReadyCount is the number of jobs of a class that may run.
+func (s *Service) ReadyCount(class string) int { return s.machine.ReadyCount(class) }
+
 // Page lists up to maxResults jobs that match, of the maxScanned jobs at most that were accepted after the sequence
 // number after. next is the sequence number to continue after; 0: there are no more.
 func (s *Service) Page(after uint64, maxResults, maxScanned int, match func(jobs.Job) bool) (list []jobs.Job, next uint64) {
--- a/internal/faktory/info.go
+++ b/internal/faktory/info.go
@@ -84,7 +84,7 @@
 	waiting := map[string]int{}
 	for name, class := range s.classIndexes {
 		if s.durable.classes[class] {
-			waiting[name] = s.durable.scheduler.Waiting(class)
+			waiting[name] = s.durable.ReadyCount(name)
 		}
 	}
 	faktory.infoDurable = &infoDurable{
--- a/internal/faktory/queuecommand_test.go
+++ b/internal/faktory/queuecommand_test.go
@@ -5,7 +5,9 @@
 	"testing"
 )
 
-// INFO counted the jobs of a queue that QUEUE REMOVE, FLUSH or MUTATE had discarded, until a worker fetched from it.
+// INFO counted the jobs of a queue that QUEUE REMOVE, FLUSH or MUTATE had discarded, until a worker fetched from it. The
+// cause: it counted the entries of the scheduler's queue, where a job that was discarded stays until it comes up ("renewal":2
+// after the removal, "total_enqueued":0 beside it).
 func TestInfoCountsNoDiscardedJobs(t *testing.T) {
 	withDurableFront(t, newStorePath(t), "flush = true\n", func(address string) {
 		producer := dialProducer(t, address)
--- a/internal/faktory/queues.go
+++ b/internal/faktory/queues.go
@@ -23,21 +23,23 @@
 		c.writeLine(replyMalformed + "QUEUE: PAUSE, RESUME or REMOVE, and queues")
 		return
 	}
+	operation := strings.ToUpper(fields[0])
+	if !slices.Contains([]string{queuePause, queueResume, queueRemove}, operation) {
+		c.writeLine(replyMalformed + "QUEUE: PAUSE, RESUME or REMOVE")
+		return
+	}
 	names, err := c.server.durableQueueNames(fields[1:])
 	if err != nil {
 		c.writeLine(replyUnknown + err.Error())
 		return
 	}
-	switch operation := strings.ToUpper(fields[0]); operation {
-	case queuePause, queueResume:
+	if operation != queueRemove {
 		c.pauseQueues(names, operation == queuePause)
-	case queueRemove:
-		c.discardAll("QUEUE REMOVE", func(job jobs.Job) bool {
-			return job.State == jobs.Ready && slices.Contains(names, job.Class)
-		})
-	default:
-		c.deferReply()(replyMalformed + "QUEUE: PAUSE, RESUME or REMOVE")
+		return
 	}
+	c.discardAll("QUEUE REMOVE", func(job jobs.Job) bool {
+		return job.State == jobs.Ready && slices.Contains(names, job.Class)
+	})
 }
 
 // durableQueueNames checks that all queues are durable. All durable queues take
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -42,6 +42,7 @@
 	dueQueue       dueHeap                         // may hold outdated times; each is checked against its job when it comes up
 	leasesByWorker map[string]map[string]*jobEntry // by worker, then by job id
 	counts         [stateCount]int                 // jobs by state
+	readyByClass   map[string]int                  // jobs that are Ready, by class
 	inOrder        []*jobEntry                     // by sequence; may hold removed jobs
 	removedInOrder int                             // how many of inOrder are removed
 
@@ -72,7 +73,12 @@
 	config.Retention = cmp.Or(config.Retention, defaultRetention)
 	config.DeadRetention = cmp.Or(config.DeadRetention, defaultDeadRetention)
 	config.ignoreFences = config.ignoreFences || ignoreAllFences
-	return &Machine{config: config, jobs: map[string]*jobEntry{}, leasesByWorker: map[string]map[string]*jobEntry{}}
+	return &Machine{
+		config:         config,
+		jobs:           map[string]*jobEntry{},
+		leasesByWorker: map[string]map[string]*jobEntry{},
+		readyByClass:   map[string]int{},
+	}
 }
 
 // emit adds an effect to those of the present call.
@@ -95,13 +101,21 @@
 func (m *Machine) add(entry *jobEntry) {
 	m.jobs[entry.ID] = entry
 	m.inOrder = append(m.inOrder, entry)
-	m.counts[entry.State]++
+	m.count(entry, 1)
+}
+
+// count counts a job, in its present state, in or out.
+func (m *Machine) count(entry *jobEntry, change int) {
+	m.counts[entry.State] += change
+	if entry.State == Ready {
+		m.readyByClass[entry.Class] += change
+	}
 }
 
 // remove drops a job.
 func (m *Machine) remove(entry *jobEntry) {
 	delete(m.jobs, entry.ID)
-	m.counts[entry.State]--
+	m.count(entry, -1)
 	m.removedInOrder++
 	if m.removedInOrder <= len(m.inOrder)/2 {
 		return
@@ -121,9 +135,9 @@
 			delete(m.leasesByWorker, entry.Worker)
 		}
 	}
-	m.counts[entry.State]--
-	m.counts[newState]++
+	m.count(entry, -1)
 	entry.State = newState
+	m.count(entry, 1)
 	m.index(entry)
 }
 
--- a/internal/jobs/query.go
+++ b/internal/jobs/query.go
@@ -68,5 +68,8 @@
 	return counts
 }
 
+// ReadyCount is the number of jobs of a class that are Ready.
+func (m *Machine) ReadyCount(class string) int { return m.readyByClass[class] }
+
 // Len is the number of jobs.
 func (m *Machine) Len() int { return len(m.jobs) }
