Attempts that never left do not count among a request's three

Callers saw, while discovery is crowded: after three workers that could not be asked whether they serve, a request is rejected, though nothing of it was sent and other workers are free.

Cause: the machine and the dispatcher counted what was assigned, and cut the fleet's ceilings for it. An attempt that ended before its last byte had left now counts for neither, five for one request at most, so that none goes round for ever. What reaches workers stays bounded: the dispatcher counts what left. A request that ends by ExpireAll starts nothing new.

--- a/decision/attempt.go
+++ b/decision/attempt.go
@@ -14,6 +14,7 @@
 	lastSeen     time.Duration // when the worker last reported on it, at first when it was sent
 	ended        bool
 	neverRan     bool // it has ended and proved to have had no effect
+	unsent       bool // it has ended before its last byte had left: it was held back, or could not be dialed
 	unresponsive bool // its connection looks dead: its start is no longer awaited
 
 	// connectionIdle is for how long its connection may have been unused before. It is set only where the
@@ -58,7 +59,7 @@
 		worker.unstartedSince = m.now
 	}
 	worker.unstarted++
-	if len(request.attempts) > 0 {
+	if request.attemptsMade() > 0 {
 		m.retryBudget.countRetry(m.now, &m.settings)
 	}
 	request.attempts = append(request.attempts, attempt)
@@ -129,6 +130,7 @@
 	}
 	outcome := attempt.worker.believeOutcome(event.Outcome)
 	attempt.neverRan = outcome.NeverRan(&m.settings)
+	attempt.unsent = outcome == NotSent && attempt.leftAt == 0
 	m.releaseAttempt(request, attempt, outcome)
 	if request.keyQueue != nil && outcome.mayStillRun() {
 		m.startCooldown(request.keyQueue)
@@ -211,13 +213,13 @@
 
 // adjustCeilings raises the ceilings for an answer in time and cuts them, once for each request, for a bad
 // outcome. The failure of a first attempt counts against its worker alone, that of a later one against the
-// fleet.
+// fleet. One that never left says nothing of either.
 func (m *Machine) adjustCeilings(request *request, attempt *attempt, outcome AttemptOutcome) {
 	if outcome == Completed && m.now <= request.objective {
 		m.raiseCeilings(request)
 		return
 	}
-	if request.countedAsBad || outcome == InvalidRequest {
+	if request.countedAsBad || outcome == InvalidRequest || attempt.unsent {
 		return
 	}
 	if outcome == Completed || outcome != Cancelled && len(request.attempts) > 1 {
--- a/decision/hedge.go
+++ b/decision/hedge.go
@@ -16,7 +16,7 @@
 	if !gone && !unresponsive && !m.waitsLongForStart(request, attempt) {
 		return
 	}
-	mayRepeat := request.class.Idempotency != NonIdempotent && len(request.attempts) < m.settings.MaxAttempts
+	mayRepeat := request.class.Idempotency != NonIdempotent && request.attemptsMade() < m.settings.MaxAttempts
 	if m.settings.Hedging && mayRepeat {
 		m.tryAssign(request)
 	}
--- a/decision/request.go
+++ b/decision/request.go
@@ -28,6 +28,21 @@
 	ended         bool // it has its answer, or needs none
 }
 
+// maxUnsentAttempts is how many attempts that never left do not count among a request's MaxAttempts, so that one
+// for which no worker can be asked does not go round the whole fleet.
+const maxUnsentAttempts = 5
+
+// attemptsMade is the number of attempts that count among MaxAttempts: those that have left, or still may.
+func (r *request) attemptsMade() int {
+	unsent := 0
+	for i := range r.attempts {
+		if r.attempts[i].unsent {
+			unsent++
+		}
+	}
+	return len(r.attempts) - min(unsent, maxUnsentAttempts)
+}
+
 // mayHaveRun reports whether one of its attempts may have had an effect.
 func (r *request) mayHaveRun() bool {
 	return slices.ContainsFunc(r.attempts, func(attempt attempt) bool { return !attempt.neverRan })
--- a/decision/retry.go
+++ b/decision/retry.go
@@ -52,7 +52,7 @@
 // withinRetryBudget reports whether the retry budget allows the next attempt at the request. The first one
 // needs no budget.
 func (m *Machine) withinRetryBudget(request *request) bool {
-	return len(request.attempts) == 0 || m.retryBudget.allowsRetry(m.now, &m.settings)
+	return request.attemptsMade() == 0 || m.retryBudget.allowsRetry(m.now, &m.settings)
 }
 
 // mustNotRepeat reports whether no further attempt is allowed since an earlier one may have run: the class
@@ -78,13 +78,14 @@
 // budget allow. From the third attempt on they are spread over the time left, so that not all are spent in a
 // burst while workers are full.
 func (m *Machine) retry(request *request) {
-	left := m.settings.MaxAttempts - len(request.attempts)
+	made := request.attemptsMade()
+	left := m.settings.MaxAttempts - made
 	if left <= 0 || m.now >= request.deadline || m.hasNoValue(request) ||
 		m.mustNotRepeat(request) || !m.withinRetryBudget(request) {
 		m.rejectOrFail(request)
 		return
 	}
-	if len(request.attempts) > 1 {
+	if made > 1 {
 		slack := max(request.objective-m.now-seconds(request.work), m.sweepInterval)
 		request.notBefore = m.now + slack/time.Duration(left)
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -41,7 +41,7 @@
 		d.cancelIfClientLeft(request) // its front end may not have handled the disconnect yet
 	}
 	_, allowed := d.Guard.MayStart(d.startFacts(request, number))
-	if !allowed || client == nil || number >= max(d.Settings.MaxAttempts, 1) {
+	if !allowed || client == nil || request.attemptsMade() >= max(d.Settings.MaxAttempts, 1) {
 		d.skipAttempt(request, worker)
 		return
 	}
@@ -62,7 +62,7 @@
 // skipAttempt reports an attempt to the machine as never sent.
 func (d *Dispatcher) skipAttempt(request *openRequest, worker string) {
 	number := len(request.attempts)
-	request.attempts = append(request.attempts, attemptRecord{neverRan: true})
+	request.attempts = append(request.attempts, attemptRecord{neverRan: true, unsent: true})
 	d.handle(decision.Event{
 		Kind:     decision.AttemptEnded,
 		Request:  request.handle,
--- a/internal/dispatch/attemptreport.go
+++ b/internal/dispatch/attemptreport.go
@@ -89,6 +89,7 @@
 	request.openAttempts--
 	neverRan := outcome.NeverRan(&d.Settings)
 	request.attempts[attempt.number].neverRan = neverRan
+	request.attempts[attempt.number].unsent = outcome == decision.NotSent && !attempt.sent
 	if attempt.fence != 0 {
 		request.Leaser.Ended(&request.Request, attempt.fence, outcome, neverRan, result)
 	}
--- a/internal/dispatch/cancellation.go
+++ b/internal/dispatch/cancellation.go
@@ -52,6 +52,7 @@
 // expire ends a request at its deadline: its open attempts have timed out, and if that leaves it without a response, it
 // has failed. No request goes unanswered, whatever the machine does.
 func (d *Dispatcher) expire(request *openRequest) {
+	request.deadline = min(request.deadline, d.Loop.Now()) // it may be before its time; nothing is started any more
 	// A stopped attempt is reported to the machine, which may assign another or conclude the request.
 	for i := 0; i < len(request.attempts) && d.isOpen(request); i++ {
 		d.stopAttempt(request.attempts[i].handle, decision.TimedOut)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -53,6 +53,17 @@
 	handle     uint64        // 0: the attempt was never started
 	assignedAt time.Duration // clock time; the attempt is sent later
 	neverRan   bool
+	unsent     bool // it ended before its last byte had left, and does not count among MaxAttempts
+}
+
+// attemptsMade returns how many attempts have left, or still may.
+func (r *openRequest) attemptsMade() (made int) {
+	for _, attempt := range r.attempts {
+		if !attempt.unsent {
+			made++
+		}
+	}
+	return made
 }
 
 // mayHaveRun reports whether some attempt may have had an effect.
--- a/internal/dispatch/unsent_test.go
+++ b/internal/dispatch/unsent_test.go
@@ -11,7 +11,8 @@
 
 // While discovery is crowded each worker must show that it serves before it gets a request, and one that does not is
 // given nothing. Such an attempt counted among the three that a request has: after three workers that could not be asked
-// the request was rejected, though nothing of it had ever been sent and others were free.
+// the request was rejected, though nothing of it had ever been sent and others were free. The cause: both the decision
+// machine and the dispatcher counted what was assigned (three attempts "not sent", then a rejection after 3 ms of 4 s).
 
 // outcomeClient is a worker client whose attempts end one after the other with given outcomes, the last of which
 // repeats. All but those that end as not sent leave first.
