--- a/decision/request.go
+++ b/decision/request.go
@@ -32,7 +32,7 @@
 // for which no worker can be asked does not go round the whole fleet.
 const maxUnsentAttempts = 5
 
-// attemptsMade is the number of attempts that count among MaxAttempts: those that have left, or still may.
+// attemptsMade counts the attempts that have left, or still may: they count among MaxAttempts.
 func (r *request) attemptsMade() int {
 	unsent := 0
 	for i := range r.attempts {
