Soak: kept connections, signal series, crowds and durable queues, judged

Discovery falls silent while workers drain. Only SIGKILL and SIGSTOP excuse, by cause in the report.

--- a/internal/rehearsal/soak/clients.go
+++ b/internal/rehearsal/soak/clients.go
@@ -1,13 +1,10 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -28,71 +25,107 @@
 )
 
 const (
-	renewalShare = 3                      // one in so many requests is a renewal
-	leavingShare = 20                     // one in so many clients closes its connection early,
-	maxLeaveTime = 200 * time.Millisecond // within this time
-	dialTimeout  = time.Second
+	renewalShare       = 3                      // one in so many requests is a renewal
+	newConnectionShare = 4                      // one in so many comes on a new connection
+	leavingShare       = 20                     // one in so many clients closes its connection early,
+	maxLeaveTime       = 200 * time.Millisecond // within this time
+	dialTimeout        = time.Second
 )
 
 // clientPlan is what one client is to do.
 type clientPlan struct {
-	request    request
-	leaveAfter time.Duration // the time after which the client closes the connection; 0: it waits for the answer
-	slack      time.Duration // how much longer than its timeout and answerSlack it waits
+	request       request
+	newConnection bool          // it opens one even where one is idle
+	leaveAfter    time.Duration // the time after which the client closes the connection; 0: it waits for the answer
+	slack         time.Duration // how much longer than its timeout and answerSlack it waits
 }
 
+// endingRateFactor is how much more often clients send while a dispatcher ends.
+const endingRateFactor = 10
+
 // sendRequests sends requests to one dispatcher in an open loop, and waits for all answers.
 func (r *run) sendRequests(ctx context.Context, target *daemon, random *rand.Rand) {
 	var clients sync.WaitGroup
 	defer clients.Wait()
 	for number := 0; ; number++ {
-		pause := time.Duration(random.ExpFloat64() / r.config.Rate * float64(time.Second))
+		rate := r.config.Rate
+		if target.isEnding() {
+			rate *= endingRateFactor
+		}
+		pause := time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		if !sleep(ctx, pause) {
 			return
 		}
 		plan := drawClientPlan(fmt.Sprintf("%s-%06d", target.name, number), target, random)
-		clients.Go(func() {
-			plan.slack = r.slackFor(target)
-			r.records.addRequest(plan.execute())
-		})
+		clients.Go(func() { r.runClient(plan) })
 	}
 }
 
-// drawClientPlan draws the class of a request, and whether its client leaves early.
+// drawClientPlan draws the class of a request, whether it comes on a new connection, and whether its client leaves early.
 func drawClientPlan(id string, target *daemon, random *rand.Rand) clientPlan {
 	plan := clientPlan{request: request{id: id, class: classStatusCheck, daemon: target, timeout: statusCheckTimeout}}
 	if random.IntN(renewalShare) == 0 {
 		plan.request.class = classRenewal
 		plan.request.timeout = renewalTimeout
 	}
+	plan.newConnection = random.IntN(newConnectionShare) == 0
 	if random.IntN(leavingShare) == 0 {
 		plan.leaveAfter = time.Duration(random.Int64N(int64(maxLeaveTime)))
 	}
 	return plan
 }
 
-// execute sends the request on a connection of its own and returns it with what the client observed.
-func (p *clientPlan) execute() request {
-	sent := p.request
-	conn, err := net.DialTimeout("tcp", sent.daemon.address, dialTimeout)
-	if err != nil {
-		sent.sentAt = time.Now()
-		return sent
+// runClient sends a request and records it. One that was closed with no answer is sent once more, under an ID of its
+// own, on a new connection: it may have crossed a close.
+func (r *run) runClient(plan clientPlan) {
+	plan.slack = r.slackFor(plan.request.daemon)
+	sent, attempted := plan.execute()
+	if !attempted {
+		return
 	}
-	defer conn.Close()
-	sent.sentAt = time.Now()
-	writeRequest(conn, &sent)
-	conn.SetReadDeadline(time.Now().Add(p.waitTime()))
-	status, err := readStatus(conn)
+	r.records.addRequest(sent)
+	if sent.closedAt.IsZero() || sent.resent || sent.clientLeft() {
+		return
+	}
+	again := plan
+	again.request.id += "-again"
+	again.request.resent = true
+	again.newConnection = true
+	again.leaveAfter = 0
+	r.runClient(again)
+}
+
+// execute sends the request and returns it with what the client observed. attempted is false where the client has no
+// connection and opens none, since its dispatcher is not offered any more.
+func (p *clientPlan) execute() (sent request, attempted bool) {
+	sent = p.request
+	target := sent.daemon
+	var conn *clientConnection
+	if !p.newConnection {
+		conn = target.connections.take()
+	}
+	if conn == nil {
+		if !target.admitsNew() {
+			return sent, false
+		}
+		var err error
+		conn, err = dialClient(target)
+		if err != nil {
+			sent.sentAt = time.Now()
+			sent.notConnected = true
+			return sent, true
+		}
+	}
+	conn.exchange(&sent, p.waitTime())
 	switch {
-	case err == nil:
-		sent.status = status
-		sent.answeredAt = time.Now()
-	case p.leaveAfter > 0:
-		conn.Close()
-		sent.clientLeftAt = time.Now()
+	case conn.isClosed():
+		if p.leaveAfter > 0 && sent.status == 0 && sent.closedAt.IsZero() {
+			sent.clientLeftAt = time.Now()
+		}
+	default:
+		target.connections.put(conn)
 	}
-	return sent
+	return sent, true
 }
 
 // waitTime is how long the client waits for an answer. A client that does not leave early waits
@@ -104,24 +137,13 @@
 	return p.request.timeout + 4*answerSlack + p.slack
 }
 
-// writeRequest writes a request; readStatus notices a failure.
+// writeRequest writes a request; readAnswer notices a failure.
 func writeRequest(conn net.Conn, sent *request) {
 	const body = "job"
 	fmt.Fprintf(conn, "POST /%s/key HTTP/1.1\r\nHost: d\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
 		sent.class, correlationHeader, sent.id, timeLeftHeader, sent.timeout.Milliseconds(), len(body), body)
 }
 
-// readStatus reads an answer to its end and returns its status.
-func readStatus(conn net.Conn) (int, error) {
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer answer.Body.Close()
-	_, err = io.ReadAll(answer.Body)
-	return answer.StatusCode, err
-}
-
 // sleep waits. It reports false if ctx ended first.
 func sleep(ctx context.Context, duration time.Duration) bool {
 	select {
--- /dev/null
+++ b/internal/rehearsal/soak/connection.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// clientConnection is a connection that a client keeps for its next requests.
+type clientConnection struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	served bool // a request on it was answered
+}
+
+// dialClient opens a new connection to a dispatcher.
+func dialClient(target *daemon) (*clientConnection, error) {
+	conn, err := net.DialTimeout("tcp", target.address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConnection{conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+// isOpen reports whether the dispatcher has not ended the connection so far, without waiting.
+func (c *clientConnection) isOpen() bool {
+	raw, err := c.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	var next [1]byte
+	_ = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return open
+}
+
+// exchange sends a request and reads its answer.
+func (c *clientConnection) exchange(sent *request, wait time.Duration) {
+	sent.sentAt = time.Now()
+	sent.kept = c.served
+	writeRequest(c.conn, sent)
+	c.conn.SetReadDeadline(sent.sentAt.Add(wait))
+	status, reusable, err := c.readAnswer()
+	now := time.Now()
+	switch {
+	case err == nil:
+		sent.status = status
+		sent.answeredAt = now
+		c.served = true
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		sent.closedAt = now
+	}
+	if err != nil || !reusable {
+		c.close()
+	}
+}
+
+// readAnswer reads an answer to its end. reusable reports whether the connection stays open.
+func (c *clientConnection) readAnswer() (status int, reusable bool, err error) {
+	answer, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, false, err
+	}
+	defer answer.Body.Close()
+	_, err = io.ReadAll(answer.Body)
+	return answer.StatusCode, !answer.Close, err
+}
+
+// close closes the connection.
+func (c *clientConnection) close() {
+	c.conn.Close()
+	c.conn = nil
+}
+
+// isClosed reports whether this side has closed the connection.
+func (c *clientConnection) isClosed() bool { return c.conn == nil }
+
+// maxKeptConnections is how many idle connections the clients of a dispatcher keep.
+const maxKeptConnections = 10
+
+// connectionPool holds the idle connections of the clients of one dispatcher. Those at its bottom rest until the
+// dispatcher ends them. It is safe for concurrent use.
+type connectionPool struct {
+	mutex sync.Mutex
+	idle  []*clientConnection
+}
+
+// take removes the connection that was used last and is still open; nil: there is none.
+func (p *connectionPool) take() *clientConnection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for len(p.idle) > 0 {
+		last := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if last.isOpen() {
+			return last
+		}
+		last.close()
+	}
+	return nil
+}
+
+// put keeps a connection for the next request.
+func (p *connectionPool) put(conn *clientConnection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle) == maxKeptConnections {
+		conn.close()
+		return
+	}
+	p.idle = append(p.idle, conn)
+}
+
+// closeAll closes all idle connections.
+func (p *connectionPool) closeAll() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, conn := range p.idle {
+		conn.close()
+	}
+	p.idle = nil
+}
--- a/internal/rehearsal/soak/daemon.go
+++ b/internal/rehearsal/soak/daemon.go
@@ -23,14 +23,19 @@
 	dir     string // for its files
 	config  daemonConfig
 	program string
-	tracer  tracer // starts its processes with failing system calls; nil: they run untraced
+	tracer  tracer   // starts its processes with failing system calls; nil: they run untraced
+	options []string // of its command line, beside its configuration
 
-	mutex       sync.Mutex
-	process     *daemonProcess    // the current or last one; nil: none was launched
-	unavailable []interval        // when it was killed, ending, stopped or starting
-	crashes     []string          // descriptions
-	invariants  []invariantCounts // of its processes, as far as they answered
-	waiters     sync.WaitGroup    // the goroutines that wait for its processes
+	isHealthy func() bool // whether it accepts clients now
+
+	timeline                   // what the run does to it
+	connections connectionPool // of its clients
+
+	mutex      sync.Mutex
+	process    *daemonProcess    // the current or last one; nil: none was launched
+	crashes    []string          // descriptions
+	invariants []invariantCounts // of its processes, as far as they answered
+	waiters    sync.WaitGroup    // the goroutines that wait for its processes
 }
 
 // daemonProcess is one process of a dispatcher.
@@ -75,6 +80,7 @@
 		return nil, err
 	}
 	d := &daemon{name: fmt.Sprintf("n%02d", number), address: address, dir: r.dir, program: r.config.Program}
+	d.isHealthy = d.passesHealthCheck
 	d.config = daemonConfig{
 		AdminAddress: adminAddress,
 		Discovery:    r.discovery.address(),
@@ -106,7 +112,7 @@
 		return err
 	}
 	defer log.Close()
-	command := exec.Command(d.program, "--config", configPath)
+	command := exec.Command(d.program, append([]string{"--config", configPath}, d.options...)...)
 	command.Env = []string{"TMPDIR=" + d.dir}
 	command.Stdout = log
 	command.Stderr = log
@@ -165,10 +171,9 @@
 
 // awaitReady waits until the dispatcher accepts clients. It reports false after the timeout.
 func (d *daemon) awaitReady(timeout time.Duration) bool {
-	client := newHTTPClient(healthCheckTimeout)
 	deadline := time.Now().Add(timeout)
 	for time.Now().Before(deadline) {
-		if d.isHealthy(client) {
+		if d.isHealthy() {
 			return true
 		}
 		time.Sleep(readyPollInterval)
@@ -176,8 +181,9 @@
 	return false
 }
 
-func (d *daemon) isHealthy(client *http.Client) bool {
-	response, err := client.Get("http://" + d.address + "/healthz")
+// passesHealthCheck reports whether the HTTP front end says that clients may come.
+func (d *daemon) passesHealthCheck() bool {
+	response, err := newHTTPClient(healthCheckTimeout).Get("http://" + d.address + "/healthz")
 	if err != nil {
 		return false
 	}
@@ -215,37 +221,12 @@
 	d.invariants = append(d.invariants, counts)
 }
 
-// markUnavailable begins an interval in which clients cannot rely on the dispatcher. The function that it returns ends
-// the interval.
-func (d *daemon) markUnavailable() (markAvailable func()) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.unavailable = append(d.unavailable, interval{from: time.Now()})
-	index := len(d.unavailable) - 1
-	return func() {
-		d.mutex.Lock()
-		defer d.mutex.Unlock()
-		d.unavailable[index].to = time.Now()
-	}
-}
-
-// wasUnavailable reports whether the dispatcher was unavailable at any time between two.
-func (d *daemon) wasUnavailable(from, to time.Time) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for _, unavailable := range d.unavailable {
-		if unavailable.overlaps(from, to) {
-			return true
-		}
-	}
-	return false
-}
-
 // close kills the current process and waits for the end of all.
 func (d *daemon) close() {
 	if d.currentProcess() == nil {
 		return
 	}
+	d.connections.closeAll()
 	d.end(syscall.SIGKILL)
 	d.waiters.Wait()
 }
--- a/internal/rehearsal/soak/daemonconfig.go
+++ b/internal/rehearsal/soak/daemonconfig.go
@@ -7,7 +7,7 @@
 type daemonConfig struct {
 	AdminAddress string          `json:"admin_addr"`
 	Discovery    string          `json:"discovery"`
-	InitialList  json.RawMessage `json:"known"`
+	InitialList  json.RawMessage `json:"known,omitempty"`
 	Limits       resourceLimits  `json:"limits"`
 	Listen       string          `json:"listen"`
 	Name         string          `json:"name"`
--- /dev/null
+++ b/internal/rehearsal/soak/disktracer_linux_amd64.go
@@ -0,0 +1,33 @@
+package soak
+
+import (
+	"os/exec"
+	"syscall"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/childprocess"
+	"hollyyoke.example/hollyyoke/internal/rehearsal/faultinject"
+)
+
+// newDiskTracer makes a tracer that starts commands so that writes and syncs of their files fail in the middle of a run.
+func newDiskTracer(seed uint64, duration time.Duration) tracer {
+	const (
+		frequent   = 0.3 // probabilities
+		rare       = 0.1
+		shortBytes = 100
+	)
+	rule := func(call faultinject.Call, probability float64, errno syscall.Errno, short int) faultinject.Rule {
+		return faultinject.Rule{
+			Call: call, Probability: probability, Error: errno, Short: short, After: duration / 4, For: duration / 2,
+		}
+	}
+	plan := faultinject.Plan{Seed: seed, Rules: []faultinject.Rule{
+		rule(faultinject.FileWrite, frequent, syscall.ENOSPC, 0),
+		rule(faultinject.FileWrite, rare, syscall.EIO, 0),
+		rule(faultinject.FileWrite, frequent, 0, shortBytes),
+		rule(faultinject.Sync, rare, syscall.EIO, 0),
+	}}
+	return func(command *exec.Cmd) (childprocess.Handle, error) {
+		return faultinject.Start(command, plan)
+	}
+}
--- a/internal/rehearsal/soak/injection.go
+++ b/internal/rehearsal/soak/injection.go
@@ -2,28 +2,31 @@
 
 import (
 	"context"
-	"fmt"
+	"sync"
 	"syscall"
 	"time"
 )
 
-// recoveryTime is how long after a dispatcher is back its clients may still be affected.
-const recoveryTime = 500 * time.Millisecond
-
-// injectFault injects one fault of the schedule, at its time.
-func (r *run) injectFault(ctx context.Context, injected fault) {
+// injectFault injects one fault of the schedule, at its time. number is its place in the schedule.
+func (r *run) injectFault(ctx context.Context, number int, injected fault) {
 	if !sleep(ctx, injected.start) {
 		return
 	}
 	switch injected.kind {
 	case faultKill:
-		restartDaemon(ctx, r.daemons[injected.target], syscall.SIGKILL, injected.duration)
+		killDaemon(ctx, r.daemons[injected.target], injected.duration)
 	case faultRestart:
-		restartDaemon(ctx, r.daemons[injected.target], syscall.SIGTERM, injected.duration)
+		r.restart(ctx, injected)
+	case faultReload:
+		r.reload(injected)
 	case faultPause:
 		pauseDaemon(ctx, r.daemons[injected.target], injected.duration)
+	case faultCrowd:
+		r.crowd(ctx, number, injected)
 	case faultDrain:
 		r.drainWorker(ctx, r.workers[injected.target], injected.duration)
+	case faultRetire:
+		r.drainWorker(ctx, r.workers[injected.target], injected.duration)
 	case faultRemove:
 		r.removeWorker(ctx, r.workers[injected.target], injected.duration)
 	case faultHang:
@@ -34,27 +37,43 @@
 		r.discovery.beginFault(injected.kind)
 		sleep(ctx, injected.duration)
 		r.discovery.endFault(injected.kind)
+	case faultBlindDrain:
+		r.blindDrain(ctx, injected)
+	}
+}
+
+// blindDrain lets watches and answers of discovery fall silent, and drains some workers meanwhile.
+func (r *run) blindDrain(ctx context.Context, injected fault) {
+	const (
+		leadTime  = 200 * time.Millisecond // from the silence to the drain
+		drainedBy = 3                      // one in so many workers drains
+	)
+	kinds := []faultKind{faultDiscoverySilent, faultDiscoveryTruncates}
+	for _, kind := range kinds {
+		r.discovery.beginFault(kind)
+	}
+	sleep(ctx, leadTime)
+	var drains sync.WaitGroup
+	for i := injected.target; i < len(r.workers); i += drainedBy {
+		drains.Go(func() { r.drainWorker(ctx, r.workers[i], injected.duration) })
+	}
+	drains.Wait()
+	for _, kind := range kinds {
+		r.discovery.endFault(kind)
 	}
 }
 
-// restartDaemon ends a dispatcher by a signal and starts it again after a time, unless another fault has it.
-func restartDaemon(ctx context.Context, target *daemon, signal syscall.Signal, downTime time.Duration) {
+// killDaemon kills a dispatcher and starts it again after a time, unless another fault has it.
+func killDaemon(ctx context.Context, target *daemon, downTime time.Duration) {
 	if !target.tryClaim() {
 		return
 	}
 	defer target.release()
-	markAvailable := target.markUnavailable()
-	defer markAvailable()
-	target.end(signal)
+	target.fetchInvariants()
+	target.killed()
+	target.end(syscall.SIGKILL)
 	sleep(ctx, downTime)
-	if err := target.launch(); err != nil {
-		target.addCrash(err.Error())
-		return
-	}
-	if !target.awaitReady(startTimeout) {
-		target.addCrash(fmt.Sprintf("%s is not ready %v after its start", target.name, startTimeout))
-	}
-	time.Sleep(recoveryTime)
+	target.launchAndAwait()
 }
 
 // pauseDaemon stops a dispatcher's process for a time, unless another fault has it.
@@ -63,13 +82,11 @@
 		return
 	}
 	defer target.release()
-	markAvailable := target.markUnavailable()
-	defer markAvailable()
+	defer target.begin(&target.stops)()
 	process := target.currentProcess()
 	_ = process.Signal(syscall.SIGSTOP) // fails only if the process has crashed, which is recorded
 	sleep(ctx, duration)
 	_ = process.Signal(syscall.SIGCONT)
-	time.Sleep(recoveryTime)
 }
 
 // drainWorker lists a worker as draining, removes it and lists it again as ready, unless another
--- a/internal/rehearsal/soak/records.go
+++ b/internal/rehearsal/soak/records.go
@@ -22,6 +22,10 @@
 	timeout      time.Duration
 	sentAt       time.Time
 	clientLeftAt time.Time // when its client closed the connection; zero: it did not
+	kept         bool      // its connection had served a request before
+	resent       bool      // it is the second try of one that may have crossed a close
+	notConnected bool      // no connection could be opened for it
+	closedAt     time.Time // when its connection was closed with no answer; zero: it was not
 	status       int       // 0: no final answer
 	answeredAt   time.Time
 }
--- a/internal/rehearsal/soak/report.go
+++ b/internal/rehearsal/soak/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -9,15 +11,31 @@
 // Report is what a soak found.
 type Report struct {
 	Seed       uint64
-	Requests   int           // sent
-	Answered   int           // with a final answer in time
-	Served     int           // of those, with status 200
-	Excused    int           // their dispatcher was killed, stopped or could not be reached
-	Attempts   int           // that arrived at workers
-	Incomplete int           // requests that were cut off on their way to a worker
-	Faults     int           // injected
-	Lateness   time.Duration // largest of the machine's timers
-	Violations []string      // of the rules
+	Requests   int            // sent
+	Answered   int            // with a final answer in time
+	Served     int            // of those, with status 200
+	Excuses    map[excuse]int // requests without an answer in time that no rule asks for, by cause
+	Crossed    int            // closed unread as they came, and sent once more
+	Attempts   int            // that arrived at workers
+	Incomplete int            // requests that were cut off on their way to a worker
+	Pushed     int            // jobs, to durable queues
+	Accepted   int            // of those, with +OK
+	Ran        int            // runs of jobs, also of those whose producer had left
+	Faults     int            // injected
+	Lateness   time.Duration  // largest of the machine's timers
+	Violations []string       // of the rules
+}
+
+// excuses lists the excuses by cause.
+func (r Report) excuses() string {
+	if len(r.Excuses) == 0 {
+		return "none"
+	}
+	var counts []string
+	for _, cause := range slices.Sorted(maps.Keys(r.Excuses)) {
+		counts = append(counts, fmt.Sprintf("%d (%s)", r.Excuses[cause], cause))
+	}
+	return strings.Join(counts, ", ")
 }
 
 // maxShownViolations bounds the violations in Report.String.
@@ -25,8 +43,8 @@
 
 // String describes the report in a few lines, the seed first.
 func (r Report) String() string {
-	lines := []string{fmt.Sprintf("seed %d: %d requests, %d answered in time (%d served), %d excused; %d attempts at workers, %d incomplete; %d faults; timers at most %v late; %d violations",
-		r.Seed, r.Requests, r.Answered, r.Served, r.Excused, r.Attempts, r.Incomplete, r.Faults, r.Lateness.Round(time.Millisecond), len(r.Violations))}
+	lines := []string{fmt.Sprintf("seed %d: %d requests, %d answered in time (%d served), %d crossed a close, excused %s; %d attempts at workers, %d incomplete; %d jobs pushed, %d accepted, %d ran; %d faults; timers at most %v late; %d violations",
+		r.Seed, r.Requests, r.Answered, r.Served, r.Crossed, r.excuses(), r.Attempts, r.Incomplete, r.Pushed, r.Accepted, r.Ran, r.Faults, r.Lateness.Round(time.Millisecond), len(r.Violations))}
 	lines = append(lines, r.Violations[:min(len(r.Violations), maxShownViolations)]...)
 	return strings.Join(lines, "\n  ")
 }
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -41,8 +41,12 @@
 
 // checkRules checks the records against the rules, once no client and no fault runs any more.
 func (r *run) checkRules() Report {
-	checker := ruleChecker{run: r}
+	checker := ruleChecker{run: r, arrived: map[string]bool{}}
+	for _, arrived := range r.records.attempts {
+		checker.arrived[arrived.id] = true
+	}
 	checker.report = Report{
+		Excuses:    map[excuse]int{},
 		Seed:       r.config.Seed,
 		Requests:   len(r.records.requests),
 		Attempts:   len(r.records.attempts),
@@ -58,8 +62,9 @@
 
 // ruleChecker checks the records of a run. It counts and lists in report what it finds.
 type ruleChecker struct {
-	run    *run
-	report Report
+	run     *run
+	arrived map[string]bool // the requests that came to workers
+	report  Report
 }
 
 // addViolation adds a violation with its time since the start of the run.
@@ -75,6 +80,15 @@
 		daemon.fetchInvariants()
 		c.report.Violations = append(c.report.Violations, daemon.violations()...)
 	}
+	for _, queue := range c.run.queues {
+		queue.fetchInvariants()
+		c.report.Violations = append(c.report.Violations, queue.violations()...)
+		c.report.Pushed += len(queue.pushed)
+		c.report.Accepted += len(queue.accepted)
+		for _, runs := range queue.runs {
+			c.report.Ran += runs
+		}
+	}
 }
 
 func (c *ruleChecker) checkRequests() {
@@ -83,22 +97,71 @@
 	}
 }
 
-// checkRequest checks that a client that waited has its answer in time.
+// checkRequest checks that a client that waited has its answer in time, or is excused.
 func (c *ruleChecker) checkRequest(sent *request) {
 	latest := sent.sentAt.Add(sent.timeout + answerSlack + c.run.slackFor(sent.daemon))
+	inTime := sent.status != 0 && !sent.answeredAt.After(latest)
 	switch {
-	case sent.daemon.wasUnavailable(sent.sentAt.Add(-recoveryTime), latest):
-		c.report.Excused++
+	case inTime:
+		c.countAnswered(sent)
 	case sent.clientLeft():
-	case sent.status == 0:
+	case sent.daemon.wasStopped(sent.sentAt, latest):
+		c.excuse(excuseStopped)
+	case sent.status != 0:
+		c.addViolation(ruleLost, sent.sentAt, "%s was answered with %d after %v", sent.id, sent.status, sent.answeredAt.Sub(sent.sentAt))
+	case sent.notConnected:
+		c.checkNotConnected(sent)
+	case !sent.closedAt.IsZero():
+		c.checkClosed(sent)
+	case sent.daemon.wasKilled(sent.sentAt, latest):
+		c.excuse(excuseKilledInFlight)
+	default:
 		c.addViolation(ruleLost, sent.sentAt, "%s has no answer", sent.id)
-	case sent.answeredAt.After(latest):
-		c.addViolation(ruleLost, sent.sentAt, "%s was answered after %v of %v", sent.id, sent.answeredAt.Sub(sent.sentAt), sent.timeout)
+	}
+}
+
+// countAnswered counts a request that was answered in time. Only a worker can have served it.
+func (c *ruleChecker) countAnswered(sent *request) {
+	c.report.Answered++
+	if sent.status != http.StatusOK {
+		return
+	}
+	c.report.Served++
+	if !c.arrived[sent.id] && len(c.arrived) > 0 {
+		c.addViolation(ruleLost, sent.sentAt, "%s was answered with 200, and came to no worker", sent.id)
+	}
+}
+
+func (c *ruleChecker) excuse(cause excuse) { c.report.Excuses[cause]++ }
+
+// checkNotConnected checks a request for which no connection could be opened.
+func (c *ruleChecker) checkNotConnected(sent *request) {
+	if sent.daemon.wasKilled(sent.sentAt.Add(-dialTimeout), sent.sentAt) {
+		c.excuse(excuseKilledRefused)
+		return
+	}
+	c.addViolation(ruleLost, sent.sentAt, "%s could not connect", sent.id)
+}
+
+// checkClosed checks a request whose connection was closed with no answer. It is not lost if the dispatcher was killed
+// with it in flight, or if it crossed the close unread: on a kept connection, or beside a crowd on a new one, which may
+// then be shut unread. That it was read shows where it came to a worker.
+func (c *ruleChecker) checkClosed(sent *request) {
+	cutOff, killedAfterTerm := sent.daemon.killedAfterTerm(sent.sentAt, sent.closedAt)
+	mayCross := sent.kept || sent.daemon.wasCrowded(sent.sentAt, sent.closedAt)
+	switch {
+	case sent.daemon.wasKilled(sent.sentAt, sent.closedAt):
+		c.excuse(excuseKilledInFlight)
+	case killedAfterTerm:
+		c.addViolation(ruleLost, sent.sentAt, "%s came %v after SIGTERM and was unanswered at the kill", sent.id, sent.sentAt.Sub(cutOff.signaledAt))
+	case c.arrived[sent.id]:
+		c.addViolation(ruleLost, sent.sentAt, "%s came to a worker, and its connection was closed with no answer", sent.id)
+	case !mayCross:
+		c.addViolation(ruleLost, sent.sentAt, "%s was closed with no answer, on a new connection", sent.id)
+	case sent.resent:
+		c.addViolation(ruleLost, sent.sentAt, "%s was closed with no answer for the second time", sent.id)
 	default:
-		c.report.Answered++
-		if sent.status == http.StatusOK {
-			c.report.Served++
-		}
+		c.report.Crossed++
 	}
 }
 
@@ -123,13 +186,12 @@
 }
 
 // checkAttempt checks that an attempt was allowed to begin at its worker when it did. Of what arrives while a
-// dispatcher is unavailable only the rule on draining is checked: it may have been written right before the dispatcher
-// was stopped.
+// dispatcher is stopped only the rule on draining is checked: it may have been written right before that.
 func (c *ruleChecker) checkAttempt(sent *request, arrived attempt) {
 	slack := c.run.slackFor(sent.daemon)
-	wasUnavailable := sent.daemon.wasUnavailable(arrived.arrivedAt.Add(-slack), arrived.arrivedAt)
+	wasStopped := sent.daemon.wasStopped(arrived.arrivedAt.Add(-slack), arrived.arrivedAt)
 	c.checkDrain(arrived, slack)
-	if wasUnavailable {
+	if wasStopped {
 		return
 	}
 	if sent.clientLeft() {
--- a/internal/rehearsal/soak/soak.go
+++ b/internal/rehearsal/soak/soak.go
@@ -23,6 +23,7 @@
 	Duration time.Duration // of faults and clients; default 30 s
 	Rate     float64       // requests per second to each dispatcher; default 4
 	Traced   int           // dispatchers whose system calls fail and whose wall clock steps; default an eighth
+	Durable  bool          // two more dispatchers have durable queues; default on even seeds
 }
 
 const (
@@ -50,6 +51,7 @@
 	if c.Traced == 0 {
 		c.Traced = c.Daemons / tracedShare
 	}
+	c.Durable = c.Durable || c.Seed%2 == 0
 }
 
 // Streams of the random sources that share a run's seed.
@@ -57,6 +59,8 @@
 	daemonSeedStream    = 1
 	faultScheduleStream = 2
 	clientStreamBase    = 100 // the stream of the first dispatcher's clients; the others follow
+	durableSeedStream   = 10_000
+	durableStreamStride = 100 // between the streams of two durable queues
 )
 
 const (
@@ -72,6 +76,7 @@
 	discovery *discovery
 	workers   []*worker
 	daemons   []*daemon
+	queues    []*durableQueue
 	records   records
 	lateness  atomic.Int64 // largest of the machine's timers, ns
 }
@@ -110,7 +115,13 @@
 	if err := r.launchDaemons(); err != nil {
 		return err
 	}
-	return r.awaitDaemonsReady()
+	if err := r.awaitDaemonsReady(); err != nil {
+		return err
+	}
+	if r.config.Durable {
+		return r.startDurable()
+	}
+	return nil
 }
 
 // startWorkers starts the workers and lists them as ready.
@@ -161,6 +172,7 @@
 		if !daemon.awaitReady(startTimeout) {
 			return fmt.Errorf("%s is not ready after %v: %s", daemon.name, startTimeout, daemon.currentProcess().endOfLog())
 		}
+		daemon.ready()
 	}
 	return nil
 }
@@ -178,8 +190,11 @@
 		random := rand.New(rand.NewPCG(r.config.Seed, uint64(clientStreamBase+i)))
 		running.Go(func() { r.sendRequests(ctx, daemon, random) })
 	}
-	for _, scheduled := range schedule(r.config.Seed, r.config) {
-		running.Go(func() { r.injectFault(ctx, scheduled) })
+	for number, queue := range r.queues {
+		running.Go(func() { r.runDurable(ctx, number, queue) })
+	}
+	for number, scheduled := range schedule(r.config.Seed, r.config) {
+		running.Go(func() { r.injectFault(ctx, number, scheduled) })
 	}
 	running.Wait()
 }
@@ -204,6 +219,9 @@
 	for _, daemon := range r.daemons {
 		daemon.close()
 	}
+	for _, queue := range r.queues {
+		queue.close()
+	}
 	for _, worker := range r.workers {
 		worker.close()
 	}
