--- a/decision/request.go
+++ b/decision/request.go
@@ -28,8 +28,8 @@
 	ended         bool // it has its answer, or needs none
 }
 
-// maxUnsentAttempts is how many attempts that never left do not count among a request's MaxAttempts, so that one
-// for which no worker can be asked does not go round the whole fleet.
+// maxUnsentAttempts is how many attempts that never left do not count among a request's MaxAttempts, so that
+// one for which no worker can be asked does not go round the whole fleet.
 const maxUnsentAttempts = 5
 
 // attemptsMade counts the attempts that have left, or still may: they count among MaxAttempts.
