Rehearsal kit: a child process is started and awaited on a thread of its own

Cause: a tracer waits for all children of its thread; where it came to run on one that had started an untraced child, it reaped that child, and its outcome was lost. Pdeathsig also counts that thread as the parent. A child's thread now does nothing else and ends with it.

--- a/internal/rehearsal/childprocess/process.go
+++ b/internal/rehearsal/childprocess/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"os/exec"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -30,16 +31,25 @@
 		command.SysProcAttr = &syscall.SysProcAttr{}
 	}
 	command.SysProcAttr.Pdeathsig = syscall.SIGKILL
-	if err := command.Start(); err != nil {
+	p := &Process{command: command, done: make(chan struct{})}
+	started := make(chan error)
+	go p.run(started)
+	if err := <-started; err != nil {
 		return nil, err
 	}
-	p := &Process{command: command, done: make(chan struct{})}
-	go p.wait()
 	return p, nil
 }
 
-// wait waits for the process to end.
-func (p *Process) wait() {
+// run starts the child and waits for its end, on a thread of its own, which ends with it. Pdeathsig counts the thread
+// that starts a child as its parent; and a tracer of package faultinject that came to run on that thread would reap the
+// child, whose outcome were lost.
+func (p *Process) run(started chan<- error) {
+	runtime.LockOSThread()
+	err := p.command.Start()
+	started <- err
+	if err != nil {
+		return
+	}
 	defer close(p.done)
 	_ = p.command.Wait() // Outcome describes the end
 }
--- a/internal/rehearsal/soak/durable.go
+++ b/internal/rehearsal/soak/durable.go
@@ -316,10 +316,16 @@
 			found = append(found, fmt.Sprintf("%s: %s ran %d times", ruleDuplicate, jid, runs))
 		}
 	}
+	waiting := 0
 	for jid := range q.accepted {
 		if state := q.stateOf(jid); q.runs[jid] == 0 && state != "in doubt" {
+			waiting++
 			found = append(found, fmt.Sprintf("%s: %s was accepted and has not run %v after the faults, its state is %q", ruleLost, jid, settleTime, state))
 		}
 	}
+	if waiting > 0 { // what tells why
+		info, _ := q.repeat(context.Background(), "", "INFO")
+		found = append([]string{fmt.Sprintf("%s has %d accepted jobs that have not run; INFO %s; its log ends %s", q.name, waiting, info, q.currentProcess().endOfLog())}, found...)
+	}
 	return found
 }
