Start times beyond a duration count as unknown

Callers did not see it: a worker with born_ms from 9.22e12 to 1e13 counted as started 292 years before 1970. Cause: the bound on what is believed was above what a duration holds. It is that now, in lists and in Faktory labels.

--- a/internal/discovery/endpointlist.go
+++ b/internal/discovery/endpointlist.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -32,8 +33,8 @@
 // the name of this type.
 type endpoint membership.Endpoint
 
-// maxStartedAtMs bounds the start times that are believed. Later ones count as unknown.
-const maxStartedAtMs = 1e13
+// maxStartedAtMs bounds the start times that are believed: what a duration holds. Later ones count as unknown.
+const maxStartedAtMs = float64(math.MaxInt64 / time.Millisecond)
 
 var errNoName = errors.New("host is empty")
 
--- a/internal/faktory/worker.go
+++ b/internal/faktory/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -15,7 +16,9 @@
 	workerNamePrefix    = "faktory:"      // distinguishes wids from the names that discovery uses
 	rejoinTimeout       = time.Second     // a worker without connections is removed after that
 	runningBeforeWindow = 5 * time.Second // a worker that joins so soon after our start was running before it
-	maxStartMillis      = 1e13            // latest start that a label may tell, in Unix milliseconds
+
+	// maxStartMillis is the latest start that a label may tell, in Unix milliseconds: what a duration holds.
+	maxStartMillis = int64(math.MaxInt64 / time.Millisecond)
 )
 
 // Labels of a worker's HELLO, in the form name:value.
