Discovery: workers of the initial list are suspended while it is unknown

Callers in a large fleet: right after a start, requests are assigned to workers of the old list and kept back at the guard, an attempt each. Cause: Refresh acts where the list becomes unknown; it was unknown before the list was published, so its workers were never suspended. Whoever lists workers now suspends them while it is unknown.

--- a/internal/discovery/initiallist.go
+++ b/internal/discovery/initiallist.go
@@ -117,6 +117,7 @@
 	r.endInitial()
 	r.dispatcher.UpdateWorkers(r.client, decision.ListCached, entries)
 	r.refreshAndSchedule()
+	r.suspendNewlyListed()
 }
 
 // endInitial drops the initial list, since it is published or replaced.
--- a/internal/discovery/staleness.go
+++ b/internal/discovery/staleness.go
@@ -76,7 +76,13 @@
 func (r *Registry) sourceConfirmed() {
 	r.freshness.tracker.Confirmed(r.dispatcher.Loop.Now())
 	r.refreshAndSchedule()
-	if r.freshness.knowledge == freshness.Unknown { // workers listed just now are not suspended yet
+	r.suspendNewlyListed()
+}
+
+// suspendNewlyListed suspends workers that have just been listed, where the list is unknown: Refresh acts on a change of
+// that alone, and it may have been unknown before.
+func (r *Registry) suspendNewlyListed() {
+	if r.freshness.knowledge == freshness.Unknown {
 		r.suspendAll()
 	}
 }
