Transport: an acceptor's limit is fixed under the engine's lock

Cause: FixLimit wrote without the lock under which Resize reads, so that a resize beside a successor's start could shrink the admin API's limit for good. It takes the lock. The test passes unchanged, 20 times under the race detector.

--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -12,9 +12,10 @@
 // Acceptor accepts connections from one listener. Its methods may be called from
 // any goroutine.
 type Acceptor struct {
+	engine     *Engine
 	listener   net.Listener
 	group      *connGroup
-	fixedLimit bool // Resize does not change its limit
+	fixedLimit bool // Resize does not change its limit; guarded by the engine's mutex
 }
 
 // Addr returns the address that the acceptor accepts on.
@@ -37,6 +38,8 @@
 
 // FixLimit keeps Resize from changing the acceptor's limit, and returns the acceptor.
 func (a *Acceptor) FixLimit() *Acceptor {
+	a.engine.mu.Lock() // a resize that has begun would shrink the limit afterwards
+	defer a.engine.mu.Unlock()
 	a.fixedLimit = true
 	a.group.resize(1)
 	return a
@@ -80,7 +83,7 @@
 
 // Serve accepts connections from a listener, up to a limit.
 func (e *Engine) Serve(listener net.Listener, options AcceptOptions) *Acceptor {
-	a := &Acceptor{listener: listener, group: newConnGroup(options.Limit, options.window())}
+	a := &Acceptor{engine: e, listener: listener, group: newConnGroup(options.Limit, options.window())}
 	e.mu.Lock()
 	a.group.resize(e.share)
 	e.acceptors = append(e.acceptors, a)
