--- a/cmd/rehearse/flood.go
+++ b/cmd/rehearse/flood.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"runtime/debug"
@@ -63,7 +64,7 @@
 		return err
 	}
 	if c.JSON {
-		return writeJSON(env.out, results)
+		return errors.Join(writeJSON(env.out, results), checkFloodRules(results))
 	}
 	writeFlood(env.out, results)
 	return checkFloodRules(results)
@@ -88,7 +89,7 @@
 		return err
 	}
 	if c.JSON {
-		return writeJSON(env.out, results)
+		return errors.Join(writeJSON(env.out, results), checkFloodRules(results))
 	}
 	writeFlood(env.out, results)
 	fmt.Fprintf(env.out, "daemon's processor time in the middle third: %v normally, %v without descriptors\n", normalCPU, exhaustedCPU)
--- a/cmd/rehearse/floodresult.go
+++ b/cmd/rehearse/floodresult.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 
 	"hollyyoke.example/hollyyoke/internal/rehearsal/hostileload"
 	"hollyyoke.example/hollyyoke/internal/rehearsal/replay"
@@ -77,8 +79,8 @@
 
 // writeReasons writes how often each reason was given.
 func writeReasons(out io.Writer, outcome string, counts map[string]int) {
-	for reason, count := range counts {
-		fmt.Fprintf(out, "  %s: %d  %s\n", outcome, count, reason)
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(out, "  %s: %d  %s\n", outcome, counts[reason], reason)
 	}
 }
 
--- a/cmd/rehearse/import.go
+++ b/cmd/rehearse/import.go
@@ -90,9 +90,9 @@
 	defer os.RemoveAll(dir)
 	options.Spool = &spool{dir: dir}
 	if c.Rejects != "" {
-		rejects, err := createRejects(c.Rejects)
-		if err != nil {
-			return nil, err
+		rejects, createErr := createRejects(c.Rejects) // not err: the result, which the deferred close sets
+		if createErr != nil {
+			return nil, createErr
 		}
 		options.OnReject = rejects.add
 		defer func() {
--- a/cmd/rehearse/simrun.go
+++ b/cmd/rehearse/simrun.go
@@ -28,9 +28,9 @@
 	}
 	var log io.Writer // nil: no log
 	if c.Log != "" {
-		file, err := os.Create(c.Log)
-		if err != nil {
-			return err
+		file, createErr := os.Create(c.Log) // not err: the result, which the deferred close sets
+		if createErr != nil {
+			return createErr
 		}
 		buffered := bufio.NewWriter(file)
 		defer func() {
