--- a/internal/rehearsal/soak/soak_test.go
+++ b/internal/rehearsal/soak/soak_test.go
@@ -45,3 +45,18 @@
 			report.Served, report.Requests, report.Faults)
 	}
 }
+
+// The same with durable queues, and long enough for restarts, crowds and the disk's faults.
+func TestSoakWithDurableQueues(t *testing.T) {
+	report, err := Run(context.Background(), Config{Program: program, Seed: 2, Daemons: 12, Duration: 40 * time.Second, Durable: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	if len(report.Violations) > 0 {
+		t.Error("rules were violated")
+	}
+	if report.Served < report.Requests/2 || report.Accepted < report.Pushed/2 || report.Ran < report.Accepted {
+		t.Errorf("%d of %d requests were served, %d of %d jobs accepted, %d ran", report.Served, report.Requests, report.Accepted, report.Pushed, report.Ran)
+	}
+}
