--- a/internal/jobs/doc.go
+++ b/internal/jobs/doc.go
@@ -26,9 +26,10 @@
 // # Leases and fences
 //
 // A lease gives one job to one worker until its expiry, which heartbeats move on. Its fence is a number that is
-// higher than that of all earlier leases; a report under another fence than the newest one, or about a job that no worker
-// has or had in its hands, is rejected with ErrLeaseVoid (Machine.standing decides that for all reports). An idempotent job is retried when its lease expires. A non-idempotent job may run again only on proof
-// that it did not run, or that running it again does no harm:
+// higher than that of all earlier leases; a report under another fence than the newest one, or about a job that no
+// worker has or had in its hands, is rejected with ErrLeaseVoid (Machine.standing decides that for all reports). An
+// idempotent job is retried when its lease expires. A non-idempotent job may run again only on proof that it did not
+// run, or that running it again does no harm:
 //
 //   - a worker that HonorsFences starts a job only when Start has granted it, so a job that it has not asked for can be
 //     leased again: the next fence voids the first;
