Rehearsal kit: a chosen port is reserved against other runs

Cause: ports are chosen by a listener that is closed at once, and a port is free while its child is started again. A UDP socket on the same number now tells other processes that it is taken, for as long as its process lives.

--- a/internal/rehearsal/childprocess/address.go
+++ b/internal/rehearsal/childprocess/address.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 )
 
@@ -25,13 +26,35 @@
 	errNoFreePort = errors.New("no port is free")
 )
 
-// FreeAddress returns a loopback address whose port was free a moment ago. Within a process each port is returned once
-// before any is returned again. It is safe for concurrent use.
+// reservations are UDP sockets on the ports that this process has chosen. A child's port is free while the child is
+// started again; by these, other processes that choose ports know that it is not theirs.
+var reservations struct {
+	mutex   sync.Mutex
+	sockets []net.PacketConn // never closed: garbage collection would end a reservation
+}
+
+// reserve reserves a port for this process; false: it, or another process, has it.
+func reserve(address string) bool {
+	socket, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	reservations.mutex.Lock()
+	defer reservations.mutex.Unlock()
+	reservations.sockets = append(reservations.sockets, socket)
+	return true
+}
+
+// FreeAddress returns a loopback address whose port was free a moment ago, and reserves it against other processes that
+// choose theirs by it. Within a process each port is returned once. It is safe for concurrent use.
 func FreeAddress() (string, error) {
 	start := int64(os.Getpid()) * processStride
 	for range portCount {
 		port := firstPort + (start+chosenPorts.Add(1))%portCount
 		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if !reserve(address) {
+			continue
+		}
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			listener.Close()
