--- a/internal/rehearsal/soak/durable.go
+++ b/internal/rehearsal/soak/durable.go
@@ -314,9 +314,17 @@
 	return time.Since(last) > stallTime
 }
 
+// askAfterwards sends a command once nothing else runs; empty: the dispatcher does not answer.
+func (q *durableQueue) askAfterwards(command string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	reply, _ := q.repeat(ctx, "", command)
+	return reply
+}
+
 // stateOf returns the state of a job by TRACK.
 func (q *durableQueue) stateOf(jid string) string {
-	reply, _ := q.repeat(context.Background(), "", "TRACK GET "+jid)
+	reply := q.askAfterwards("TRACK GET " + jid)
 	_, rest, _ := strings.Cut(reply, `"state":"`)
 	state, _, _ := strings.Cut(rest, `"`)
 	return state
@@ -325,6 +333,9 @@
 // violations lists the jobs that ran twice, or were accepted and have not run, and the dispatcher's own violations.
 func (q *durableQueue) violations() []string {
 	found := q.daemon.violations()
+	if q.askAfterwards("INFO") == "" {
+		return append(found, fmt.Sprintf("%s: %s does not answer after the run; its log ends %s", ruleLost, q.name, q.currentProcess().endOfLog()))
+	}
 	for jid, runs := range q.runs {
 		if runs > 1 {
 			found = append(found, fmt.Sprintf("%s: %s ran %d times", ruleDuplicate, jid, runs))
@@ -338,7 +349,7 @@
 		}
 	}
 	if waiting > 0 { // what tells why
-		info, _ := q.repeat(context.Background(), "", "INFO")
+		info := q.askAfterwards("INFO")
 		found = append([]string{fmt.Sprintf("%s has %d accepted jobs that have not run; INFO %s; its log ends %s", q.name, waiting, info, q.currentProcess().endOfLog())}, found...)
 	}
 	return found
