Soak: a killed dispatcher's own counts are fetched once; a 200 always needs a worker

Found by reading the change once more. killDaemon fetched a dispatcher's own violations and so did end, which it calls, so that each was reported twice. The rule that a 200 comes from a worker did not hold where no attempt had come at all; it holds always now. Two fault kinds that did the same have one case.

--- a/internal/rehearsal/soak/injection.go
+++ b/internal/rehearsal/soak/injection.go
@@ -23,9 +23,7 @@
 		pauseDaemon(ctx, r.daemons[injected.target], injected.duration)
 	case faultCrowd:
 		r.crowd(ctx, number, injected)
-	case faultDrain:
-		r.drainWorker(ctx, r.workers[injected.target], injected.duration)
-	case faultRetire:
+	case faultDrain, faultRetire:
 		r.drainWorker(ctx, r.workers[injected.target], injected.duration)
 	case faultRemove:
 		r.removeWorker(ctx, r.workers[injected.target], injected.duration)
@@ -69,7 +67,6 @@
 		return
 	}
 	defer target.release()
-	target.fetchInvariants()
 	target.killed()
 	target.end(syscall.SIGKILL)
 	sleep(ctx, downTime)
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -127,7 +127,7 @@
 		return
 	}
 	c.report.Served++
-	if !c.arrived[sent.id] && len(c.arrived) > 0 {
+	if !c.arrived[sent.id] {
 		c.addViolation(ruleLost, sent.sentAt, "%s was answered with 200, and came to no worker", sent.id)
 	}
 }
