A claim of 'never sent' after the send is not believed, counted and logged

What callers would see: a renewal that runs twice. AttemptEnded took the outcome alone, so that an attempt which had been reported as sent and then ended as not sent or refused was retried at another worker; an attempt that had ended could be moved to another connection.

The safer word counts now: the attempt may have run. Moving an attempt asks first whether it is open and unsent. A leased attempt that its worker hands back unstarted is no contradiction.

Without checkOutcome, TestClaimAfterTheLastByteLeftIsNotBelieved fails ('2 attempts were started, want 1') in its three cases that end an attempt.

The rule found one case: the simulator reported attempts as sent before it knew that their worker was down, and then as refused. It reports them where they arrive.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -15,6 +15,7 @@
 	client        WorkerClient
 	phase         attemptPhase
 	sent          bool   // its last byte was sent; a reported start makes it delivered, too
+	started       bool   // its worker has reported its start
 	fence         uint64 // fencing token of its lease; 0: it has none
 }
 
--- a/internal/dispatch/attemptreport.go
+++ b/internal/dispatch/attemptreport.go
@@ -41,7 +41,9 @@
 		LeavingSince: since,
 		Grace:        d.Settings.DrainGrace,
 	}
-	d.Guard.CheckSent(start, send, "request "+request.ID+" to "+attempt.worker)
+	if !d.Guard.CheckSent(start, send, subjectOf(request, attempt)) {
+		d.logClaims(request)
+	}
 }
 
 // AttemptStarted reports that a worker has begun to run an attempt.
@@ -51,6 +53,7 @@
 		return
 	}
 	attempt.phase = delivered
+	attempt.started = true
 	d.traceAttempt(attempt, StepStarted)
 	d.handle(decision.Event{
 		Kind:    decision.AttemptStarted,
@@ -84,6 +87,7 @@
 		return
 	}
 	request := d.requests.Get(attempt.requestHandle)
+	outcome = d.checkOutcome(request, attempt, outcome)
 	d.traceEnded(request, attempt, outcome, load)
 	d.attempts.Remove(attemptHandle)
 	request.openAttempts--
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,7 +29,8 @@
 	OnReserved func(worker string, reservation float64) // an attempt took that much of a worker's slow-start budget
 
 	// Guard checks each start, send, retry and close.
-	Guard invariant.Guard
+	Guard  invariant.Guard
+	claims invariant.ClaimLog // of requests that must not run twice
 
 	// ClientOverride takes all attempts in place of the sources of the workers; nil: the sources take them. Measurements
 	// without workers use it.
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -8,6 +8,7 @@
 	StepAssigned       = "attempt assigned"      // number, worker, reservation (of the worker's slow-start budget)
 	StepSent           = "attempt sent"          // number, worker
 	StepStarted        = "attempt started"       // number, worker
+	StepNeverSent      = "attempt never sent"    // claim
 	StepEnded          = "attempt ended"         // number, worker, outcome, sent, load
 	StepCancelled      = "cancelled"             // attempts
 	StepWorkersUpdated = "endpoint list updated" // kind, endpoints; the number of endpoints comes last
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -13,14 +13,15 @@
 
 // The rules.
 const (
-	None        Rule = iota // no rule is broken
-	Drain                   // nothing is sent to a draining or removed worker beyond its grace
-	ListStale               // nothing is sent by an endpoint list that may be stale
-	Deadline                // nothing is sent after the client has given up
-	DedupWindow             // no repeat arrives after workers have forgotten the first attempt
-	Duplicate               // a non-idempotent request has one attempt at most that may have run
-	Answered                // nothing is sent for a request that has its final response
-	Unanswered              // no client connection is closed while a response is owed
+	None          Rule = iota // no rule is broken
+	Drain                     // nothing is sent to a draining or removed worker beyond its grace
+	ListStale                 // nothing is sent by an endpoint list that may be stale
+	Deadline                  // nothing is sent after the client has given up
+	DedupWindow               // no repeat arrives after workers have forgotten the first attempt
+	Duplicate                 // a non-idempotent request has one attempt at most that may have run
+	Answered                  // nothing is sent for a request that has its final response
+	Unanswered                // no client connection is closed while a response is owed
+	Contradiction             // an attempt that has left is not claimed never to have been sent
 	numRules
 )
 
@@ -29,14 +30,15 @@
 
 // ruleNames are keys of the admin API's JSON.
 var ruleNames = [numRules]string{
-	None:        "none",
-	Drain:       "drain",
-	ListStale:   "old_list",
-	Deadline:    "deadline",
-	DedupWindow: "window",
-	Duplicate:   "duplicate",
-	Answered:    "answered",
-	Unanswered:  "unanswered",
+	None:          "none",
+	Drain:         "drain",
+	ListStale:     "old_list",
+	Deadline:      "deadline",
+	DedupWindow:   "window",
+	Duplicate:     "duplicate",
+	Answered:      "answered",
+	Unanswered:    "unanswered",
+	Contradiction: "contradiction",
 }
 
 // Send describes a request whose first or last byte is about to be sent. Times are those of the dispatcher's clock.
@@ -114,12 +116,24 @@
 	return rule, false
 }
 
-// CheckSent checks an attempt whose last byte was sent: all rules for its start and, of those for a send, Drain.
-func (g *Guard) CheckSent(start Start, send Send, subject string) {
-	g.check(start.brokenRule(), subject)
+// CheckSent checks an attempt whose last byte was sent: all rules for its start and, of those for a send, Drain. It
+// returns whether it kept them.
+func (g *Guard) CheckSent(start Start, send Send, subject string) (kept bool) {
+	kept = g.check(start.brokenRule(), subject)
 	if rule := send.brokenRule(); rule == Drain {
-		g.check(rule, subject)
+		kept = g.check(rule, subject) && kept
 	}
+	return kept
+}
+
+// CheckNeverSent checks a claim that an attempt was never sent against what was reported of the attempt before. It
+// returns whether the claim may be believed.
+func (g *Guard) CheckNeverSent(reported Reported, subject string) (believed bool) {
+	if reported == NothingReported {
+		return true
+	}
+	g.check(Contradiction, subject+": "+reported.String()+" before")
+	return false
 }
 
 // CheckClosed checks a client connection that the dispatcher closed. unanswered says that a response was still owed there.
@@ -129,14 +143,16 @@
 	}
 }
 
-func (g *Guard) check(rule Rule, subject string) {
+// check counts and reports a broken rule. It returns whether there is none.
+func (g *Guard) check(rule Rule, subject string) (kept bool) {
 	if rule == None {
-		return
+		return true
 	}
 	g.violated[rule]++
 	if g.Report != nil {
 		g.Report(rule, subject)
 	}
+	return false
 }
 
 // Counts are numbers by the text of their rule; rules without any are left out.
--- a/internal/rehearsal/simulator/source.go
+++ b/internal/rehearsal/simulator/source.go
@@ -66,7 +66,6 @@
 		dispatcher: d,
 	}
 	d.attempts[sent.handle] = sent
-	d.core.AttemptSent(sent.handle)
 	target := simulation.workersByName[requested.Worker]
 	simulation.scheduleAfter(simulation.delay(d.zone, target.zone), func() { target.receive(sent) })
 }
@@ -95,6 +94,14 @@
 	})
 }
 
+// reportSent reports to the attempt's dispatcher that all of it has left, which it has not where its worker is down.
+func (a *attempt) reportSent() {
+	d := a.dispatcher
+	if d.attempts[a.handle] == a {
+		d.core.AttemptSent(a.handle)
+	}
+}
+
 // end reports the attempt's outcome to its dispatcher.
 func (a *attempt) end(from *worker, outcome decision.AttemptOutcome) {
 	load := from.loadReport()
--- a/internal/rehearsal/simulator/worker.go
+++ b/internal/rehearsal/simulator/worker.go
@@ -106,6 +106,9 @@
 	case w.down:
 		received.end(w, decision.ConnectionRefused)
 		return
+	}
+	received.reportSent()
+	switch {
 	case w.overloadedBy(received):
 		received.end(w, decision.ConnectionLost)
 		return
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -123,6 +123,18 @@
 // Peer returns the address of the other end.
 func (c *Conn) Peer() netip.Addr { return c.peer }
 
+// LocalPort returns the port of this end; 0 where there is none.
+func (c *Conn) LocalPort() int {
+	if c.socket == nil {
+		return 0
+	}
+	local, ok := c.socket.LocalAddr().(*net.TCPAddr)
+	if !ok {
+		return 0
+	}
+	return local.Port
+}
+
 // control calls operate with the descriptor unless nbio has closed it. The
 // descriptor stays this connection's until operate returns.
 func (c *Conn) control(operate func(fd int)) {
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -13,6 +13,7 @@
 	"hollyyoke.example/hollyyoke/internal/discovery"
 	"hollyyoke.example/hollyyoke/internal/dispatch"
 	"hollyyoke.example/hollyyoke/internal/eventloop"
+	"hollyyoke.example/hollyyoke/internal/invariant"
 	"hollyyoke.example/hollyyoke/internal/transport"
 )
 
@@ -79,13 +80,18 @@
 		return false
 	}
 	conn.reportSent()
-	conn.unassign()
 	if conn.state == stateDialing { // once it is open, the connection may serve another attempt
 		conn.dial.unwanted = true
-		return true
+		neverRan = true
+	} else {
+		conn.close() // before asking what was flushed: until then, buffered bytes may still leave on another goroutine
+		neverRan = conn.state == stateIdle || conn.request.kind == confirmation || !conn.requestFlushed()
+	}
+	if neverRan {
+		conn.claimNeverSent(invariant.ClaimCancelled)
 	}
-	conn.close() // before asking what was flushed: until then, buffered bytes may still leave on another goroutine
-	return conn.state == stateIdle || conn.request.kind == confirmation || !conn.requestFlushed()
+	conn.unassign()
+	return neverRan
 }
 
 // CloseIdle closes the idle connections to a worker, given by its name.
--- a/internal/workerclient/connection.go
+++ b/internal/workerclient/connection.go
@@ -5,10 +5,11 @@
 	"hollyyoke.example/hollyyoke/internal/discovery"
 	"hollyyoke.example/hollyyoke/internal/dispatch"
 	"hollyyoke.example/hollyyoke/internal/eventloop"
+	"hollyyoke.example/hollyyoke/internal/invariant"
 	"hollyyoke.example/hollyyoke/internal/transport"
 )
 
-// connectionState is what a connection is doing. Traces show its number.
+// connectionState is what a connection is doing. Traces and claims show its name.
 type connectionState uint8
 
 const (
@@ -18,6 +19,11 @@
 	stateDialing                             // not open yet; if the dial fails, the connection never leaves this state
 )
 
+// String returns the name of the state.
+func (s connectionState) String() string {
+	return [...]string{"idle", "awaiting head", "reading body", "dialing"}[s]
+}
+
 // connection is a connection to a worker. It carries one request at a time: that of an attempt, or a health check.
 //
 //	state         next, and by what                                            its timer
@@ -83,10 +89,18 @@
 	c.handle = 0
 }
 
-// moveAttempt moves the attempt to another connection to the same worker. newConnectionFailed reports whether it has
-// now lost a new connection.
+// moveAttempt moves the attempt, of which nothing has run, to another connection to the same worker, unless it has
+// ended. newConnectionFailed reports whether it has now lost a new connection.
 func (c *connection) moveAttempt(newConnectionFailed bool) {
-	c.handle = 0
+	handle := c.handle
+	if handle == 0 {
+		return
+	}
+	c.claimNeverSent(invariant.ClaimMoved)
+	c.unassign()
+	if !c.client.dispatcher.MayMove(handle) {
+		return
+	}
 	other := c.client.acquire(c.worker, c.attempt.RetryUnsafe)
 	other.assign(c.attempt)
 	other.newConnectionFailed = newConnectionFailed
@@ -149,6 +163,9 @@
 	if handle == 0 {
 		return
 	}
+	if result.outcome == decision.NotSent || result.outcome == decision.ConnectionRefused {
+		c.claimNeverSent(invariant.ClaimEnded)
+	}
 	c.unassign()
 	c.client.dispatcher.AttemptEnded(handle, result.outcome, result.load, result.body)
 }
