--- a/internal/rehearsal/soak/clients.go
+++ b/internal/rehearsal/soak/clients.go
@@ -56,7 +56,7 @@
 		if !sleep(ctx, pause) {
 			return
 		}
-		plan := drawClientPlan(fmt.Sprintf("%s-%06d", target.name, number), target, random)
+		plan := drawClientPlan(fmt.Sprintf("%s%s-%06d", r.idPrefix, target.name, number), target, random)
 		clients.Go(func() { r.runClient(plan) })
 	}
 }
--- a/internal/rehearsal/soak/crowd.go
+++ b/internal/rehearsal/soak/crowd.go
@@ -36,7 +36,7 @@
 	clients.Go(func() { silent.open(injected.crowd, injected.oneByOne) })
 	for i := range hurriedClients {
 		plan := clientPlan{newConnection: i%2 == 0, request: request{
-			id:      fmt.Sprintf("%s-hurried-%d-%02d", target.name, number, i),
+			id:      fmt.Sprintf("%s%s-hurried-%d-%02d", r.idPrefix, target.name, number, i),
 			class:   classStatusCheck,
 			daemon:  target,
 			timeout: hurriedTimeLeft,
--- a/internal/rehearsal/soak/records.go
+++ b/internal/rehearsal/soak/records.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -10,10 +11,16 @@
 	id        string // of its request
 	class     string
 	worker    string
+	from      string // the address of the dispatcher's end of the connection
 	arrivedAt time.Time
 	timeLeft  time.Duration // according to the dispatcher
 }
 
+// String describes the attempt in a violation.
+func (a attempt) String() string {
+	return fmt.Sprintf("at %s, on the connection from %s", a.worker, a.from)
+}
+
 // request is a request as its client observed it.
 type request struct {
 	id           string
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -28,6 +29,9 @@
 	ruleDuplicate rule = "duplicate" // no renewal arrives at workers twice
 	ruleDrain     rule = "drain"     // no attempt arrives at a worker that the dispatcher must know to be draining or removed
 	ruleTimeLeft  rule = "time left" // no attempt is given more time than its client has left
+
+	// ruleForeign is broken by the machine, not by a dispatcher: what comes from another run proves nothing about this one.
+	ruleForeign rule = "foreign" // only requests of this run come to its workers
 )
 
 // slackFor is what is allowed beyond each bound for a dispatcher.
@@ -171,13 +175,18 @@
 		sent := &c.run.records.requests[i]
 		requests[sent.id] = sent
 	}
-	renewalAttempts := map[string]int{} // by request
+	renewals := map[string]attempt{} // by request, its latest attempt
 	for _, arrived := range c.run.records.attempts {
+		if !strings.HasPrefix(arrived.id, c.run.idPrefix) {
+			c.addViolation(ruleForeign, arrived.arrivedAt, "%s of another run came to %s", arrived.id, arrived)
+			continue
+		}
 		if arrived.class == classRenewal {
-			renewalAttempts[arrived.id]++
-			if count := renewalAttempts[arrived.id]; count > 1 {
-				c.addViolation(ruleDuplicate, arrived.arrivedAt, "%s came %d times, now to %s", arrived.id, count, arrived.worker)
+			earlier, repeated := renewals[arrived.id]
+			if repeated {
+				c.addViolation(ruleDuplicate, arrived.arrivedAt, "%s came again %s, %v after %s", arrived.id, arrived, arrived.arrivedAt.Sub(earlier.arrivedAt), earlier)
 			}
+			renewals[arrived.id] = arrived
 		}
 		if sent := requests[arrived.id]; sent != nil {
 			c.checkAttempt(sent, arrived)
--- a/internal/rehearsal/soak/soak.go
+++ b/internal/rehearsal/soak/soak.go
@@ -72,6 +72,7 @@
 type run struct {
 	config    Config
 	dir       string // for the dispatchers' files
+	idPrefix  string // of the IDs of its requests; no other run has it
 	start     time.Time
 	discovery *discovery
 	workers   []*worker
@@ -90,7 +91,7 @@
 		return Report{}, err
 	}
 	defer os.RemoveAll(dir)
-	r := &run{config: config, dir: dir}
+	r := &run{config: config, dir: dir, idPrefix: newIDPrefix(config.Seed)}
 	defer r.close()
 	if err := r.startAll(); err != nil {
 		return Report{}, err
@@ -99,6 +100,9 @@
 	return r.checkRules(), nil
 }
 
+// newIDPrefix returns what the IDs of a run's requests begin with, which differs for two runs of one seed too.
+func newIDPrefix(seed uint64) string { return fmt.Sprintf("%d.%08x-", seed, rand.Uint32()) }
+
 // startAll starts the stand-ins and the dispatchers, and waits until the dispatchers accept clients.
 func (r *run) startAll() error {
 	var err error
--- a/internal/rehearsal/soak/worker.go
+++ b/internal/rehearsal/soak/worker.go
@@ -138,6 +138,7 @@
 		id:        id,
 		class:     class,
 		worker:    w.name,
+		from:      conn.RemoteAddr().String(),
 		arrivedAt: arrivedAt,
 		timeLeft:  time.Duration(timeLeftMs) * time.Millisecond,
 	})
