Soak: tens of requests are in flight at a fault, and each rule has its own bound

The soak could not see a renewal that runs twice: some 96 requests a second of 10 ms each, about one in flight at any time, and every bound widened by 0.4 s and twice the largest lateness of the run, 4 s more for traced dispatchers.

Connects are refused, hang or come up late; a dispatcher gets eight times its requests for a while. One client in five leaves, half of those behind unread bytes. A drain counts from when the dispatcher was told. New rules: dedup window, attempts, retry budget. A violation shows the dispatcher's trace of the request.

--- a/internal/rehearsal/soak/clients.go
+++ b/internal/rehearsal/soak/clients.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"time"
 )
@@ -12,10 +13,12 @@
 // The classes of the requests, as the dispatchers' settings list them.
 const (
 	classStatusCheck = "status-check"
-	classRenewal     = "renewal" // must not be retried
+	classRenewal     = "renewal"  // must not be retried
+	classTransfer    = "transfer" // workers recognize a repeat for a while
 
 	statusCheckTimeout = 3 * time.Second
 	renewalTimeout     = 4 * time.Second
+	transferTimeout    = 3 * time.Second
 )
 
 // Headers of requests to the dispatcher and of its attempts.
@@ -25,11 +28,18 @@
 )
 
 const (
-	renewalShare       = 3                      // one in so many requests is a renewal
-	newConnectionShare = 4                      // one in so many comes on a new connection
-	leavingShare       = 20                     // one in so many clients closes its connection early,
-	maxLeaveTime       = 200 * time.Millisecond // within this time
+	renewalShare       = 3           // one in so many requests is a renewal
+	transferShare      = 4           // one in so many of the others is a transfer
+	newConnectionShare = 4           // one in so many comes on a new connection
+	leavingShare       = 5           // one in so many clients closes its connection early,
+	maxLeaveTime       = time.Second // within this time
+	extraBytesShare    = 2           // one in so many of those writes the beginning of another request before
+	largeBodyShare     = 50          // one in so many requests has a large body
+	keys               = 20          // that requests concern
 	dialTimeout        = time.Second
+
+	// unansweredWait is how much longer clients wait than the rules allow, so that what is late is reported as such.
+	unansweredWait = 4 * time.Second
 )
 
 // clientPlan is what one client is to do.
@@ -37,9 +47,11 @@
 	request       request
 	newConnection bool          // it opens one even where one is idle
 	leaveAfter    time.Duration // the time after which the client closes the connection; 0: it waits for the answer
-	slack         time.Duration // how much longer than its timeout and answerSlack it waits
 }
 
+// largeBodyBytes is the size of a large body: within the protocol's bound, and more than a small receive buffer.
+const largeBodyBytes = 48 << 10
+
 // endingRateFactor is how much more often clients send while a dispatcher ends.
 const endingRateFactor = 10
 
@@ -52,6 +64,9 @@
 		if target.isEnding() {
 			rate *= endingRateFactor
 		}
+		if target.surges.Load() > 0 {
+			rate *= surgeFactor
+		}
 		pause := time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		if !sleep(ctx, pause) {
 			return
@@ -67,18 +82,23 @@
 	if random.IntN(renewalShare) == 0 {
 		plan.request.class = classRenewal
 		plan.request.timeout = renewalTimeout
+	} else if random.IntN(transferShare) == 0 {
+		plan.request.class = classTransfer
+		plan.request.timeout = transferTimeout
 	}
 	plan.newConnection = random.IntN(newConnectionShare) == 0
 	if random.IntN(leavingShare) == 0 {
 		plan.leaveAfter = time.Duration(random.Int64N(int64(maxLeaveTime)))
+		plan.request.extraBytes = random.IntN(extraBytesShare) == 0
 	}
+	plan.request.key = random.IntN(keys)
+	plan.request.largeBody = random.IntN(largeBodyShare) == 0
 	return plan
 }
 
 // runClient sends a request and records it. One that was closed with no answer is sent once more, under an ID of its
 // own, on a new connection: it may have crossed a close.
 func (r *run) runClient(plan clientPlan) {
-	plan.slack = r.slackFor(plan.request.daemon)
 	sent, attempted := plan.execute()
 	if !attempted {
 		return
@@ -92,6 +112,7 @@
 	again.request.resent = true
 	again.newConnection = true
 	again.leaveAfter = 0
+	again.request.extraBytes = false
 	r.runClient(again)
 }
 
@@ -134,14 +155,20 @@
 	if p.leaveAfter > 0 {
 		return p.leaveAfter
 	}
-	return p.request.timeout + 4*answerSlack + p.slack
+	return p.request.timeout + answerSlack + unansweredWait
 }
 
 // writeRequest writes a request; readAnswer notices a failure.
 func writeRequest(conn net.Conn, sent *request) {
-	const body = "job"
-	fmt.Fprintf(conn, "POST /%s/key HTTP/1.1\r\nHost: d\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		sent.class, correlationHeader, sent.id, timeLeftHeader, sent.timeout.Milliseconds(), len(body), body)
+	body := "job"
+	if sent.largeBody {
+		body = strings.Repeat("x", largeBodyBytes)
+	}
+	fmt.Fprintf(conn, "POST /%s/key-%02d HTTP/1.1\r\nHost: d\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		sent.class, sent.key, correlationHeader, sent.id, timeLeftHeader, sent.timeout.Milliseconds(), len(body), body)
+	if sent.extraBytes {
+		fmt.Fprintf(conn, "POST /%s/key", sent.class)
+	}
 }
 
 // sleep waits. It reports false if ctx ended first.
--- a/internal/rehearsal/soak/daemon.go
+++ b/internal/rehearsal/soak/daemon.go
@@ -7,7 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,12 +29,16 @@
 	options []string // of its command line, beside its configuration
 
 	isHealthy func() bool // whether it accepts clients now
+	onLaunch  func()      // called before each process
 
 	timeline                   // what the run does to it
 	connections connectionPool // of its clients
+	loop        latenessLog    // of its event loop
+	surges      atomic.Int32   // that give it many times its requests now
 
 	mutex      sync.Mutex
 	process    *daemonProcess    // the current or last one; nil: none was launched
+	logPaths   []string          // of all its processes
 	crashes    []string          // descriptions
 	invariants []invariantCounts // of its processes, as far as they answered
 	waiters    sync.WaitGroup    // the goroutines that wait for its processes
@@ -69,6 +75,9 @@
 	daemonDescriptors = 512
 )
 
+// traceOption makes a dispatcher log each step of each request.
+const traceOption = "-trace"
+
 // newDaemon prepares a dispatcher without launching it. If traced, its system calls fail by the seed.
 func (r *run) newDaemon(number int, traced bool, seed uint64) (*daemon, error) {
 	address, err := childprocess.FreeAddress()
@@ -79,20 +88,28 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{name: fmt.Sprintf("n%02d", number), address: address, dir: r.dir, program: r.config.Program}
+	name := fmt.Sprintf("n%02d", number)
+	discoveryAddress, err := r.discovery.listenFor(name)
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{name: name, address: address, dir: r.dir, program: r.config.Program}
 	d.isHealthy = d.passesHealthCheck
+	d.onLaunch = func() { r.discovery.forgetTold(name) }
 	d.config = daemonConfig{
 		AdminAddress: adminAddress,
-		Discovery:    r.discovery.address(),
+		Discovery:    discoveryAddress,
 		InitialList:  r.discovery.initialList(),
 		Limits:       resourceLimits{Cores: daemonCores, MemoryMB: daemonMemoryMB, Descriptors: daemonDescriptors},
 		Listen:       address,
 		Name:         d.name,
 		Seed:         fmt.Sprintf("%016x", seed),
-		Settings:     json.RawMessage(fmt.Sprintf(settingsFormat, r.config.Daemons)),
+		Settings:     newSettings(r.config),
 	}
 	if traced {
 		d.tracer = newTracer(seed, r.config.Duration)
+	} else {
+		d.options = []string{traceOption} // not of one whose system calls fail: each line is one
 	}
 	return d, nil
 }
@@ -116,6 +133,7 @@
 	command.Env = []string{"TMPDIR=" + d.dir}
 	command.Stdout = log
 	command.Stderr = log
+	d.onLaunch()
 	handle, err := d.start(command)
 	if err != nil {
 		return err
@@ -123,6 +141,7 @@
 	process := &daemonProcess{Handle: handle, logPath: log.Name()}
 	d.mutex.Lock()
 	d.process = process
+	d.logPaths = append(d.logPaths, log.Name())
 	d.mutex.Unlock()
 	d.waiters.Go(func() { d.recordEnd(process) })
 	return nil
@@ -152,6 +171,24 @@
 	return string(log[max(len(log)-shownLogBytes, 0):])
 }
 
+// maxTraceLines bounds what is shown of the trace of a request.
+const maxTraceLines = 30
+
+// traceOf returns the lines of the dispatcher's logs about a request.
+func (d *daemon) traceOf(id string) (lines []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, path := range d.logPaths {
+		log, _ := os.ReadFile(path) // none: nothing to show
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, id) && len(lines) < maxTraceLines {
+				lines = append(lines, strings.TrimSpace(line))
+			}
+		}
+	}
+	return lines
+}
+
 func (d *daemon) currentProcess() *daemonProcess {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/rehearsal/soak/discovery.go
+++ b/internal/rehearsal/soak/discovery.go
@@ -43,8 +43,6 @@
 // discovery is the stand-in for the discovery service, with watches by version and faults that can
 // be switched on. It is safe for concurrent use.
 type discovery struct {
-	listener net.Listener
-
 	mutex     sync.Mutex
 	version   int64                     // of the list
 	endpoints map[string]endpoint       // by worker
@@ -53,27 +51,87 @@
 	faults    [faultKinds]int           // number of faults in force, by kind
 	outages   []interval                // in which the service was down
 	changed   chan struct{}             // closed and replaced at each change of the list or the faults
+
+	listeners []net.Listener                       // one for each dispatcher that asks
+	told      map[string]map[string][]healthChange // by dispatcher and worker, what was written to the dispatcher
 }
 
+// startDiscovery returns a service that lists nothing. It listens for each dispatcher: see listenFor.
 func startDiscovery() (*discovery, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	d := &discovery{
-		listener:  listener,
+	return &discovery{
 		endpoints: map[string]endpoint{},
 		changedIn: map[string]int64{},
 		history:   map[string][]healthChange{},
+		told:      map[string]map[string][]healthChange{},
 		changed:   make(chan struct{}),
+	}, nil
+}
+
+func (d *discovery) close() {
+	for _, listener := range d.listeners {
+		listener.Close()
+	}
+}
+
+// listenFor listens for the calls of one dispatcher, so that what it was told is known, and returns the address.
+func (d *discovery) listenFor(dispatcher string) (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	d.listeners = append(d.listeners, listener)
+	go serveConnections(listener, func(conn net.Conn) { d.serve(conn, dispatcher) })
+	return listener.Addr().String(), nil
+}
+
+// recordTold records that a list was written to a dispatcher. What a complete list leaves out is gone. The dispatcher may
+// know of a ready worker as soon as the write begins, and has to know of any other once it has ended.
+func (d *discovery) recordTold(dispatcher string, list endpointList, writing interval) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	listed := map[string]health{}
+	for _, endpoint := range list.Endpoints {
+		listed[endpoint.Name] = endpoint.Health
+	}
+	for worker := range d.endpoints {
+		health, isListed := listed[worker]
+		if !isListed && !list.Complete {
+			continue
+		}
+		if !isListed {
+			health = healthGone
+		}
+		told := writing.to
+		if health == healthReady {
+			told = writing.from
+		}
+		d.addTold(dispatcher, worker, healthChange{changedAt: told, health: health})
 	}
-	go serveConnections(listener, d.serve)
-	return d, nil
 }
 
-func (d *discovery) close() { d.listener.Close() }
+// forgetTold records that a new process of a dispatcher was told nothing so far.
+func (d *discovery) forgetTold(dispatcher string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for worker := range d.told[dispatcher] {
+		d.addTold(dispatcher, worker, healthChange{changedAt: time.Now(), health: healthReady})
+	}
+}
 
-func (d *discovery) address() string { return d.listener.Addr().String() }
+// addTold adds to what a dispatcher was told. The caller holds the lock.
+func (d *discovery) addTold(dispatcher, worker string, change healthChange) {
+	if d.told[dispatcher] == nil {
+		d.told[dispatcher] = map[string][]healthChange{}
+	}
+	d.told[dispatcher][worker] = append(d.told[dispatcher][worker], change)
+}
+
+// toldUnlistedSince returns since when a dispatcher had been told, at the given time, that a worker is not ready.
+func (d *discovery) toldUnlistedSince(dispatcher, worker string, moment time.Time) (since time.Time, unlisted bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return unlistedIn(d.told[dispatcher][worker], moment)
+}
 
 // set changes how a worker is listed.
 func (d *discovery) set(worker, address string, newHealth health) {
@@ -121,9 +179,14 @@
 	return d.encodeSince(0)
 }
 
-// encodeSince encodes what has changed after a version; 0: the complete list. The caller holds
-// the lock.
+// encodeSince encodes what listSince returns. The caller holds the lock.
 func (d *discovery) encodeSince(version int64) []byte {
+	text, _ := json.Marshal(d.listSince(version)) // strings and numbers always marshal
+	return text
+}
+
+// listSince returns what has changed after a version; 0: the complete list. The caller holds the lock.
+func (d *discovery) listSince(version int64) endpointList {
 	list := endpointList{Endpoints: []endpoint{}, Version: d.version, Complete: version == 0}
 	for worker, changedIn := range d.changedIn {
 		isListed := d.endpoints[worker].Health != healthGone
@@ -131,8 +194,7 @@
 			list.Endpoints = append(list.Endpoints, d.endpoints[worker])
 		}
 	}
-	text, _ := json.Marshal(list) // strings and numbers always marshal
-	return text
+	return list
 }
 
 // unlistedSince returns since when a worker has not been listed as ready at the given time;
@@ -140,7 +202,12 @@
 func (d *discovery) unlistedSince(worker string, moment time.Time) (since time.Time, unlisted bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for _, change := range d.history[worker] {
+	return unlistedIn(d.history[worker], moment)
+}
+
+// unlistedIn returns since when a worker was not ready at a time, by the changes of its health.
+func unlistedIn(changes []healthChange, moment time.Time) (since time.Time, unlisted bool) {
+	for _, change := range changes {
 		switch {
 		case change.changedAt.After(moment):
 			return since, unlisted
--- a/internal/rehearsal/soak/durable.go
+++ b/internal/rehearsal/soak/durable.go
@@ -67,7 +67,7 @@
 	if err := os.WriteFile(optionsPath, []byte(options), filePermissions); err != nil {
 		return nil, err
 	}
-	daemon.options = []string{"--faktory", optionsPath}
+	daemon.options = []string{traceOption, "--faktory", optionsPath}
 	if diskFails {
 		daemon.tracer = newDiskTracer(seed, r.config.Duration)
 	}
--- /dev/null
+++ b/internal/rehearsal/soak/heavyrules_test.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// judge checks records alone, of a run with one worker, s-here, that is listed as ready.
+func judge(t *testing.T, prepare func(r *run, m recordMaker)) Report {
+	t.Helper()
+	service, err := startDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer service.close()
+	r := violatingRun(service)
+	m := recordMaker{start: r.start, dispatcher: r.records.requests[0].daemon}
+	r.records = records{}
+	prepare(r, m)
+	return r.checkRules()
+}
+
+// checkViolations checks that a report has violations of one rule alone, and how many.
+func checkViolations(t *testing.T, report Report, violated rule, want int) {
+	t.Helper()
+	if len(report.Violations) != want {
+		t.Errorf("%d violations, want %d: %v", len(report.Violations), want, report)
+	}
+	for _, violation := range report.Violations {
+		if !strings.Contains(violation, " "+string(violated)+": ") {
+			t.Errorf("%s; want violations of %q alone", violation, violated)
+		}
+	}
+}
+
+// Guards against a soak that calls a retry a duplicate though the worker has refused the first attempt.
+func TestRepeatOfRefusedAttemptIsNoDuplicate(t *testing.T) {
+	report := judge(t, func(r *run, m recordMaker) {
+		refused := m.arrived("id", "s-here", 10.1, 3.9)
+		refused.neverRan = true
+		r.records.requests = []request{m.answered("id", 11)}
+		r.records.attempts = []attempt{refused, m.arrived("id", "s-here", 10.2, 3.8)}
+	})
+	checkViolations(t, report, ruleDuplicate, 0)
+}
+
+// Guards against a soak that does not see a repeat which workers have forgotten the first attempt of.
+func TestRepeatBeyondDedupWindowIsSeen(t *testing.T) {
+	for since, want := range map[float64]int{1.9: 0, 2.1: 1} {
+		report := judge(t, func(r *run, m recordMaker) {
+			first, second := m.arrived("id", "s-here", 10.1, 3.9), m.arrived("id", "s-here", 10.1+since, 1.8)
+			first.class, second.class = classTransfer, classTransfer
+			r.records.requests = []request{m.answered("id", 13)}
+			r.records.attempts = []attempt{first, second}
+		})
+		checkViolations(t, report, ruleWindow, want)
+	}
+}
+
+// Guards against a soak that does not see more attempts than the settings allow.
+func TestTooManyAttemptsAreSeen(t *testing.T) {
+	report := judge(t, func(r *run, m recordMaker) {
+		r.records.requests = []request{m.answered("id", 13)}
+		for i := range maxAttempts + 1 {
+			arrived := m.arrived("id", "s-here", 10.1+float64(i)/10, 3)
+			arrived.class = classStatusCheck
+			r.records.attempts = append(r.records.attempts, arrived)
+		}
+	})
+	checkViolations(t, report, ruleAttempts, 1)
+}
+
+// Guards against a soak that does not see a dispatcher which repeats without regard to its retry budget.
+func TestRepeatsBeyondBudgetAreSeen(t *testing.T) {
+	for repeats, want := range map[int]int{2 * retryBudgetFloor: 0, 4 * retryBudgetFloor: 1} {
+		report := judge(t, func(r *run, m recordMaker) {
+			for i := range repeats {
+				id := fmt.Sprint("id", i)
+				r.records.requests = append(r.records.requests, m.answered(id, 11))
+				for range 2 {
+					arrived := m.arrived(id, "s-here", 10.1, 3)
+					arrived.class = classStatusCheck
+					r.records.attempts = append(r.records.attempts, arrived)
+				}
+			}
+		})
+		checkViolations(t, report, ruleBudget, want)
+	}
+}
+
+// Guards against a soak that judges the grace of a drain by the longest time of a notification alone.
+func TestDrainCountsFromWhenItWasTold(t *testing.T) {
+	for arrivedAt, want := range map[float64]int{10.4: 0, 10.6: 1} {
+		report := judge(t, func(r *run, m recordMaker) {
+			r.discovery.endpoints["s-here"] = endpoint{Name: "s-here"}
+			list := endpointList{Endpoints: []endpoint{{Name: "s-here", Health: healthDraining}}}
+			r.discovery.recordTold("n", list, interval{from: m.second(9.9), to: m.second(10)})
+			r.records.requests = []request{m.answered("id", 11)}
+			r.records.attempts = []attempt{m.arrived("id", "s-here", arrivedAt, 3)}
+		})
+		checkViolations(t, report, ruleDrain, want)
+	}
+}
+
+// Guards against bounds that are widened by what happened elsewhere in the run: only lateness around the case counts, and
+// what passes by it is counted.
+func TestOnlyLatenessAroundTheCaseIsAllowed(t *testing.T) {
+	for lateAt, want := range map[float64]int{5: 1, 14.4: 0} {
+		report := judge(t, func(r *run, m recordMaker) {
+			r.timers.add(m.second(lateAt), m.second(lateAt).Add(300*time.Millisecond))
+			r.records.requests = []request{m.answered("id", 14.7)} // 0.2 s beyond its bound
+			r.records.attempts = []attempt{m.arrived("id", "s-here", 10.1, 3.9)}
+		})
+		checkViolations(t, report, ruleLost, want)
+		if report.ByLateness != 1-want {
+			t.Errorf("%d bounds kept by lateness alone, want %d", report.ByLateness, 1-want)
+		}
+	}
+}
--- a/internal/rehearsal/soak/injection.go
+++ b/internal/rehearsal/soak/injection.go
@@ -12,6 +12,7 @@
 	if !sleep(ctx, injected.start) {
 		return
 	}
+	r.records.strike()
 	switch injected.kind {
 	case faultKill:
 		killDaemon(ctx, r.daemons[injected.target], injected.duration)
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -14,11 +15,6 @@
 	answerSlack       = 500 * time.Millisecond // an answer later than this after the timeout is lost
 	cancellationSlack = 100 * time.Millisecond // from a client's close to the last attempt that may begin
 	timeLeftSlack     = 150 * time.Millisecond
-
-	// machineSlack is what a machine that runs everything at once may add to each bound, and
-	// tracedSlack what tracing every system call may add. Timers that are later add their lateness.
-	machineSlack = 400 * time.Millisecond
-	tracedSlack  = 4 * time.Second
 )
 
 // rule is a rule, as violations name it.
@@ -29,20 +25,15 @@
 	ruleDuplicate rule = "duplicate" // no renewal arrives at workers twice
 	ruleDrain     rule = "drain"     // no attempt arrives at a worker that the dispatcher must know to be draining or removed
 	ruleTimeLeft  rule = "time left" // no attempt is given more time than its client has left
+	ruleWindow    rule = "window"    // no repeat of a transfer arrives once workers have forgotten the first attempt
+	ruleAttempts  rule = "attempts"  // no request comes to workers more often than the settings allow
+	ruleBudget    rule = "budget"    // no dispatcher makes more repeats than its retry budget allows
 
 	// ruleForeign is broken by the machine, not by a dispatcher: what comes from another run proves nothing about this one.
 	ruleForeign rule = "foreign" // only requests of this run come to its workers
+	ruleHarness rule = "harness" // the stand-ins do what the schedule wants
 )
 
-// slackFor is what is allowed beyond each bound for a dispatcher.
-func (r *run) slackFor(target *daemon) time.Duration {
-	slack := machineSlack + 2*time.Duration(r.lateness.Load())
-	if target.tracer != nil {
-		slack += tracedSlack
-	}
-	return slack
-}
-
 // checkRules checks the records against the rules, once no client and no fault runs any more.
 func (r *run) checkRules() Report {
 	checker := ruleChecker{run: r, arrived: map[string]bool{}}
@@ -55,12 +46,19 @@
 		Requests:   len(r.records.requests),
 		Attempts:   len(r.records.attempts),
 		Incomplete: r.records.incomplete,
-		Lateness:   time.Duration(r.lateness.Load()),
-		Faults:     len(schedule(r.config.Seed, r.config)),
+		Lateness:   r.timers.largest(),
+		Faults:     len(schedule(r.config.Seed, r.config)) + len(scheduleNetwork(r.config)),
+	}
+	if r.records.strikes > 0 {
+		checker.report.InFlight = float64(r.records.struck) / float64(r.records.strikes)
+	}
+	for _, description := range r.records.harnessErrors {
+		checker.addViolation(ruleHarness, r.start, "%s", description)
 	}
 	checker.addDaemonsOwnViolations()
 	checker.checkRequests()
 	checker.checkAttempts()
+	checker.checkRetryBudgets()
 	return checker.report
 }
 
@@ -78,6 +76,19 @@
 	c.report.Violations = append(c.report.Violations, fmt.Sprintf("%.3f %s: %s", second, violated, description))
 }
 
+// exceeds reports whether a bound for a dispatcher is exceeded by more than the lateness that was measured between two
+// times. What keeps its bound by that lateness alone is counted.
+func (c *ruleChecker) exceeds(excess time.Duration, target *daemon, from, to time.Time) bool {
+	switch {
+	case excess <= 0:
+		return false
+	case excess > c.run.latenessAround(target, from, to):
+		return true
+	}
+	c.report.ByLateness++
+	return false
+}
+
 // addDaemonsOwnViolations adds the crashes of dispatchers and the violations that they have counted themselves.
 func (c *ruleChecker) addDaemonsOwnViolations() {
 	for _, daemon := range c.run.daemons {
@@ -103,8 +114,8 @@
 
 // checkRequest checks that a client that waited has its answer in time, or is excused.
 func (c *ruleChecker) checkRequest(sent *request) {
-	latest := sent.sentAt.Add(sent.timeout + answerSlack + c.run.slackFor(sent.daemon))
-	inTime := sent.status != 0 && !sent.answeredAt.After(latest)
+	latest := sent.sentAt.Add(sent.timeout + answerSlack)
+	inTime := sent.status != 0 && !c.exceeds(sent.answeredAt.Sub(latest), sent.daemon, sent.sentAt, sent.answeredAt)
 	switch {
 	case inTime:
 		c.countAnswered(sent)
@@ -175,56 +186,95 @@
 		sent := &c.run.records.requests[i]
 		requests[sent.id] = sent
 	}
-	renewals := map[string]attempt{} // by request, its latest attempt
+	earlier := map[string][]attempt{} // by request
 	for _, arrived := range c.run.records.attempts {
 		if !strings.HasPrefix(arrived.id, c.run.idPrefix) {
 			c.addViolation(ruleForeign, arrived.arrivedAt, "%s of another run came to %s", arrived.id, arrived)
 			continue
 		}
-		if arrived.class == classRenewal {
-			earlier, repeated := renewals[arrived.id]
-			if repeated {
-				c.addViolation(ruleDuplicate, arrived.arrivedAt, "%s came again %s, %v after %s", arrived.id, arrived, arrived.arrivedAt.Sub(earlier.arrivedAt), earlier)
-			}
-			renewals[arrived.id] = arrived
-		}
-		if sent := requests[arrived.id]; sent != nil {
+		sent := requests[arrived.id]
+		c.checkRepeat(sent, earlier[arrived.id], arrived)
+		earlier[arrived.id] = append(earlier[arrived.id], arrived)
+		if sent != nil {
 			c.checkAttempt(sent, arrived)
 		}
 	}
 }
 
-// checkAttempt checks that an attempt was allowed to begin at its worker when it did. Of what arrives while a
-// dispatcher is stopped only the rule on draining is checked: it may have been written right before that.
+// checkRepeat checks an attempt against the earlier ones of its request.
+func (c *ruleChecker) checkRepeat(sent *request, earlier []attempt, arrived attempt) {
+	mayHaveRun := slices.IndexFunc(earlier, func(one attempt) bool { return !one.neverRan })
+	if len(earlier) >= maxAttempts {
+		c.addViolation(ruleAttempts, arrived.arrivedAt, "%s came to workers %d times, now %s", arrived.id, len(earlier)+1, arrived)
+	}
+	if mayHaveRun < 0 {
+		return
+	}
+	first := earlier[mayHaveRun]
+	since := arrived.arrivedAt.Sub(first.arrivedAt)
+	switch arrived.class {
+	case classRenewal:
+		c.addViolation(ruleDuplicate, arrived.arrivedAt, "%s came again %s, %v after %s%s",
+			arrived.id, arrived, since, first, c.traceOf(sent))
+	case classTransfer:
+		if sent != nil && !arrived.stalled && c.exceeds(since-dedupWindow, sent.daemon, first.arrivedAt, arrived.arrivedAt) {
+			c.addViolation(ruleWindow, arrived.arrivedAt, "%s came again %s, %v after %s%s",
+				arrived.id, arrived, since, first, c.traceOf(sent))
+		}
+	}
+}
+
+// traceOf returns what a request's dispatcher has logged of it, a line each.
+func (c *ruleChecker) traceOf(sent *request) string {
+	if sent == nil {
+		return ""
+	}
+	return "\n    " + strings.Join(sent.daemon.traceOf(sent.id), "\n    ")
+}
+
+// checkAttempt checks that an attempt was allowed to begin at its worker when it did. Of what arrives while a dispatcher
+// is stopped, or was read late by its worker, only the rule on draining is checked: it may have arrived before.
 func (c *ruleChecker) checkAttempt(sent *request, arrived attempt) {
-	slack := c.run.slackFor(sent.daemon)
-	wasStopped := sent.daemon.wasStopped(arrived.arrivedAt.Add(-slack), arrived.arrivedAt)
-	c.checkDrain(arrived, slack)
-	if wasStopped {
+	c.checkDrain(sent, arrived)
+	wasStopped := sent.daemon.wasStopped(sent.sentAt, arrived.arrivedAt)
+	if wasStopped || arrived.stalled {
 		return
 	}
 	if sent.clientLeft() {
 		sinceClientLeft := arrived.arrivedAt.Sub(sent.clientLeftAt)
-		if sinceClientLeft > cancellationSlack+slack {
-			c.addViolation(ruleLost, arrived.arrivedAt, "%s came to %s %v after its client had left", arrived.id, arrived.worker, sinceClientLeft)
+		if c.exceeds(sinceClientLeft-cancellationSlack, sent.daemon, sent.clientLeftAt, arrived.arrivedAt) {
+			c.addViolation(ruleLost, arrived.arrivedAt, "%s came to %s %v after its client had left%s",
+				arrived.id, arrived, sinceClientLeft, c.traceOf(sent))
 		}
 	}
 	clientTimeLeft := sent.timeout - arrived.arrivedAt.Sub(sent.sentAt)
 	excess := arrived.timeLeft - clientTimeLeft - timeLeftSlack
-	if excess > slack {
-		c.addViolation(ruleTimeLeft, arrived.arrivedAt, "%s was given %v, which is %v too much", arrived.id, arrived.timeLeft, excess)
+	if c.exceeds(excess, sent.daemon, sent.sentAt, arrived.arrivedAt) {
+		c.addViolation(ruleTimeLeft, arrived.arrivedAt, "%s was given %v, which is %v too much%s",
+			arrived.id, arrived.timeLeft, excess, c.traceOf(sent))
 	}
 }
 
 // checkDrain checks that the worker of an attempt was listed as ready, or that its dispatcher did not have to know yet
-// that it was not.
-func (c *ruleChecker) checkDrain(arrived attempt, slack time.Duration) {
+// that it was not: neither had it been told so, nor was the notification due.
+func (c *ruleChecker) checkDrain(sent *request, arrived attempt) {
+	dispatcher := sent.daemon
+	told, wasTold := c.run.discovery.toldUnlistedSince(dispatcher.name, arrived.worker, arrived.arrivedAt)
+	if wasTold && !arrived.stalled && !dispatcher.wasStopped(told, arrived.arrivedAt) {
+		late := arrived.arrivedAt.Sub(told) - drainGrace
+		if c.exceeds(late, dispatcher, told, arrived.arrivedAt) {
+			c.addViolation(ruleDrain, arrived.arrivedAt, "%s came to %s, %v beyond the grace after %s was told%s",
+				arrived.id, arrived, late, dispatcher.name, c.traceOf(sent))
+			return
+		}
+	}
 	since, unlisted := c.run.discovery.unlistedSince(arrived.worker, arrived.arrivedAt)
 	if !unlisted {
 		return
 	}
-	lateness := arrived.arrivedAt.Sub(c.run.discovery.notificationDeadline(since)) - drainGrace
-	if lateness > slack {
-		c.addViolation(ruleDrain, arrived.arrivedAt, "%s came to %s, %v beyond the notification and the grace", arrived.id, arrived.worker, lateness)
+	due := c.run.discovery.notificationDeadline(since)
+	late := arrived.arrivedAt.Sub(due) - drainGrace
+	if c.exceeds(late, dispatcher, due, arrived.arrivedAt) {
+		c.addViolation(ruleDrain, arrived.arrivedAt, "%s came to %s, %v beyond the notification and the grace", arrived.id, arrived, late)
 	}
 }
--- a/internal/rehearsal/soak/soak.go
+++ b/internal/rehearsal/soak/soak.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -21,7 +20,7 @@
 	Daemons  int           // default 24
 	Workers  int           // default 12
 	Duration time.Duration // of faults and clients; default 30 s
-	Rate     float64       // requests per second to each dispatcher; default 4
+	Rate     float64       // requests per second to each dispatcher; default 6
 	Traced   int           // dispatchers whose system calls fail and whose wall clock steps; default an eighth
 	Durable  bool          // two more dispatchers have durable queues; default on even seeds
 }
@@ -30,7 +29,7 @@
 	defaultDaemons  = 24
 	defaultWorkers  = 12
 	defaultDuration = 30 * time.Second
-	defaultRate     = 4
+	defaultRate     = 6
 	tracedShare     = 8 // one in so many dispatchers
 )
 
@@ -63,10 +62,7 @@
 	durableStreamStride = 100 // between the streams of two durable queues
 )
 
-const (
-	startTimeout     = 30 * time.Second
-	latenessInterval = 10 * time.Millisecond // between two measurements
-)
+const startTimeout = 30 * time.Second
 
 // run is one soak. Its fields are set before clients and faults run, but for what these record.
 type run struct {
@@ -79,7 +75,7 @@
 	daemons   []*daemon
 	queues    []*durableQueue
 	records   records
-	lateness  atomic.Int64 // largest of the machine's timers, ns
+	timers    latenessLog // of this process
 }
 
 // Run runs a soak and reports what it found. The error says that it could not be run. A canceled
@@ -131,7 +127,7 @@
 // startWorkers starts the workers and lists them as ready.
 func (r *run) startWorkers() error {
 	for i := range r.config.Workers {
-		started, err := startWorker(fmt.Sprintf("s-%02d", i), &r.records)
+		started, err := r.startWorker(fmt.Sprintf("s-%02d", i))
 		if err != nil {
 			return err
 		}
@@ -186,7 +182,10 @@
 	r.start = time.Now()
 	stop := make(chan struct{})
 	defer close(stop)
-	go r.measureLateness(stop)
+	go r.measureTimers(stop)
+	for _, daemon := range r.daemons {
+		go daemon.measureLoop(stop)
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.config.Duration)
 	defer cancel()
 	var running sync.WaitGroup
@@ -200,22 +199,10 @@
 	for number, scheduled := range schedule(r.config.Seed, r.config) {
 		running.Go(func() { r.injectFault(ctx, number, scheduled) })
 	}
-	running.Wait()
-}
-
-// measureLateness measures how late the machine's timers are, until stop is closed.
-func (r *run) measureLateness(stop <-chan struct{}) {
-	for {
-		due := time.Now().Add(latenessInterval)
-		select {
-		case <-stop:
-			return
-		case <-time.After(latenessInterval):
-		}
-		if lateness := int64(time.Since(due)); lateness > r.lateness.Load() {
-			r.lateness.Store(lateness)
-		}
+	for _, scheduled := range scheduleNetwork(r.config) {
+		running.Go(func() { r.injectNetworkFault(ctx, scheduled) })
 	}
+	running.Wait()
 }
 
 // close ends all processes and stand-ins that were started.
--- a/internal/rehearsal/soak/watch.go
+++ b/internal/rehearsal/soak/watch.go
@@ -14,7 +14,8 @@
 
 // watchState is what a watch sees of the service at one moment.
 type watchState struct {
-	line      string // the changes, as a line of the protocol
+	list      endpointList // the changes
+	line      string       // likewise, as a line of the protocol
 	version   int64
 	changed   <-chan struct{} // closed once the state may be another
 	down      bool            // the faults in force
@@ -27,6 +28,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return watchState{
+		list:      d.listSince(version),
 		line:      string(d.encodeSince(version)) + "\n",
 		version:   d.version,
 		changed:   d.changed,
@@ -36,8 +38,8 @@
 	}
 }
 
-// serve answers one request with the list and a watch of its changes.
-func (d *discovery) serve(conn net.Conn) {
+// serve answers one request of a dispatcher with the list and a watch of its changes.
+func (d *discovery) serve(conn net.Conn, dispatcher string) {
 	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -59,13 +61,23 @@
 		writeTruncated(conn, state.line, closed)
 		return
 	}
-	io.WriteString(conn, encodeChunk(state.line))
-	d.watch(conn, state, closed)
+	d.tell(conn, dispatcher, state)
+	d.watch(conn, dispatcher, state, closed)
+}
+
+// tell writes changes to a dispatcher and records them as told, if they could be written.
+func (d *discovery) tell(conn net.Conn, dispatcher string, state watchState) {
+	writing := interval{from: time.Now()}
+	_, err := io.WriteString(conn, encodeChunk(state.line))
+	writing.to = time.Now()
+	if err == nil {
+		d.recordTold(dispatcher, state.list, writing)
+	}
 }
 
 // watch writes changes as they are made, and blank lines as heartbeats, until the connection
 // is closed or a fault ends it.
-func (d *discovery) watch(conn net.Conn, state watchState, closed <-chan struct{}) {
+func (d *discovery) watch(conn net.Conn, dispatcher string, state watchState, closed <-chan struct{}) {
 	for {
 		heartbeat := time.NewTimer(heartbeatInterval)
 		heartbeatDue := false
@@ -87,7 +99,7 @@
 			writeTruncated(conn, state.line, closed)
 			return
 		case state.version > sentVersion:
-			io.WriteString(conn, encodeChunk(state.line))
+			d.tell(conn, dispatcher, state)
 		case heartbeatDue:
 			io.WriteString(conn, encodeChunk("\n"))
 		}
--- a/internal/rehearsal/soak/worker.go
+++ b/internal/rehearsal/soak/worker.go
@@ -1,57 +1,100 @@
 package soak
 
 import (
-	"bufio"
-	"fmt"
-	"io"
 	"net"
-	"net/http"
-	"strconv"
-	"strings"
 	"sync"
+	"syscall"
 	"time"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/childprocess"
 )
 
-// jobDuration is how long a worker takes to execute a request.
-const jobDuration = 10 * time.Millisecond
+const (
+	workerSlots = 6 // jobs that a worker runs at a time
+	workerQueue = 8 // jobs that wait for a slot there
+)
 
-// worker is the stand-in for a worker. It executes every request, also while it is listed as
-// draining or gone: whether that was allowed is checked from the records. It is safe for
-// concurrent use.
+// worker is the stand-in for a worker. It executes requests also while it is listed as draining or gone: whether that was
+// allowed is checked from the records. It is safe for concurrent use.
 type worker struct {
 	claim
-	name     string
-	address  string
-	listener net.Listener
-	records  *records
+	name    string
+	address string
+	run     *run
+
+	slots chan struct{} // holds a value for each job that runs
 
 	mutex       sync.Mutex
+	listener    net.Listener // nil while it refuses connections
 	connections map[net.Conn]bool
+	accepted    int // connections so far
+	waiting     int // jobs that wait for a slot
 	draining    bool
-	hangsUntil  time.Time // it does not answer before
+	hangsUntil  time.Time     // it does not answer before
+	mayAccept   chan struct{} // closed while it accepts connections
+	resumedAt   time.Time     // when that began last
 }
 
-func startWorker(name string, records *records) (*worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func (r *run) startWorker(name string) (*worker, error) {
+	address, err := childprocess.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{
 		name:        name,
-		address:     listener.Addr().String(),
-		listener:    listener,
-		records:     records,
+		address:     address,
+		run:         r,
+		slots:       make(chan struct{}, workerSlots),
 		connections: map[net.Conn]bool{},
+		mayAccept:   make(chan struct{}),
+	}
+	close(w.mayAccept)
+	return w, w.listen()
+}
+
+// listen begins to accept connections.
+func (w *worker) listen() error {
+	listener, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	w.listener = listener
+	w.mutex.Unlock()
+	go w.acceptConnections(listener)
+	return nil
+}
+
+// acceptConnections accepts connections until the listener is closed, but none while that is suspended.
+func (w *worker) acceptConnections(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		w.mutex.Lock()
+		mayAccept := w.mayAccept
+		w.mutex.Unlock()
+		<-mayAccept
+		go w.serve(conn, w.resumedLately())
 	}
-	go serveConnections(listener, w.serve)
-	return w, nil
 }
 
 func (w *worker) close() {
-	w.listener.Close()
+	w.stopListening()
 	w.reset()
 }
 
+// stopListening ends the listener: connections are refused.
+func (w *worker) stopListening() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.listener != nil {
+		w.listener.Close()
+		w.listener = nil
+	}
+}
+
 // reset resets all connections.
 func (w *worker) reset() {
 	w.mutex.Lock()
@@ -62,6 +105,63 @@
 	}
 }
 
+// refuse refuses connections for a time.
+func (w *worker) refuse(duration time.Duration) error {
+	w.stopListening()
+	time.Sleep(duration)
+	return w.listen()
+}
+
+const (
+	noBacklog      = 0
+	defaultBacklog = 4096
+
+	maxFillers    = 8 // connections that fill a listener's queue
+	fillerTimeout = 50 * time.Millisecond
+
+	// queuedAcceptTime is longer than it takes to accept what waits in a listener's queue.
+	queuedAcceptTime = 200 * time.Millisecond
+)
+
+// suspendAccept makes the kernel answer no more connects, until resume is called. Those that have begun by then come up
+// when the peer's kernel asks again, 1 s after it asked first.
+func (w *worker) suspendAccept() (resume func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	mayAccept := make(chan struct{})
+	w.mayAccept = mayAccept
+	w.setBacklog(noBacklog)
+	var fillers []net.Conn
+	for range maxFillers {
+		filler, err := net.DialTimeout("tcp", w.address, fillerTimeout)
+		if err != nil {
+			break // the queue is full
+		}
+		fillers = append(fillers, filler)
+	}
+	return func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.setBacklog(defaultBacklog)
+		for _, filler := range fillers {
+			filler.Close()
+		}
+		w.resumedAt = time.Now()
+		close(mayAccept)
+	}
+}
+
+// setBacklog sets how many connections wait in the kernel to be accepted. The caller holds the lock.
+func (w *worker) setBacklog(backlog int) {
+	if w.listener == nil {
+		return
+	}
+	raw, err := w.listener.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), backlog) })
+	}
+}
+
 // setDraining sets whether health checks find the worker draining.
 func (w *worker) setDraining(draining bool) {
 	w.mutex.Lock()
@@ -83,10 +183,20 @@
 	return w.draining, time.Until(w.hangsUntil)
 }
 
-func (w *worker) addConnection(conn net.Conn) {
+// resumedLately reports whether connections that are accepted now may have waited since before a suspension ended.
+func (w *worker) resumedLately() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return time.Since(w.resumedAt) < queuedAcceptTime
+}
+
+// addConnection registers a connection and returns its number.
+func (w *worker) addConnection(conn net.Conn) (number int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.connections[conn] = true
+	w.accepted++
+	return w.accepted
 }
 
 func (w *worker) removeConnection(conn net.Conn) {
@@ -95,59 +205,27 @@
 	delete(w.connections, conn)
 }
 
-// serve answers the requests of a connection one after the other.
-func (w *worker) serve(conn net.Conn) {
-	w.addConnection(conn)
-	defer conn.Close()
-	defer w.removeConnection(conn)
-	input := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(input)
-		if err != nil {
-			return
-		}
-		arrivedAt := time.Now()
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			w.records.addIncomplete() // the attempt has never arrived
-			return
-		}
-		draining, hang := w.state()
-		time.Sleep(hang)
-		if request.Method == http.MethodGet {
-			w.answerHealthCheck(conn, draining)
-			continue
-		}
-		w.execute(conn, request, arrivedAt)
+// admit counts a job as waiting for a slot. It reports false if too many wait.
+func (w *worker) admit() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.waiting >= workerQueue {
+		return false
 	}
+	w.waiting++
+	return true
 }
 
-func (w *worker) answerHealthCheck(conn net.Conn, draining bool) {
-	status := "200 OK"
-	if draining {
-		status = "503 Draining"
-	}
-	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 3\r\n\r\n{}\n", status)
-}
-
-// execute records an attempt and answers it.
-func (w *worker) execute(conn net.Conn, request *http.Request, arrivedAt time.Time) {
-	id := request.Header.Get(correlationHeader)
-	timeLeftMs, _ := strconv.Atoi(request.Header.Get(timeLeftHeader))
-	class, _, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, "/"), "/")
-	w.records.addAttempt(attempt{
-		id:        id,
-		class:     class,
-		worker:    w.name,
-		from:      conn.RemoteAddr().String(),
-		arrivedAt: arrivedAt,
-		timeLeft:  time.Duration(timeLeftMs) * time.Millisecond,
-	})
-	io.WriteString(conn, chunkedResponseHead+w.progressChunk(id, "started"))
-	time.Sleep(jobDuration)
-	io.WriteString(conn, w.progressChunk(id, "done")+lastChunk)
-}
-
-// progressChunk is the chunk of a response that says which state a job has reached.
-func (w *worker) progressChunk(id, state string) string {
-	return encodeChunk(fmt.Sprintf(`{"id":%q,"from":%q,"state":%q,"result":"r"}`+"\n", id, w.name, state))
+// stopWaiting counts a job as not waiting any more.
+func (w *worker) stopWaiting() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.waiting--
+}
+
+// load returns how many jobs run and how many wait.
+func (w *worker) load() (running, waiting int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.slots), w.waiting
 }
