A first attempt that was overtaken leaves within the window of the later one

What callers would see: a deduplicated request that runs twice. An attempt got the time by which it must have left when it was started, from the attempts before it. One that is held up by a connect, a health check or a held byte can be overtaken by a hedge; it is the repeat then, and had no bound.

TestAttemptThatWasOvertakenLeavesWithinTheWindowOfTheOther fails before (the worker has the whole first attempt 2 s on, the window being 0.6 s) and passes after. The worker client asks Dispatcher.RetryBy at the send, which counts all other attempts that may have run by then, so later ones too.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -121,18 +121,34 @@
 	})
 }
 
-// retryBy returns the clock time by which the next attempt of a request must have been sent, or 0 where there is no
-// bound. Workers discard a duplicate that arrives within the window of the first attempt that may have run. The window is
+// RetryBy returns the clock time by which an open attempt must have been sent, or 0 where there is no bound now. It may
+// have got one since its start: an attempt that was started after it may have been sent before it.
+func (d *Dispatcher) RetryBy(attemptHandle uint64) time.Duration {
+	attempt := d.attempts.Get(attemptHandle)
+	if attempt == nil {
+		return 0
+	}
+	request := d.requests.Get(attempt.requestHandle)
+	return d.retryByBeside(request, attempt.number)
+}
+
+// retryBy returns the clock time by which the next attempt of a request must have been sent, or 0 where there is no bound.
+func (d *Dispatcher) retryBy(request *openRequest) time.Duration {
+	return d.retryByBeside(request, len(request.attempts))
+}
+
+// retryByBeside returns the clock time by which the attempt with a number must have been sent, beside the others.
+// Workers discard a duplicate that arrives within the window of the first attempt that may have run. The window is
 // counted from when that attempt was assigned, which is before it was sent, and half of the connect timeout, which covers
 // a round trip, is left for the way to the worker.
-func (d *Dispatcher) retryBy(request *openRequest) time.Duration {
+func (d *Dispatcher) retryByBeside(request *openRequest, number int) time.Duration {
 	class := &d.Settings.Classes[request.Class]
 	if class.Idempotency != decision.Deduplicated {
 		return 0
 	}
 	earliest := time.Duration(0)
-	for _, attempt := range request.attempts {
-		if attempt.neverRan {
+	for other, attempt := range request.attempts {
+		if other == number || attempt.neverRan {
 			continue
 		}
 		windowEnd := attempt.assignedAt + class.DedupWindow - d.Settings.ConnectTimeout/2
--- a/internal/dispatch/workerclient.go
+++ b/internal/dispatch/workerclient.go
@@ -8,7 +8,7 @@
 	Worker      string
 	Request     *Request
 	Deadline    time.Duration // clock time by which the final response leaves
-	RetryBy     time.Duration // clock time by which its last byte must have been sent, or it could run twice; 0: no bound
+	RetryBy     time.Duration // see Dispatcher.RetryBy, at its start
 	RetryUnsafe bool          // it could run twice if the response to another request were taken for its own
 	Number      int           // of attempts of the request before this one
 	Fence       uint64        // fencing token of its lease; 0: it has none
--- a/internal/workerclient/sendguard.go
+++ b/internal/workerclient/sendguard.go
@@ -12,6 +12,7 @@
 // attempt is over and has never run. What the attempt was started by may not hold any more, since a connect takes time.
 func (c *connection) permitSend(now time.Duration) bool {
 	dispatcher := c.client.dispatcher
+	c.attempt.RetryBy = dispatcher.RetryBy(c.handle)
 	rule, permitted := dispatcher.Guard.MaySend(invariant.Send{
 		Now:          now,
 		Deadline:     c.attempt.Deadline,
