Faktory: a repeat is not handed out beyond its dedup window

What callers would see: a deduplicated job that runs twice. A job waits up to 1 s for its worker's next FETCH, and nothing asked then whether workers still knew the first attempt. handOut passes the guard before a send now, as the worker client does. TestRepeatIsNotHandedOutBeyondItsWindow fails before ('was handed out again 800ms after its first attempt', window 0.4 s), and passes 3 of 3 after.

--- a/internal/faktory/delivery.go
+++ b/internal/faktory/delivery.go
@@ -7,6 +7,7 @@
 	"hollyyoke.example/hollyyoke/decision"
 	"hollyyoke.example/hollyyoke/internal/dispatch"
 	"hollyyoke.example/hollyyoke/internal/eventloop"
+	"hollyyoke.example/hollyyoke/internal/invariant"
 	"hollyyoke.example/hollyyoke/internal/jobs"
 )
 
@@ -19,9 +20,14 @@
 	fetchDeadline eventloop.Deadline // by which the worker's next FETCH must have come
 }
 
-// handOut answers a parked FETCH with the job of a delivery. If the connection
-// is known to be broken, nothing has run.
+// handOut answers a parked FETCH with the job of a delivery. If workers may have
+// forgotten an earlier attempt by now, or the connection is known to be broken,
+// nothing has run.
 func (s *Server) handOut(delivery *jobDelivery, slot *parkedFetch) {
+	if !s.withinDedupWindow(delivery) {
+		s.endAttempt(delivery, decision.NotSent)
+		return
+	}
 	c := slot.connection
 	c.unpark()
 	request := delivery.attempt.Request
@@ -45,6 +51,17 @@
 	s.dispatcher.AttemptStarted(delivery.attempt.Handle)
 }
 
+// withinDedupWindow reports whether the job of a delivery, which may have waited
+// for its FETCH, may still be handed out as a repeat.
+func (s *Server) withinDedupWindow(delivery *jobDelivery) bool {
+	_, allowed := s.dispatcher.Guard.MaySend(invariant.Send{
+		Now:      s.dispatcher.Loop.Now(),
+		Deadline: delivery.attempt.Deadline,
+		RetryBy:  s.dispatcher.RetryBy(delivery.attempt.Handle),
+	})
+	return allowed
+}
+
 // forgetDelivery removes a delivery from the server and its worker.
 func (s *Server) forgetDelivery(delivery *jobDelivery) {
 	delete(s.deliveries, delivery.attempt.Handle)
