--- a/internal/rehearsal/soak/budget.go
+++ b/internal/rehearsal/soak/budget.go
@@ -31,9 +31,10 @@
 
 // checkRetryBudget checks the repeats of one dispatcher, of which the first excess is reported.
 func (c *ruleChecker) checkRetryBudget(dispatcher *daemon, repeats, arrivals []time.Time) {
+	budget := retryBudgetOf(c.run.config.Seed)
 	for _, latest := range repeats {
 		made := countBetween(repeats, latest.Add(-retryBudgetWindow), latest)
-		allowed := 2*retryBudgetFloor + retryBudgetRatio*float64(countBetween(arrivals, latest.Add(-budgetSpan), latest))
+		allowed := 2*float64(budget.floor) + budget.ratio*float64(countBetween(arrivals, latest.Add(-budgetSpan), latest))
 		if float64(made) > allowed {
 			c.addViolation(ruleBudget, latest, "%s has made %d repeats within %v, allowed are %.1f",
 				dispatcher.name, made, retryBudgetWindow, allowed)
--- a/internal/rehearsal/soak/daemonconfig.go
+++ b/internal/rehearsal/soak/daemonconfig.go
@@ -36,11 +36,23 @@
 const (
 	dedupWindow       = 2 * time.Second
 	retryBudgetWindow = 4 * time.Second
-	retryBudgetFloor  = 4
-	retryBudgetRatio  = 0.2
 	maxAttempts       = 3
 )
 
+// retryBudget is what the settings allow of repeats in any retryBudgetWindow.
+type retryBudget struct {
+	floor int
+	ratio float64 // to the requests that arrive
+}
+
+// retryBudgetOf is the retry budget of a run. On odd seeds it binds; on even ones most attempts that fail are repeated.
+func retryBudgetOf(seed uint64) retryBudget {
+	if seed%2 == 1 {
+		return retryBudget{floor: 1, ratio: 0.02}
+	}
+	return retryBudget{floor: 4, ratio: 0.2}
+}
+
 // settingsFormat has the settings of a deployment; its verbs are the number of dispatchers, the connect timeout, the dedup
 // window and what belongs to the retry budget. The classes and the graces in it must match the constants of clients.go and
 // rules.go.
@@ -58,6 +70,7 @@
 	if config.Seed%longConnectShare == 0 {
 		connectTimeout = longConnectTimeout
 	}
+	budget := retryBudgetOf(config.Seed)
 	return json.RawMessage(fmt.Sprintf(settingsFormat, config.Daemons, dedupWindow.Microseconds(), connectTimeout.Microseconds(),
-		maxAttempts, retryBudgetWindow.Microseconds(), retryBudgetFloor, retryBudgetRatio))
+		maxAttempts, retryBudgetWindow.Microseconds(), budget.floor, budget.ratio))
 }
--- a/internal/rehearsal/soak/heavyrules_test.go
+++ b/internal/rehearsal/soak/heavyrules_test.go
@@ -74,7 +74,8 @@
 
 // Guards against a soak that does not see a dispatcher which repeats without regard to its retry budget.
 func TestRepeatsBeyondBudgetAreSeen(t *testing.T) {
-	for repeats, want := range map[int]int{2 * retryBudgetFloor: 0, 4 * retryBudgetFloor: 1} {
+	floor := retryBudgetOf(0).floor
+	for repeats, want := range map[int]int{2 * floor: 0, 4 * floor: 1} {
 		report := judge(t, func(r *run, m recordMaker) {
 			for i := range repeats {
 				id := fmt.Sprint("id", i)
