Recordings: an empty query of a JSON log is dropped

A query of '?' or '?-' alone was kept, which other formats drop: the target of the replay differs. Cause: the rule stood twice. TestEmptyQueryOfJSONLogIsDropped fails before ("/a?" and "/a?-") and passes after.

--- a/internal/rehearsal/recording/jsonlog.go
+++ b/internal/rehearsal/recording/jsonlog.go
@@ -205,10 +205,7 @@
 	if !isMethodToken(raw.Method) {
 		return errRequestLine
 	}
-	query := scalarText(findJSON(object, f.query))
-	if query != "" && query != "-" && !strings.Contains(raw.Target, "?") {
-		raw.Target += "?" + strings.TrimPrefix(query, "?")
-	}
+	raw.appendQuery(scalarText(findJSON(object, f.query)))
 	return nil
 }
 
