Recordings: the doubt of a local time ends with a later time of its line

A log with a local ISO time and a number since 1970 behind it: where the local time was ambiguous, as summer time ends, its offset of an hour stayed for the number, whose time is certain. TestFoldOfLocalTimeEndsWithALaterEpoch fails before (fold of 3,600 s) and passes after.

--- a/internal/rehearsal/recording/template.go
+++ b/internal/rehearsal/recording/template.go
@@ -248,6 +248,7 @@
 	case fieldTimeLocal:
 		raw.Timestamp, err = f.parseLocalTime(value)
 		raw.Resolution = second
+		raw.FoldOffset = 0
 		f.state.timeSeen = true
 	case fieldTimeISO:
 		parsed, err = parseTimestamp(value, f.zone)
@@ -259,6 +260,7 @@
 		parsed, err = parseEpoch(value, field.kind.microseconds())
 		raw.Timestamp = parsed.timestamp
 		raw.Resolution = parsed.resolution
+		raw.FoldOffset = parsed.foldOffset
 		f.state.timeSeen = true
 	case fieldTimePiece:
 		f.state.pieces = append(f.state.pieces, value)
