Faktory: a bad PROXY header is counted, and logged with its peer

Operators saw 'connection rejected' with the address 'invalid IP', and no count of bad headers, unlike at the HTTP front end. The header's client was logged, which a bad header does not name, and nobody counted. TestBadProxyHeaderIsCountedAndLogged fails before and passes 3 of 3 after.

--- a/internal/faktory/handshake.go
+++ b/internal/faktory/handshake.go
@@ -42,14 +42,17 @@
 		return false
 	}
 	reason := connlimit.Allowed
+	rejected := header.Client
 	switch {
 	case err != nil:
 		reason = connlimit.BadHeader
+		rejected = c.conn.Peer()
+		gate.Limiter.CountReason(reason)
 	case header.Client.IsValid():
 		reason = gate.Limiter.Identify(c.server.dispatcher.Loop.Now(), c.admissionID, header.Client)
 	}
 	if reason != connlimit.Allowed {
-		gate.LogRejection(reason, header.Client)
+		gate.LogRejection(reason, rejected)
 		c.detach()
 		c.conn.Close()
 		return false
