Soak: two dispatchers are replaced by successors again and again

Handover had no part in the soak. Two more dispatchers with an inherited listener are replaced every 2 to 5 s under their clients, the predecessor ended by a series of signals.

--- a/internal/rehearsal/soak/daemon.go
+++ b/internal/rehearsal/soak/daemon.go
@@ -31,10 +31,12 @@
 	isHealthy func() bool // whether it accepts clients now
 	onLaunch  func()      // called before each process
 
-	timeline                   // what the run does to it
-	connections connectionPool // of its clients
-	loop        latenessLog    // of its event loop
-	surges      atomic.Int32   // that give it many times its requests now
+	timeline                    // what the run does to it
+	connections  connectionPool // of its clients
+	loop         latenessLog    // of its event loop
+	surges       atomic.Int32   // that give it many times its requests now
+	replacements atomic.Int32   // of its processes by successors
+	inherited    *os.File       // the listener of its processes, where they are replaced; nil: each opens its own
 
 	mutex      sync.Mutex
 	process    *daemonProcess    // the current or last one; nil: none was launched
@@ -131,6 +133,10 @@
 	defer log.Close()
 	command := exec.Command(d.program, append([]string{"--config", configPath}, d.options...)...)
 	command.Env = []string{"TMPDIR=" + d.dir}
+	if d.inherited != nil {
+		command.ExtraFiles = []*os.File{d.inherited}
+		command.Env = append(command.Env, fmt.Sprintf("BALANCER_FD=%d", firstInheritedDescriptor))
+	}
 	command.Stdout = log
 	command.Stderr = log
 	d.onLaunch()
@@ -195,6 +201,20 @@
 	return d.process
 }
 
+// adminAddress returns the address of the admin API of its latest process.
+func (d *daemon) adminAddress() string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.config.AdminAddress
+}
+
+// setAdminAddress sets the address of the admin API of its next process.
+func (d *daemon) setAdminAddress(address string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.config.AdminAddress = address
+}
+
 func (d *daemon) addCrash(description string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -243,8 +263,11 @@
 
 // fetchInvariants fetches the violations that the current process has counted. A process that is stopped or starting
 // does not answer; its counts are then left out.
-func (d *daemon) fetchInvariants() {
-	response, err := newHTTPClient(invariantsTimeout).Get("http://" + d.config.AdminAddress + "/control/invariants")
+func (d *daemon) fetchInvariants() { d.fetchInvariantsFrom(d.adminAddress()) }
+
+// fetchInvariantsFrom is fetchInvariants of the process with an admin address.
+func (d *daemon) fetchInvariantsFrom(adminAddress string) {
+	response, err := newHTTPClient(invariantsTimeout).Get("http://" + adminAddress + "/control/invariants")
 	if err != nil {
 		return
 	}
@@ -260,6 +283,9 @@
 
 // close kills the current process and waits for the end of all.
 func (d *daemon) close() {
+	if d.inherited != nil {
+		defer d.inherited.Close()
+	}
 	if d.currentProcess() == nil {
 		return
 	}
--- a/internal/rehearsal/soak/lateness.go
+++ b/internal/rehearsal/soak/lateness.go
@@ -74,7 +74,7 @@
 // it has no process, nothing is measured.
 func (d *daemon) measureLoop(stop <-chan struct{}) {
 	for {
-		conn, err := net.DialTimeout("tcp", d.config.AdminAddress, dialTimeout)
+		conn, err := net.DialTimeout("tcp", d.adminAddress(), dialTimeout)
 		if err == nil {
 			d.measureLoopBy(conn, stop)
 			conn.Close()
--- /dev/null
+++ b/internal/rehearsal/soak/replacement.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/rehearsal/childprocess"
+)
+
+const (
+	replacedDaemons          = 2 // dispatchers whose processes are replaced by successors, beside the others
+	replacementStreamBase    = 20_000
+	minReplacementPause      = 2 * time.Second // between two replacements
+	maxReplacementPause      = 5 * time.Second
+	successorTimeout         = 15 * time.Second // for a successor to accept clients
+	firstInheritedDescriptor = 3
+
+	// successorServesText is what a predecessor logs once its successor accepts clients.
+	successorServesText = "successor is accepting clients"
+)
+
+// prepareReplaced prepares the dispatchers that are replaced. Their listener is this process's, as the platform's is.
+func (r *run) prepareReplaced() error {
+	random := rand.New(rand.NewPCG(r.config.Seed, replacementStreamBase))
+	for number := range replacedDaemons {
+		prepared, err := r.newDaemon(r.config.Daemons+durableQueues+number, false, random.Uint64())
+		if err != nil {
+			return err
+		}
+		if err := prepared.inheritListener(r.dir); err != nil {
+			return err
+		}
+		r.replaced = append(r.replaced, prepared)
+	}
+	return nil
+}
+
+// inheritListener opens the dispatcher's listener, which all its processes inherit, and makes the folder where they meet.
+func (d *daemon) inheritListener(dir string) error {
+	d.dir = filepath.Join(dir, d.name)
+	if err := os.Mkdir(d.dir, 0o700); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", d.address)
+	if err != nil {
+		return err
+	}
+	defer listener.Close() // the file is a duplicate
+	d.inherited, err = listener.(*net.TCPListener).File()
+	return err
+}
+
+// replaceRepeatedly replaces the dispatcher's process by a successor now and then.
+func (r *run) replaceRepeatedly(ctx context.Context, target *daemon, random *rand.Rand) {
+	pause := func() time.Duration {
+		return minReplacementPause + time.Duration(random.Int64N(int64(maxReplacementPause-minReplacementPause)))
+	}
+	for sleep(ctx, pause()) {
+		r.records.strike()
+		if err := target.replace(drawSignals(true, random)); err != nil {
+			target.addCrash(fmt.Sprintf("%s: %v", target.name, err))
+			return
+		}
+		target.replacements.Add(1)
+	}
+}
+
+// replace starts a successor, and ends the predecessor by a series of signals once the successor accepts clients.
+func (d *daemon) replace(series signalSeries) error {
+	predecessor, predecessorAdmin := d.currentProcess(), d.adminAddress()
+	adminAddress, err := childprocess.FreeAddress()
+	if err != nil {
+		return err
+	}
+	d.setAdminAddress(adminAddress)
+	if err := d.launch(); err != nil {
+		return err
+	}
+	if !predecessor.awaitLog(successorServesText, successorTimeout) {
+		return fmt.Errorf("no successor accepts clients after %v: %s", successorTimeout, predecessor.endOfLog())
+	}
+	d.fetchInvariantsFrom(predecessorAdmin)
+	d.mutex.Lock()
+	predecessor.endRequested = true
+	d.mutex.Unlock()
+	series.send(predecessor, func() {})
+	select {
+	case <-predecessor.Done():
+		d.checkEnd(predecessor)
+	case <-time.After(killAfterTerm):
+		childprocess.Stop(predecessor, syscall.SIGKILL, endTimeout)
+		return fmt.Errorf("the predecessor does not end: %s", predecessor.endOfLog())
+	}
+	return nil
+}
+
+// countReplacements adds the replacements to the report. A run that is long enough for one of each dispatcher has it.
+func (c *ruleChecker) countReplacements() {
+	const leadTime = successorTimeout // of the first one
+	for _, target := range c.run.replaced {
+		made := int(target.replacements.Load())
+		c.report.Replaced += made
+		if made == 0 && c.run.config.Duration > maxReplacementPause+leadTime {
+			c.addViolation(ruleHarness, c.run.start, "%s was never replaced", target.name)
+		}
+	}
+}
+
+// awaitLog waits until the process has logged a text. It reports false after the timeout.
+func (p *daemonProcess) awaitLog(text string, timeout time.Duration) bool {
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(readyPollInterval) {
+		log, _ := os.ReadFile(p.logPath) // none: it has logged nothing
+		if strings.Contains(string(log), text) {
+			return true
+		}
+	}
+	return false
+}
+
+// startReplaced launches the dispatchers that are replaced, and waits until they accept clients.
+func (r *run) startReplaced() error {
+	for _, target := range r.replaced {
+		if err := target.launch(); err != nil {
+			return err
+		}
+		if !target.awaitReady(startTimeout) {
+			return fmt.Errorf("%s is not ready after %v: %s", target.name, startTimeout, target.currentProcess().endOfLog())
+		}
+		target.ready()
+	}
+	return nil
+}
