Event loop: a hold-up of over 0.1 s is noticed, whatever the loop waits for

What callers saw: workers were told more time than the client had left, by up to the length of a hold-up of the process; 0.15 s are allowed. Cause: only a deadline that was 0.5 s late counted, and an idle loop has none.

The loop sleeps for 40 ms at most and compares when it meant to wake with when it did.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -11,8 +11,9 @@
 	"time"
 )
 
-// maxSleep is how long Run sleeps where nothing is due. Post and Stop wake it before.
-const maxSleep = time.Hour
+// maxSleep is how long Run sleeps where nothing is due. Post and Stop wake it before. It is short so that a hold-up of the
+// process is noticed where no deadline would show it.
+const maxSleep = 40 * time.Millisecond
 
 // Loop runs callbacks and deadlines. Post, Now and Stop may be called from any goroutine; all else belongs to the loop's
 // own goroutine, which is the one that calls Run or RunOnce.
@@ -34,7 +35,8 @@
 	lastSequence uint64        // of Set; see Deadline.sequence
 	firedAt      time.Duration // when deadlines were last fired
 
-	turnEndedAt time.Duration // the end of the last turn, from which a stall counts
+	turnBeganAt time.Duration // of the last turn, from which a stall counts
+	wakeAt      time.Duration // when Run meant to wake; 0: it has not slept since the last turn
 	lastStall   stall
 }
 
@@ -95,6 +97,7 @@
 		if sleep == 0 {
 			continue
 		}
+		l.wakeAt = l.Now() + sleep
 		timer.Reset(sleep)
 		select {
 		case <-l.wake:
@@ -111,13 +114,15 @@
 		return true
 	}
 	l.detectStall()
+	l.turnBeganAt = l.Now()
+	l.wakeAt = 0
 	for _, f := range calls {
 		f()
 	}
 	clear(calls) // so that the spare slice keeps nothing alive
 	l.spare = calls[:0]
 	l.fireDeadlines()
-	l.turnEndedAt = l.Now()
+	l.detectLongTurn()
 	return false
 }
 
@@ -150,5 +155,5 @@
 	if !ok {
 		return maxSleep
 	}
-	return max(at-l.Now(), 0)
+	return min(max(at-l.Now(), 0), maxSleep)
 }
--- /dev/null
+++ b/internal/eventloop/shortstall_test.go
@@ -0,0 +1,33 @@
+package eventloop
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against requests that are taken for new though they waited while the process was held up: a stall of less than
+// 0.5 s counted as none.
+func TestQueuedSinceAfterShortStall(t *testing.T) {
+	now := time.Hour
+	loop := NewVirtual(func() time.Duration { return now })
+	loop.RunOnce()
+	begin := now
+	loop.Set(&Deadline{Fire: func() {}}, now+20*time.Millisecond)
+	now += 300 * time.Millisecond
+	loop.RunOnce()
+	if got := loop.QueuedSince(); got != begin {
+		t.Errorf("after a stall of 0.3 s: since %v, want %v", got, begin)
+	}
+}
+
+// Guards against the same where the loop itself is held up, within a turn.
+func TestQueuedSinceAfterLongTurn(t *testing.T) {
+	now := time.Hour
+	loop := NewVirtual(func() time.Duration { return now })
+	begin := now
+	loop.Post(func() { now += 300 * time.Millisecond })
+	loop.RunOnce()
+	if got := loop.QueuedSince(); got != begin {
+		t.Errorf("after a turn of 0.3 s: since %v, want %v", got, begin)
+	}
+}
