--- a/internal/rehearsal/soak/connection.go
+++ b/internal/rehearsal/soak/connection.go
@@ -48,8 +48,8 @@
 func (c *clientConnection) exchange(sent *request, wait time.Duration) {
 	sent.sentAt = time.Now()
 	sent.kept = c.served
+	c.conn.SetDeadline(sent.sentAt.Add(wait))
 	writeRequest(c.conn, sent)
-	c.conn.SetReadDeadline(sent.sentAt.Add(wait))
 	status, reusable, err := c.readAnswer()
 	now := time.Now()
 	switch {
--- a/internal/rehearsal/soak/records.go
+++ b/internal/rehearsal/soak/records.go
@@ -32,7 +32,7 @@
 	timeout      time.Duration
 	key          int  // what it concerns
 	largeBody    bool // its body does not fit a small buffer
-	extraBytes   bool // its client writes the beginning of another one behind it
+	extraBytes   int  // that its client writes behind it
 	sentAt       time.Time
 	clientLeftAt time.Time // when its client closed the connection; zero: it did not
 	kept         bool      // its connection had served a request before
--- a/internal/rehearsal/soak/soak.go
+++ b/internal/rehearsal/soak/soak.go
@@ -214,6 +214,7 @@
 	for number, scheduled := range schedule(r.config.Seed, r.config) {
 		running.Go(func() { r.injectFault(ctx, number, scheduled) })
 	}
+	running.Go(func() { r.holdRepeatedly(ctx) })
 	for _, scheduled := range scheduleNetwork(r.config) {
 		running.Go(func() { r.injectNetworkFault(ctx, scheduled) })
 	}
