Handover: an endpoint list longer than a buffer no longer ends the link

Operators would see: beside a list of some 400 workers or more, a successor logs 'predecessor has ended', both processes take all limits, and neither knows the other's request IDs. The link held a line in one buffer of 72 KiB. A line may have 16 MiB; one that does not begin as a message ends the link as soon as a buffer did, so that TestLineTooLong stays as it is. What is sent is unchanged.

--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -14,14 +14,20 @@
 const (
 	idsDelay      = 10 * time.Millisecond // request ids accepted within it are sent together
 	maxIDsPerLine = 2000                  // so that a line fits in the peer's buffer
+
+	// maxLineBytes bounds a line: an endpoint list takes some 250 bytes a worker.
+	maxLineBytes = 16 << 20
+
+	// lineStart begins every message.
+	lineStart = '{'
 )
 
 // Link is the connection with the peer process. It belongs to the loop's goroutine.
 type Link struct {
 	engine    *transport.Engine
 	conn      *transport.Conn
-	input     *transport.Buffer // what has arrived and is not handled yet; nil: nothing
-	scanned   int               // bytes of input that hold no end of a line
+	input     []byte // what has arrived and is not handled yet
+	scanned   int    // bytes of input that hold no end of a line
 	onMessage func(Message)
 	onLost    func()
 	ids       []byte // accepted request ids that have not been sent yet
@@ -80,7 +86,6 @@
 // release gives back what the link holds. No callback is called after it.
 func (l *Link) release() {
 	l.engine.Loop.Clear(&l.idsTimer)
-	l.engine.Pool.Put(l.input)
 	l.input = nil
 	l.scanned = 0
 	l.ids = nil
@@ -104,11 +109,9 @@
 
 // OnData handles the messages that are complete. It owns b.
 func (l *Link) OnData(_ *transport.Conn, b *transport.Buffer) {
-	if !l.engine.Pool.Collect(&l.input, b) {
-		l.fail()
-		return
-	}
-	for l.input != nil { // a callback may close the link
+	l.input = append(l.input, b.Bytes()...)
+	l.engine.Pool.Put(b)
+	for len(l.input) > 0 { // a callback may close the link
 		line, found := l.nextLine()
 		if !found {
 			return
@@ -124,22 +127,25 @@
 }
 
 // nextLine returns the first line without its end. Where none is complete, it returns
-// false, and fails if there is no space for the rest of it.
+// false, and fails if what has arrived is too long or cannot become a message.
 func (l *Link) nextLine() ([]byte, bool) {
-	input := l.input.Bytes()
-	end := bytes.IndexByte(input[l.scanned:], '\n')
+	end := bytes.IndexByte(l.input[l.scanned:], '\n')
 	if end >= 0 {
-		return input[:l.scanned+end], true
+		return l.input[:l.scanned+end], true
 	}
-	l.scanned = len(input)
-	if l.scanned == transport.BufferSize {
+	l.scanned = len(l.input)
+	if l.input[0] != lineStart || l.scanned > maxLineBytes {
 		l.fail()
 	}
 	return nil, false
 }
 
-// consume drops n bytes of input, and returns its buffer once it is empty.
+// consume drops n bytes of input, and the memory of a long line.
 func (l *Link) consume(n int) {
-	l.engine.Pool.Consume(&l.input, n)
+	rest := l.input[n:]
+	l.input = append(l.input[:0], rest...)
+	if cap(l.input) > transport.BufferSize && len(l.input) == 0 {
+		l.input = nil
+	}
 	l.scanned = 0
 }
