Soak: traced dispatchers are judged with what tracing adds to an accept

With their trace: sent at 16.988 s on a new connection, accepted at 18.052, written 0.4 s later over failing calls. What is traced is slow to accept, which the probe of the loop cannot see. A health check on a new connection each 50 ms measures it, for traced ones alone.

--- a/internal/rehearsal/soak/daemon.go
+++ b/internal/rehearsal/soak/daemon.go
@@ -34,6 +34,7 @@
 	timeline                    // what the run does to it
 	connections  connectionPool // of its clients
 	loop         latenessLog    // of its event loop
+	accepts      latenessLog    // of requests on new connections, where it is traced
 	surges       atomic.Int32   // that give it many times its requests now
 	replacements atomic.Int32   // of its processes by successors
 	inherited    *os.File       // the listener of its processes, where they are replaced; nil: each opens its own
--- a/internal/rehearsal/soak/soak.go
+++ b/internal/rehearsal/soak/soak.go
@@ -193,6 +193,9 @@
 	go r.measureTimers(stop)
 	for _, daemon := range r.daemons {
 		go daemon.measureLoop(stop)
+		if daemon.tracer != nil {
+			go daemon.measureAccept(stop)
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.config.Duration)
 	defer cancel()
