Soak: a traced dispatcher's slow calls between question and send are allowed

Between the question whether the client is there and the send lie several calls, each of which waits for the tracer. Traced dispatchers have their measured lateness again; the others are judged without it, as before.

--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -248,8 +248,7 @@
 	}
 	if sent.clientLeft() {
 		sinceClientLeft := arrived.arrivedAt.Sub(sent.clientLeftAt)
-		// Not the lateness of the dispatcher: it asks the kernel whether the client is there right before it sends.
-		lateness := c.run.timers.around(sent.clientLeftAt, arrived.arrivedAt) + measurementInterval
+		lateness := c.cancellationLateness(sent, arrived)
 		if c.exceedsBy(sinceClientLeft-cancellationSlack, lateness) {
 			c.addViolation(ruleLost, arrived.arrivedAt, "%s came to %s %v after its client had left%s",
 				arrived.id, arrived, sinceClientLeft, c.traceOf(sent))
@@ -263,6 +262,16 @@
 	}
 }
 
+// cancellationLateness returns what is allowed beyond the bound for an attempt after its client has left. The lateness of
+// the dispatcher does not count, since it asks the kernel right before it sends, but for a traced one, whose calls between
+// the question and the send are slow.
+func (c *ruleChecker) cancellationLateness(sent *request, arrived attempt) time.Duration {
+	if sent.daemon.tracer != nil {
+		return c.run.latenessAround(sent.daemon, sent.clientLeftAt, arrived.arrivedAt)
+	}
+	return c.run.timers.around(sent.clientLeftAt, arrived.arrivedAt) + measurementInterval
+}
+
 // checkDrain checks that the worker of an attempt was listed as ready, or that its dispatcher did not have to know yet
 // that it was not: neither had it been told so, nor was the notification due.
 func (c *ruleChecker) checkDrain(sent *request, arrived attempt) {
