Rehearsal kit: the daemon's process is a child process like any other

Starting, awaiting and stopping a child stood twice, and reading a process's memory too. daemonprocess had kept the older form, in which the kernel kills the daemon with the thread that started it.

--- a/internal/rehearsal/childprocess/memory.go
+++ b/internal/rehearsal/childprocess/memory.go
@@ -1,20 +1,14 @@
 package childprocess
 
-import (
-	"fmt"
-	"os"
-	"strconv"
-	"strings"
-)
+import "hollyyoke.example/hollyyoke/internal/rehearsal/processusage"
+
+const bytesPerKiB = 1 << 10
 
 // ResidentKiB returns the resident memory of a process in KiB; 0 if it is not known, as of a process that has ended.
 func ResidentKiB(pid int) int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	memory, err := processusage.ReadMemory(pid)
 	if err != nil {
 		return 0
 	}
-	_, rest, _ := strings.Cut(string(status), "VmRSS:")
-	number, _, _ := strings.Cut(rest, "kB")
-	resident, _ := strconv.ParseInt(strings.TrimSpace(number), 10, 64) // missing: 0
-	return resident
+	return memory.Resident / bytesPerKiB
 }
--- a/internal/rehearsal/childprocess/process.go
+++ b/internal/rehearsal/childprocess/process.go
@@ -54,6 +54,9 @@
 	_ = p.command.Wait() // Outcome describes the end
 }
 
+// PID is the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Done implements Handle.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
--- a/internal/rehearsal/daemonprocess/daemonprocess.go
+++ b/internal/rehearsal/daemonprocess/daemonprocess.go
@@ -32,10 +32,9 @@
 
 // Process is a daemon that was started. Its methods are safe for concurrent use.
 type Process struct {
-	command   *exec.Cmd
+	child     *childprocess.Process
 	log       *childprocess.Output
 	startedAt time.Time
-	ended     chan struct{}
 }
 
 // Start starts a daemon. It does not wait until the daemon is ready. The caller must call Stop.
@@ -45,30 +44,26 @@
 	command.ExtraFiles = config.Files
 	command.Stdout = config.Log
 	command.Stderr = config.Log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	process := &Process{command: command, log: config.Log, startedAt: time.Now(), ended: make(chan struct{})}
-	if err := command.Start(); err != nil {
+	startedAt := time.Now()
+	child, err := childprocess.Start(command)
+	if err != nil {
 		return nil, fmt.Errorf("the daemon: %w", err)
 	}
-	go func() {
-		command.Wait()
-		close(process.ended)
-	}()
-	return process, nil
+	return &Process{child: child, log: config.Log, startedAt: startedAt}, nil
 }
 
 // PID is the process id.
-func (p *Process) PID() int { return p.command.Process.Pid }
+func (p *Process) PID() int { return p.child.PID() }
 
 // Ended returns a channel that is closed when the daemon has ended.
-func (p *Process) Ended() <-chan struct{} { return p.ended }
+func (p *Process) Ended() <-chan struct{} { return p.child.Done() }
 
 // WaitReady polls isReady until it reports true, and returns the time since the start. It fails if the daemon ends
 // before, or with ErrNotReady after the timeout, which counts from the start.
 func (p *Process) WaitReady(isReady func() bool, interval, timeout time.Duration) (time.Duration, error) {
 	for ; ; time.Sleep(interval) {
 		select {
-		case <-p.ended:
+		case <-p.Ended():
 			return 0, fmt.Errorf("the daemon has ended: %s", strings.TrimSpace(p.log.String()))
 		default:
 		}
@@ -82,15 +77,7 @@
 }
 
 // Stop shuts the daemon down gracefully, or kills it if that takes too long, and waits for its end.
-func (p *Process) Stop() {
-	p.command.Process.Signal(syscall.SIGTERM) // a process that has ended gets no signal
-	select {
-	case <-p.ended:
-	case <-time.After(shutdownTimeout):
-		p.command.Process.Kill()
-		<-p.ended
-	}
-}
+func (p *Process) Stop() { childprocess.Stop(p.child, syscall.SIGTERM, shutdownTimeout) }
 
 // IsHealthy reports whether the health check at an address of the daemon succeeds.
 func IsHealthy(client *http.Client, address string) bool {
