--- a/internal/rehearsal/soak/daemon.go
+++ b/internal/rehearsal/soak/daemon.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -181,14 +182,22 @@
 // maxTraceLines bounds what is shown of the trace of a request.
 const maxTraceLines = 30
 
-// traceOf returns the lines of the dispatcher's logs about a request.
-func (d *daemon) traceOf(id string) (lines []string) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+// reportedViolations returns the lines of the dispatcher's logs about violations that it has counted, and about claims
+// that an attempt was never sent. The caller holds the lock.
+func (d *daemon) reportedViolations() (lines string) {
+	for _, line := range d.linesWith("invariant ", " as never sent") {
+		lines += "\n    " + line
+	}
+	return lines
+}
+
+// linesWith returns the first lines of the dispatcher's logs that have one of some texts. The caller holds the lock.
+func (d *daemon) linesWith(texts ...string) (lines []string) {
 	for _, path := range d.logPaths {
 		log, _ := os.ReadFile(path) // none: nothing to show
 		for line := range strings.Lines(string(log)) {
-			if strings.Contains(line, id) && len(lines) < maxTraceLines {
+			hasText := slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) })
+			if hasText && len(lines) < maxTraceLines {
 				lines = append(lines, strings.TrimSpace(line))
 			}
 		}
@@ -196,6 +205,13 @@
 	return lines
 }
 
+// traceOf returns the lines of the dispatcher's logs about a request.
+func (d *daemon) traceOf(id string) (lines []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.linesWith(id)
+}
+
 func (d *daemon) currentProcess() *daemonProcess {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -303,7 +319,7 @@
 	found = append(found, d.crashes...)
 	for _, counts := range d.invariants {
 		if len(counts.Violated) > 0 {
-			found = append(found, fmt.Sprintf("%s counted violations itself: %v", d.name, counts.Violated))
+			found = append(found, fmt.Sprintf("%s counted violations itself: %v%s", d.name, counts.Violated, d.reportedViolations()))
 		}
 	}
 	return found
