--- a/internal/faktory/push.go
+++ b/internal/faktory/push.go
@@ -33,7 +33,7 @@
 		release()
 		return
 	}
-	job.request.ReceivedAt = min(server.dispatcher.Loop.QueuedSince(), now-c.conn.ReceivedAgo())
+	job.request.ReceivedAt = server.dispatcher.Loop.QueuedSince()
 	if isDurable {
 		reply := c.deferReply()
 		c.storeJob(&job, func(err error) { reply(resultLine(err)) })
--- a/internal/httpfront/timeouts.go
+++ b/internal/httpfront/timeouts.go
@@ -55,7 +55,7 @@
 func (c *clientConnection) startRequest() {
 	frontEnd := c.frontEnd
 	now := frontEnd.loop().Now()
-	c.incoming.startedAt = min(frontEnd.loop().QueuedSince(), now-c.conn.ReceivedAgo())
+	c.incoming.startedAt = frontEnd.loop().QueuedSince()
 	c.incoming.deadline = now + requestTimeout
 	if !c.hasSent {
 		c.hasSent = true
--- a/internal/transport/socketstate.go
+++ b/internal/transport/socketstate.go
@@ -3,10 +3,7 @@
 import (
 	"encoding/binary"
 	"syscall"
-	"time"
 	"unsafe"
-
-	"golang.org/x/sys/unix"
 )
 
 // States of a TCP socket as getsockopt(2) with TCP_INFO returns them; see
@@ -81,28 +78,6 @@
 	return peerClosed
 }
 
-// maxReceivedAgo is the longest time that ReceivedAgo believes. Nothing is left unread for so long.
-const maxReceivedAgo = 10 * time.Second
-
-// ReceivedAgo returns how long ago the peer's latest bytes came to the kernel,
-// where they may have waited to be accepted and read; 0 where it does not tell.
-func (c *Conn) ReceivedAgo() time.Duration {
-	if !c.connected() {
-		return 0
-	}
-	ago := time.Duration(0)
-	c.control(func(fd int) {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			ago = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	if ago > maxReceivedAgo {
-		return 0
-	}
-	return ago
-}
-
 // Unacknowledged returns how many of the written bytes the peer's kernel has not
 // acknowledged; 0 also where the kernel does not tell.
 func (c *Conn) Unacknowledged() int {
