transport: an aborted connection delivers nothing more while the poller is busy

Cause: Abort set SO_LINGER and called shutdown(2). The reset comes with close(2), which is left to the poller; until then the kernel delivers the send queue and an orderly end. A poller that waits for the loop closes 0.2 s later.

Fix: Abort dissolves a connection with undelivered bytes by connect(2) with AF_UNSPEC, which resets it and drops the queue at once, and keeps the descriptor open.

--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -3,6 +3,7 @@
 import (
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 const (
@@ -17,8 +18,8 @@
 	// open.
 	MaxLingerTime = lingerTimeout + 2*shutdownTimeout
 
-	// abortAttempts is the maximum number of attempts to set SO_LINGER, since
-	// setsockopt(2) may fail temporarily.
+	// abortAttempts is the maximum number of attempts of each system call by which
+	// Abort makes the kernel send a reset, since the calls may fail temporarily.
 	abortAttempts = 3
 )
 
@@ -40,17 +41,40 @@
 		return
 	}
 	c.withDescriptor(func(fd int) {
-		for range abortAttempts {
-			// setsockopt(2): with l_onoff set and l_linger 0, close(2) sends a reset.
-			err := syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
-			if err == nil {
-				return
-			}
+		setResetOnClose(fd)
+		if sendQueueBytes(fd) > 0 {
+			disconnect(fd)
 		}
 	})
 	c.Close()
 }
 
+// setResetOnClose makes close(2) send a reset, for the case that disconnect fails.
+func setResetOnClose(fd int) {
+	for range abortAttempts {
+		// setsockopt(2): l_onoff is set and l_linger is 0.
+		err := syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		if err == nil {
+			return
+		}
+	}
+}
+
+// disconnect resets a connection and drops the bytes in its send queue, but keeps the
+// descriptor open. Closing the descriptor is left to the poller; until then shutdown(2)
+// alone would let the kernel deliver what it has taken.
+func disconnect(fd int) {
+	// connect(2): an address of the family AF_UNSPEC dissolves the association of a TCP
+	// socket. Package syscall has no such address.
+	address := syscall.RawSockaddr{Family: syscall.AF_UNSPEC}
+	for range abortAttempts {
+		_, _, errno := syscall.Syscall(syscall.SYS_CONNECT, uintptr(fd), uintptr(unsafe.Pointer(&address)), unsafe.Sizeof(address))
+		if errno == 0 {
+			return
+		}
+	}
+}
+
 // shutDown ends the connection with shutdown(2). nbio's poller gets an event for that
 // at once, and closes the descriptor. If the descriptor were closed here while the
 // poller still had an event for it, that event would close the next connection that
