Requests have two times: arrival for what is told, reading for what is decided

Callers: a worker was told more time than its client had left, by as long as the request had waited in the kernel or behind a pipelined one; a request whose time was over still went to a worker.

Cause: one time, that of the reading, served both the deadline and the decision machine.

Change: the kernel tells the arrival (tcpi_last_data_recv, after each read of an accepted connection) and buffers keep it by piece. The deadline, the time told, the guard and the answers of Faktory and durable requests count from it; what the decision machine estimates, and the minimum rate, count from the reading.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -22,8 +22,9 @@
 	Body           []byte // valid until Release is called
 	Slots          float64
 	Work           time.Duration // run time according to the client's hint; 0 if there is no hint
-	TimeLeft       time.Duration // how long the client waits from ReceivedAt on; 0 means as long as the class allows
-	ReceivedAt     time.Duration // clock time; 0 means the time of Accept
+	TimeLeft       time.Duration // how long the client waits from ArrivedAt on; 0 means as long as the class allows
+	ArrivedAt      time.Duration // clock time at which the kernel had received the request; 0 means ReceivedAt
+	ReceivedAt     time.Duration // clock time at which the request was read; 0 means the time of Accept
 	ClientRetry    bool          // the client has marked the request as a retry
 
 	Release func() // called once, when Body is not needed any more; may be nil
@@ -78,6 +79,12 @@
 // request before; the response may come before Accept returns. Accept returns the handle of the request, for Cancel.
 func (d *Dispatcher) Accept(frontEnd FrontEnd, token uint64, request Request) (requestHandle uint64) {
 	now := d.Loop.Now()
+	if request.ReceivedAt == 0 {
+		request.ReceivedAt = now
+	}
+	if request.ArrivedAt == 0 {
+		request.ArrivedAt = request.ReceivedAt
+	}
 	open := d.addRequest(frontEnd, token, request, now)
 	d.counters.unanswered++
 	d.counters.total.Accepted++
@@ -88,7 +95,7 @@
 		Class:       request.Class,
 		Slots:       request.Slots,
 		Work:        request.Work,
-		TimeLeft:    max(open.deadline-now, 0),
+		TimeLeft:    d.timeLeftToDecide(open, now),
 		ClientRetry: request.ClientRetry,
 		Key:         request.Key,
 	})
@@ -112,17 +119,39 @@
 	return open
 }
 
-// deadlineOf returns the clock time by which the final response to a request must leave. It is not before now.
+// ArrivalOf returns the arrival of a request that is read now, given the clock time at which the kernel had received it,
+// or 0 if that is not known. Right after a stall, a request may have been queued since the stall began.
+func (d *Dispatcher) ArrivalOf(received time.Duration) time.Duration {
+	queuedSince := d.Loop.QueuedSince()
+	if received == 0 {
+		return queuedSince
+	}
+	return min(queuedSince, received)
+}
+
+// deadlineOf returns the clock time by which the final response to a request must leave, counted from the arrival of the
+// request. It is not before now.
 func (d *Dispatcher) deadlineOf(request *Request, now time.Duration) time.Duration {
-	timeLeft := d.Settings.Classes[request.Class].Deadline
-	if request.TimeLeft > 0 {
-		timeLeft = min(timeLeft, request.TimeLeft)
+	return max(request.ArrivedAt+d.timeoutOf(request)-responseMargin, now)
+}
+
+// timeLeftToDecide returns the time that the decision machine is told a request has left, or 0 if its client gives up
+// now. It counts from the reading of the request: the machine compares it with what it has seen of other requests, and a
+// request that waited in the kernel of a busy machine is not to be rejected for that.
+func (d *Dispatcher) timeLeftToDecide(open *openRequest, now time.Duration) time.Duration {
+	if open.deadline <= now {
+		return 0
 	}
-	receivedAt := request.ReceivedAt
-	if receivedAt == 0 {
-		receivedAt = now
+	return max(open.ReceivedAt+d.timeoutOf(&open.Request)-responseMargin-now, 0)
+}
+
+// timeoutOf returns how long the client of a request waits for the response.
+func (d *Dispatcher) timeoutOf(request *Request) time.Duration {
+	timeout := d.Settings.Classes[request.Class].Deadline
+	if request.TimeLeft > 0 {
+		timeout = min(timeout, request.TimeLeft)
 	}
-	return max(receivedAt+timeLeft-responseMargin, now)
+	return timeout
 }
 
 // isOpen reports whether a request has not been removed yet.
--- a/internal/faktory/commands.go
+++ b/internal/faktory/commands.go
@@ -25,7 +25,7 @@
 		c.server.commandCount++
 		pool := c.input.pool
 		if verb == commandPush && c.authenticated {
-			c.handlePush(rest, func() { pool.Put(buffer) })
+			c.handlePush(rest, buffer.ArrivedAt(), func() { pool.Put(buffer) })
 			continue
 		}
 		c.handleCommand(verb, rest)
--- a/internal/faktory/push.go
+++ b/internal/faktory/push.go
@@ -19,9 +19,10 @@
 }
 
 // handlePush accepts a job. On a direct queue the PUSH is answered with the final
-// result of the job, on a durable queue once the job is stored. release frees the
-// buffer of which rest is a part.
-func (c *connection) handlePush(rest []byte, release func()) {
+// result of the job, on a durable queue once the job is stored. arrivedAt is the clock
+// time at which the kernel had received the command, or 0 if that is not known. release
+// frees the buffer of which rest is a part.
+func (c *connection) handlePush(rest []byte, arrivedAt time.Duration, release func()) {
 	server := c.server
 	now := server.dispatcher.Loop.Now()
 	job, err := parseJob(rest, server.classIndexes, now)
@@ -34,7 +35,7 @@
 		release()
 		return
 	}
-	job.request.ReceivedAt = server.dispatcher.Loop.QueuedSince()
+	job.request.ArrivedAt = server.dispatcher.ArrivalOf(arrivedAt)
 	if isDurable {
 		reply := c.deferReply()
 		c.storeJob(&job, func(err error) { reply(resultReply(err)) })
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if c.input.empty() && !c.response.pending {
-		c.startRequest()
+		c.startRequest(b.ArrivedAt())
 	}
 	if !c.input.add(b) { // not expected: reading is paused while there is overflow
 		c.closeAfterResponse = true
--- a/internal/httpfront/idempotency.go
+++ b/internal/httpfront/idempotency.go
@@ -51,7 +51,7 @@
 	c.response.durableCount++
 	c.beginService()
 	response := durableResponse{connection: c, number: c.response.durableCount}
-	untilResponse := request.ReceivedAt + frontEnd.clientTimeout(request) - durableResponseMargin - frontEnd.loop().Now()
+	untilResponse := request.ArrivedAt + frontEnd.clientTimeout(request) - durableResponseMargin - frontEnd.loop().Now()
 	frontEnd.loop().After(max(untilResponse, 0), response.notDone)
 	frontEnd.durable.Push(job, 0, func(err error) {
 		if err != nil {
--- a/internal/httpfront/input.go
+++ b/internal/httpfront/input.go
@@ -17,7 +17,8 @@
 type incomingRequest struct {
 	scan          httpwire.ScanState // how far it has been parsed
 	continueSent  bool               // 100 Continue has been sent for it
-	startedAt     time.Duration      // when its first byte arrived
+	arrivedAt     time.Duration      // when the kernel had received its first byte
+	startedAt     time.Duration      // when its first byte was read
 	deadline      time.Duration      // when it must be complete
 	limitExceeded connlimit.Reason   // the limit on incomplete requests that it exceeds, if any
 }
--- a/internal/httpfront/inputbuffer.go
+++ b/internal/httpfront/inputbuffer.go
@@ -1,6 +1,10 @@
 package httpfront
 
-import "hollyyoke.example/hollyyoke/internal/transport"
+import (
+	"time"
+
+	"hollyyoke.example/hollyyoke/internal/transport"
+)
 
 // inputBuffer holds the bytes that a client has sent and that do not belong to a request that was already removed.
 type inputBuffer struct {
@@ -19,6 +23,10 @@
 // empty.
 func (b *inputBuffer) bytes() []byte { return b.first.Bytes() }
 
+// arrivedAt returns the clock time at which the kernel had received the first buffered byte, or an earlier one; 0 if that
+// is not known. The buffer must not be empty.
+func (b *inputBuffer) arrivedAt() time.Duration { return b.first.ArrivedAt() }
+
 // add adds received bytes and takes ownership of their buffer. If there is no room, it drops them and returns false.
 func (b *inputBuffer) add(received *transport.Buffer) bool {
 	switch {
@@ -78,6 +86,6 @@
 		b.overflow = nil
 		return
 	}
-	moved := b.first.Fill(b.overflow.Bytes())
+	moved := b.first.FillFrom(b.overflow)
 	b.pool.Consume(&b.overflow, moved)
 }
--- a/internal/httpfront/request.go
+++ b/internal/httpfront/request.go
@@ -51,6 +51,7 @@
 		c.rejectInvalid(message, class, httpwire.StatusBadRequest, err.Error()+"\n")
 		return
 	}
+	request.ArrivedAt = c.incoming.arrivedAt
 	request.ReceivedAt = c.incoming.startedAt
 	request.Class = class
 	key := message.Get("Idempotency-Key")
--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -111,7 +111,7 @@
 		c.closeNow()
 	case !c.input.empty():
 		c.becomeIdle(response.served)
-		c.startRequest()
+		c.startRequest(c.input.arrivedAt())
 	default:
 		c.becomeIdle(response.served)
 	}
--- a/internal/httpfront/timeouts.go
+++ b/internal/httpfront/timeouts.go
@@ -53,11 +53,13 @@
 	frontEnd.loop().Set(&c.timer, now+timeout)
 }
 
-// startRequest is called at the first byte of a request. It sets the time by which the request must be complete.
-func (c *clientConnection) startRequest() {
+// startRequest is called when the first byte of a request is read, with the clock time at which the kernel had received
+// it, or 0 if that is not known. It sets the time by which the request must be complete.
+func (c *clientConnection) startRequest(arrivedAt time.Duration) {
 	frontEnd := c.frontEnd
 	now := frontEnd.loop().Now()
-	c.incoming.startedAt = frontEnd.loop().QueuedSince()
+	c.incoming.startedAt = now
+	c.incoming.arrivedAt = frontEnd.dispatcher.ArrivalOf(arrivedAt)
 	c.incoming.deadline = now + requestTimeout
 	if !c.hasSent {
 		c.hasSent = true
--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -88,6 +88,7 @@
 // Serve accepts connections from a listener, up to options.Limit at a time.
 func (e *Engine) Serve(listener net.Listener, options AcceptOptions) *Acceptor {
 	a := &Acceptor{engine: e, listener: listener, group: newConnGroup(options.Limit, options.window())}
+	a.group.datesInput = true
 	e.mu.Lock()
 	a.group.resize(e.share)
 	e.acceptors = append(e.acceptors, a)
--- a/internal/transport/admissionaccept.go
+++ b/internal/transport/admissionaccept.go
@@ -21,6 +21,7 @@
 func (e *Engine) ServeWithAdmission(listener net.Listener, options AcceptOptions) *Acceptor {
 	group := newConnGroup(unlimited, options.window())
 	group.quota.Release = e.admission.Release
+	group.datesInput = true
 	acceptor := &Acceptor{engine: e, listener: listener, group: group, fixedLimit: true}
 	e.mu.Lock()
 	e.acceptors = append(e.acceptors, acceptor)
--- a/internal/transport/buffer.go
+++ b/internal/transport/buffer.go
@@ -23,7 +23,8 @@
 	pool     *Pool
 	array    []byte
 	length   int
-	resident int // bytes of array that are resident in memory, in complete pages
+	resident int       // bytes of array that are resident in memory, in complete pages
+	arrivals []arrival // of the contents, in their order; empty if the times of arrival are not known
 }
 
 // Bytes returns the buffer's contents. The slice is valid until the buffer changes.
@@ -57,7 +58,17 @@
 }
 
 // Consume removes the first n bytes.
-func (b *Buffer) Consume(n int) { b.length = copy(b.array, b.array[n:b.length]) }
+func (b *Buffer) Consume(n int) {
+	b.length = copy(b.array, b.array[n:b.length])
+	b.consumeArrivals(n)
+}
+
+// FillFrom appends as much of the contents of other as there is space for, and returns how many bytes that is.
+func (b *Buffer) FillFrom(other *Buffer) int {
+	n := b.Fill(other.Bytes())
+	b.addArrivals(other, n)
+	return n
+}
 
 // Pool hands out buffers and takes them back. Its methods may be called from
 // any goroutine, and its zero value is ready for use.
@@ -117,6 +128,7 @@
 		return
 	}
 	b.length = 0
+	b.arrivals = b.arrivals[:0]
 	p.bytesInUse.Add(int64(-b.resident))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -131,7 +143,10 @@
 		*into = received
 		return true
 	}
-	fits := (*into).Append(received.Bytes())
+	fits := len(received.Bytes()) <= BufferSize-(*into).length
+	if fits {
+		(*into).FillFrom(received)
+	}
 	p.Put(received)
 	return fits
 }
@@ -155,6 +170,8 @@
 	if rest := message.Bytes()[n:]; len(rest) > 0 {
 		*from = p.Get()
 		(*from).Append(rest)
+		(*from).arrivals = append((*from).arrivals, message.arrivals...)
+		(*from).consumeArrivals(n)
 	}
 	return message
 }
--- a/internal/transport/conngroup.go
+++ b/internal/transport/conngroup.go
@@ -24,6 +24,8 @@
 	limit     int       // the present limit
 	closed    bool
 
+	datesInput bool // the buffers of its connections tell when their contents arrived
+
 	window int   // maximum number of buffers of one connection that may be in transit to its handler
 	quota  Quota // applies in addition to the limit; its functions may be nil
 }
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -26,6 +26,9 @@
 		return err
 	}
 	b.extend(length)
+	if c.group.datesInput {
+		b.recordArrival(length, c.arrivalOfInput())
+	}
 	c.inTransit++
 	c.mayHaveMore = length == len(b.array)
 	c.engine.addInTransit(1)
