Shutdown: serve what the kernel holds before the listener and sockets close

Cause: the stop assumed that acceptor and poller keep up with the loop. After a hold-up the listener closed over its queue, and connections over unread requests.

Change: the listener accepts its queue before it closes; at the stop each socket is read once more, up to what arrived by the due time, which counts from SIGTERM. Connections that reach the loop late are treated alike.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -62,11 +62,12 @@
 	f.faktory.Stop()
 }
 
-// stopAccepting closes the listener for HTTP clients. Later connections wait in the backlog
-// if a successor shares the socket; otherwise the kernel refuses them.
+// stopAccepting closes the listener for HTTP clients once the connections in its queue have
+// been accepted. Later connections wait in the backlog if a successor shares the socket;
+// otherwise the kernel refuses them.
 func (f *frontEnds) stopAccepting() {
 	if f.http != nil {
-		f.http.StopAccepting()
+		f.http.DrainListener()
 	}
 }
 
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -37,9 +37,10 @@
 		return
 	}
 	p.frontEnds.beginShutdown()
+	began := p.dispatcher.Loop.Now()
 	p.dispatcher.Loop.After(arrivalWindow, func() {
 		p.frontEnds.stopAccepting()
-		p.stopWhen(newLastAnswers(p).advance, shutdownPoll)
+		p.stopWhen(newLastAnswers(p, began).advance, shutdownPoll)
 	})
 }
 
@@ -57,20 +58,25 @@
 // lastAnswers is the part of a shutdown after the arrival window. Requests that have been
 // read are answered, and each connection is closed after its last response.
 type lastAnswers struct {
-	process       *process
-	stopReadingAt time.Duration // loop time from which nothing is read from HTTP clients
-	lingerUntil   time.Duration // clients may read their responses until then; extended while requests are unanswered
-	upstreamUntil time.Duration // the upstream server may accept the last reports until then
+	process        *process
+	stopReadingAt  time.Duration // requests of HTTP clients that arrive after this loop time are not read
+	acceptingUntil time.Duration // the connections in the listener's queue are awaited until then, at the latest
+	readingStopped bool
+	lingerUntil    time.Duration // clients may read their responses until then; extended while requests are unanswered
+	upstreamUntil  time.Duration // the upstream server may accept the last reports until then
 }
 
-// newLastAnswers returns a lastAnswers whose times count from now.
-func newLastAnswers(p *process) *lastAnswers {
+// newLastAnswers returns a lastAnswers for a shutdown that began at the loop time began. The
+// time at which reading stops counts from there, also if the loop was blocked meanwhile:
+// a request that arrives later may be left unanswered at SIGKILL.
+func newLastAnswers(p *process, began time.Duration) *lastAnswers {
 	now := p.dispatcher.Loop.Now()
 	return &lastAnswers{
-		process:       p,
-		stopReadingAt: now + readWindow,
-		lingerUntil:   now + readWindow + transport.MaxLingerTime,
-		upstreamUntil: now + upstreamTimeout,
+		process:        p,
+		stopReadingAt:  began + arrivalWindow + readWindow,
+		acceptingUntil: now + readWindow,
+		lingerUntil:    now + readWindow + transport.MaxLingerTime,
+		upstreamUntil:  now + upstreamTimeout,
 	}
 }
 
@@ -80,8 +86,8 @@
 	frontEnds := &a.process.frontEnds
 	idle := frontEnds.closeIdle()
 	now := a.process.dispatcher.Loop.Now()
-	if frontEnds.http != nil && now >= a.stopReadingAt {
-		frontEnds.http.StopReading()
+	a.stopReading(now)
+	if a.readingStopped && frontEnds.http != nil {
 		idle = idle && frontEnds.http.OpenConnections() == 0
 	}
 	if a.process.dispatcher.Unanswered() > 0 {
@@ -90,11 +96,25 @@
 	return a.finished(now, idle)
 }
 
+// stopReading stops reading from HTTP clients once the time has come and the connections in
+// the listener's queue have been accepted.
+func (a *lastAnswers) stopReading(now time.Duration) {
+	http := a.process.frontEnds.http
+	accepting := http != nil && http.Accepting() && now < a.acceptingUntil
+	if a.readingStopped || now < a.stopReadingAt || accepting {
+		return
+	}
+	a.readingStopped = true
+	if http != nil {
+		http.StopReadingAt(a.stopReadingAt)
+	}
+}
+
 // finished reports whether the process may exit: all requests are answered, and either no
 // connection is left (idle is true) or the time to wait for clients and for the upstream
 // server has passed.
 func (a *lastAnswers) finished(now time.Duration, idle bool) bool {
-	if now < a.stopReadingAt || a.process.dispatcher.Unanswered() > 0 {
+	if !a.readingStopped || a.process.dispatcher.Unanswered() > 0 {
 		return false
 	}
 	if idle || now > a.upstreamUntil {
--- a/internal/httpfront/drain.go
+++ b/internal/httpfront/drain.go
@@ -89,13 +89,18 @@
 // StopReading is the irreversible step of a shutdown. From then on nothing is read from clients, so that no request
 // that arrives later is forwarded. Requests that were read before are served, including those that the poller has read
 // and the loop has not handled yet; incomplete ones are rejected. It does nothing if it has been called before.
-func (f *FrontEnd) StopReading() {
+func (f *FrontEnd) StopReading() { f.StopReadingAt(0) }
+
+// StopReadingAt is like StopReading, but requests that arrived by the clock time due are served even if nobody has read
+// them from their sockets yet. The time may have passed, if the loop was blocked when it was due.
+func (f *FrontEnd) StopReadingAt(due time.Duration) {
 	if f.readingStopped {
 		return
 	}
 	f.shuttingDown = true
 	f.closeAfterResponse = true
 	f.readingStopped = true
+	f.readUntil = due
 	f.loop().Clear(&f.drain.timer)
 	f.StopAccepting()
 	f.connections.ForEach(func(_ uint64, c *clientConnection) { c.conn.Pause() })
@@ -107,6 +112,9 @@
 // finishReading closes a connection from which nothing more is read. If a response is pending, the connection is closed
 // after it instead.
 func (c *clientConnection) finishReading() {
+	if !c.closed && !c.response.pending {
+		c.conn.DeliverUnread(c.frontEnd.readUntil)
+	}
 	if c.reading.queued && !c.awaitsProxyHeader { // received input still waits in the fair-reading queue
 		c.reading.queued = false
 		c.read()
--- a/internal/httpfront/frontend.go
+++ b/internal/httpfront/frontend.go
@@ -9,6 +9,7 @@
 
 import (
 	"net"
+	"time"
 
 	"hollyyoke.example/hollyyoke/internal/connlimit"
 	"hollyyoke.example/hollyyoke/internal/dispatch"
@@ -38,11 +39,12 @@
 	drain    drainState
 	eviction evictionState
 
-	closeAfterResponse bool // connections are closed after their next responses
-	shuttingDown       bool // a restart has begun, so /healthz reports not ready unless handedOver is set
-	handedOver         bool // a successor accepts connections, so /healthz reports ready
-	readingStopped     bool // nothing is read from clients any more
-	listenerShared     bool // another process accepts on the same listener
+	closeAfterResponse bool          // connections are closed after their next responses
+	shuttingDown       bool          // a restart has begun, so /healthz reports not ready unless handedOver is set
+	handedOver         bool          // a successor accepts connections, so /healthz reports ready
+	readingStopped     bool          // nothing is read from clients any more
+	readUntil          time.Duration // requests that arrived by this clock time are still read after StopReading
+	listenerShared     bool          // another process accepts on the same listener
 
 	durable        *durable.Service // nil if there is none, or while another process has the store
 	durableClasses []bool           // by class, whether it is durable; nil if no class is
@@ -108,10 +110,6 @@
 
 // accept takes over a connection that the acceptor has accepted, and returns its handler.
 func (f *FrontEnd) accept(conn *transport.Conn) transport.Handler {
-	if f.readingStopped { // the connection was accepted before StopReading and was still in the loop's queue
-		conn.CloseGracefully()
-		return conn.Handler
-	}
 	connection := newClientConnection(f, conn)
 	connection.token = f.connections.Insert(connection)
 	connection.limiterID = f.gate.RegisterConnection(frontEndNumber, connection.token, conn.AdmissionToken)
@@ -122,6 +120,10 @@
 		connection.awaitsProxyHeader = f.gate.Limiter.TrustOf(connection.limiterID) == connlimit.TrustedProxy
 	}
 	f.loop().Set(&connection.timer, f.loop().Now()+idleTimeout)
+	if f.readingStopped { // the connection was accepted before StopReading and was still in the loop's queue
+		conn.Pause()
+		f.loop().Post(connection.finishReading)
+	}
 	f.evictSilent()
 	return connection
 }
@@ -133,6 +135,16 @@
 	}
 }
 
+// DrainListener stops accepting connections once those in the listener's backlog have been accepted.
+func (f *FrontEnd) DrainListener() {
+	if f.acceptor != nil {
+		f.acceptor.CloseWhenDrained()
+	}
+}
+
+// Accepting reports whether connections may still be accepted.
+func (f *FrontEnd) Accepting() bool { return f.acceptor != nil && !f.acceptor.Ended() }
+
 // SetListenerShared sets whether another process accepts on the same listener.
 func (f *FrontEnd) SetListenerShared(shared bool) { f.listenerShared = shared }
 
--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,7 +16,15 @@
 	engine     *Engine
 	listener   net.Listener
 	group      *connGroup
-	fixedLimit bool // Resize does not change the limit; guarded by Engine.mu
+	fixedLimit bool          // Resize does not change the limit; guarded by Engine.mu
+	draining   atomic.Bool   // CloseWhenDrained was called
+	ended      chan struct{} // closed when no more connection will be accepted
+}
+
+// newAcceptor returns an acceptor that is not running yet.
+func newAcceptor(engine *Engine, listener net.Listener, group *connGroup) *Acceptor {
+	group.datesInput = true
+	return &Acceptor{engine: engine, listener: listener, group: group, ended: make(chan struct{})}
 }
 
 // Addr returns the address that the acceptor accepts on.
@@ -31,6 +40,16 @@
 	a.group.close()
 }
 
+// Ended reports whether the acceptor has accepted its last connection.
+func (a *Acceptor) Ended() bool {
+	select {
+	case <-a.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // OpenConnections returns the number of the acceptor's connections that have not
 // ended, including lingering ones. Before Close, the result may be one too high: it
 // includes the connection for which the acceptor is waiting.
@@ -87,8 +106,7 @@
 
 // Serve accepts connections from a listener, up to options.Limit at a time.
 func (e *Engine) Serve(listener net.Listener, options AcceptOptions) *Acceptor {
-	a := &Acceptor{engine: e, listener: listener, group: newConnGroup(options.Limit, options.window())}
-	a.group.datesInput = true
+	a := newAcceptor(e, listener, newConnGroup(options.Limit, options.window()))
 	e.mu.Lock()
 	a.group.resize(e.share)
 	e.acceptors = append(e.acceptors, a)
@@ -100,13 +118,14 @@
 // acceptUpToLimit accepts connections until the listener is closed. While the limit
 // is reached it waits.
 func (e *Engine) acceptUpToLimit(acceptor *Acceptor, options AcceptOptions) {
+	defer close(acceptor.ended)
 	reportFull := func() {
 		if options.OnFull != nil {
 			e.Loop.Post(options.OnFull)
 		}
 	}
 	for acceptor.group.acquire(reportFull) {
-		conn, err := acceptor.listener.Accept()
+		conn, err := acceptor.accept()
 		if err == nil {
 			e.register(conn, acceptor.group, 0, options.NewHandler)
 			continue
--- a/internal/transport/admissionaccept.go
+++ b/internal/transport/admissionaccept.go
@@ -21,8 +21,8 @@
 func (e *Engine) ServeWithAdmission(listener net.Listener, options AcceptOptions) *Acceptor {
 	group := newConnGroup(unlimited, options.window())
 	group.quota.Release = e.admission.Release
-	group.datesInput = true
-	acceptor := &Acceptor{engine: e, listener: listener, group: group, fixedLimit: true}
+	acceptor := newAcceptor(e, listener, group)
+	acceptor.fixedLimit = true
 	e.mu.Lock()
 	e.acceptors = append(e.acceptors, acceptor)
 	e.mu.Unlock()
@@ -34,12 +34,13 @@
 // that a connection does not wait in the kernel's queue behind connections that will
 // be rejected. The kernel's queue makes no difference between them.
 func (e *Engine) acceptWithAdmission(acceptor *Acceptor, newHandler func(*Conn) Handler) {
+	defer close(acceptor.ended)
 	// If no descriptor is left, the spare one is closed for a moment, so that a
 	// connection can be accepted and rejected.
 	spare := openSpareDescriptor()
 	defer func() { spare.Close() }()
 	for {
-		conn, err := acceptor.listener.Accept()
+		conn, err := acceptor.accept()
 		switch {
 		case err == nil && spare == nil: // use the first descriptor that is free again as the spare
 			conn.Close()
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"syscall"
+	"time"
 )
 
 // read reads one buffer and posts it to the handler, unless the connection is paused
@@ -36,6 +37,26 @@
 	return err
 }
 
+// DeliverUnread passes the handler what the socket holds, although the connection is
+// paused, if its latest bytes arrived by the clock time until. It may be called only if no
+// buffer is in transit to the handler.
+func (c *Conn) DeliverUnread(until time.Duration) {
+	if !c.connected() || c.arrivalOfInput() > until {
+		return
+	}
+	b := c.engine.Pool.Get()
+	c.readMu.Lock()
+	length, _ := c.fill(b.array) // the poller reports the end of the connection
+	c.readMu.Unlock()
+	if length == 0 {
+		c.engine.Pool.Put(b)
+		return
+	}
+	b.extend(length)
+	b.recordArrival(length, c.arrivalOfInput())
+	c.Handler.OnData(c, b)
+}
+
 // fill reads until the socket is empty or space is full. It returns the number of bytes
 // read and, if the connection has ended, io.EOF or an error of read(2).
 //
