The guard checks an attempt by the time at which its last byte left

Cause: the check was made when the loop noticed that the socket had taken the last byte, by the time and state of that moment: at the response, or at the stop on the deadline or after the answer.

Change: the transport keeps when the socket took the latest bytes; the guard checks by it, and a request counts as answered from its answer on.

Shown: two tests of workerclient failed 3 of 3 before (deadline:1, answered:1), pass 3 of 3; transport, dispatch, workerclient, admin, invariant and simulator pass with -race.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -42,7 +42,7 @@
 	if !request.answered {
 		d.cancelIfDisconnected(request) // the front end may not have handled the client's disconnect yet
 	}
-	_, allowed := d.Guard.MayStart(d.startFacts(request, number))
+	_, allowed := d.Guard.MayStart(d.startFacts(request, number, d.Loop.Now()))
 	if !allowed || client == nil || request.attemptsMade() >= max(d.Settings.MaxAttempts, 1) {
 		d.skipAttempt(request, worker)
 		return
@@ -50,13 +50,13 @@
 	d.startAttempt(request, worker, client, reservation)
 }
 
-// startFacts returns the facts by which the guard decides whether the attempt with this number, counted from 0, may
-// start.
-func (d *Dispatcher) startFacts(request *openRequest, number int) invariant.Start {
+// startFacts returns the facts by which the guard decides whether the attempt with this number, counted from 0, may start
+// at the given clock time, which is not in the future.
+func (d *Dispatcher) startFacts(request *openRequest, number int, at time.Duration) invariant.Start {
 	return invariant.Start{
-		Now:           d.Loop.Now(),
+		Now:           at,
 		Deadline:      request.deadline,
-		Answered:      request.answered,
+		Answered:      request.answered && at >= request.answeredAt,
 		NonIdempotent: d.Settings.Classes[request.Class].Idempotency == decision.NonIdempotent,
 		MayHaveRun:    anyMayHaveRun(request.attempts[:number]),
 	}
--- a/internal/dispatch/attemptreport.go
+++ b/internal/dispatch/attemptreport.go
@@ -1,14 +1,23 @@
 package dispatch
 
 import (
+	"time"
+
 	"hollyyoke.example/hollyyoke/decision"
 	"hollyyoke.example/hollyyoke/internal/invariant"
 )
 
 // A worker client calls the methods below to report on an attempt. They do nothing if the attempt is not open.
 
-// AttemptSent reports that the last byte of an attempt was sent. Only the first call for an attempt has an effect.
+// AttemptSent reports that the last byte of an attempt was sent just now. Only the first report for an attempt has an
+// effect.
 func (d *Dispatcher) AttemptSent(attemptHandle uint64) {
+	d.AttemptSentAt(attemptHandle, d.Loop.Now())
+}
+
+// AttemptSentAt is like AttemptSent, but for a last byte that was sent at the given clock time. A worker client may notice
+// that only later, if the socket did not take all of the request at once.
+func (d *Dispatcher) AttemptSentAt(attemptHandle uint64, sentAt time.Duration) {
 	attempt := d.attempts.Get(attemptHandle)
 	if attempt == nil || attempt.sent {
 		return
@@ -16,7 +25,7 @@
 	attempt.sent = true
 	attempt.phase = delivered
 	d.counters.total.Sent++
-	d.checkSent(attempt)
+	d.checkSent(attempt, sentAt)
 	d.traceAttempt(attempt, StepSent)
 	d.handle(decision.Event{
 		Kind:    decision.AttemptSent,
@@ -26,15 +35,15 @@
 	})
 }
 
-// checkSent has the guard check an attempt whose last byte has just been sent, and logs the recorded claims about the
+// checkSent has the guard check an attempt whose last byte was sent at the given clock time, and logs the recorded claims about the
 // request if the attempt breaks a rule.
-func (d *Dispatcher) checkSent(attempt *openAttempt) {
+func (d *Dispatcher) checkSent(attempt *openAttempt, sentAt time.Duration) {
 	request := d.requests.Get(attempt.requestHandle)
 	if request == nil {
 		return
 	}
 	since, leaving := d.workers.leavingSince[attempt.worker]
-	start := d.startFacts(request, attempt.number)
+	start := d.startFacts(request, attempt.number, sentAt)
 	send := invariant.Send{
 		Now:          start.Now,
 		Deadline:     request.deadline,
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -42,6 +42,8 @@
 	token    uint64 // the token by which frontEnd identifies the request
 	answered bool   // the request has its final response or was cancelled
 
+	answeredAt time.Duration // clock time at which answered was set
+
 	attempts     []attemptRecord // all attempts that were assigned, by number
 	openAttempts int             // number of attempts that have not ended
 
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -63,6 +63,7 @@
 // markAnswered marks a request as answered or cancelled.
 func (d *Dispatcher) markAnswered(request *openRequest) {
 	request.answered = true
+	request.answeredAt = d.Loop.Now()
 	d.counters.unanswered--
 	d.Loop.Clear(&request.timer)
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -40,6 +40,7 @@
 
 	writeOffset int64        // number of bytes passed to Write
 	sentBytes   atomic.Int64 // number of bytes written to the socket
+	sentAt      atomic.Int64 // clock time of the latest write(2) by which sentBytes has grown; stored before sentBytes
 
 	closeTimer     eventloop.Deadline // for the steps of CloseGracefully and Discard, and for the timeout of shutDown
 	lingerDeadline time.Duration      // clock time at which lingering ends
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -121,6 +121,7 @@
 func (e *Engine) onWritten(socket *nbio.Conn, _ []byte, n int) {
 	c := e.connOf(socket)
 	if c != nil {
+		c.sentAt.Store(int64(e.Loop.Now()))
 		c.sentBytes.Add(int64(n))
 	}
 }
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 )
 
 // Write sends p, and queues a copy of the bytes that do not fit in the socket's send
@@ -37,19 +38,21 @@
 // full.
 func (c *Conn) writeToSocket(p []byte) (n int, err error) {
 	err = net.ErrClosed // if the descriptor is closed already
-	c.withDescriptor(func(fd int) { n, err = writeUntilFull(fd, p) })
+	c.withDescriptor(func(fd int) { n, err = c.writeUntilFull(fd, p) })
 	c.sentBytes.Add(int64(n))
 	return n, err
 }
 
 // writeUntilFull calls write(2) until all of p is written or write(2) returns EAGAIN,
 // since the send buffer is full.
-func writeUntilFull(fd int, p []byte) (n int, err error) {
+func (c *Conn) writeUntilFull(fd int, p []byte) (n int, err error) {
 	for n < len(p) {
+		began := c.engine.Loop.Now()
 		written, err := syscall.Write(fd, p[n:])
 		n += max(written, 0) // -1 on an error
 		switch err {
 		case nil:
+			c.sentAt.Store(int64(began))
 		case syscall.EINTR: // a signal interrupted write(2) before any byte
 		case syscall.EAGAIN:
 			return n, nil
@@ -67,6 +70,10 @@
 // socket.
 func (c *Conn) Flushed(offset int64) bool { return c.sentBytes.Load() >= offset }
 
+// SentAt returns the clock time at which the socket has taken the latest of the bytes
+// counted by SentBytes, or a slightly later one if the poller has written them.
+func (c *Conn) SentAt() time.Duration { return time.Duration(c.sentAt.Load()) }
+
 // UnsentBytes returns the number of bytes that were passed to Write but not written to
 // the socket, since its send buffer is full.
 func (c *Conn) UnsentBytes() int64 { return c.writeOffset - c.sentBytes.Load() }
--- a/internal/workerclient/request.go
+++ b/internal/workerclient/request.go
@@ -167,6 +167,6 @@
 	}
 	requestWritten := c.state == stateAwaitingHead || c.state == stateReadingBody
 	if requestWritten && c.requestFlushed() {
-		c.client.dispatcher.AttemptSent(c.handle)
+		c.client.dispatcher.AttemptSentAt(c.handle, c.conn.SentAt())
 	}
 }
