scale: all processes of a run report times of one clock

Seen: TestSmallRun and TestScaleProgram said that versions were never applied, while the machine's wall clock was slewed.

Cause: times of the origin, the hollow processes and the run were Unix times that each had read at its own start.

--- a/internal/rehearsal/scale/cluster.go
+++ b/internal/rehearsal/scale/cluster.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"time"
 
 	"hollyyoke.example/hollyyoke/internal/membership"
 	"hollyyoke.example/hollyyoke/internal/rehearsal/standin"
@@ -463,6 +462,3 @@
 	stopping.Wait()
 	c.network.close()
 }
-
-// unixNow returns the current Unix time. All reports use Unix time, so that times of different processes can be compared.
-func unixNow() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/rehearsal/scale/hollowprocess.go
+++ b/internal/rehearsal/scale/hollowprocess.go
@@ -53,7 +53,7 @@
 type hollowApplied struct {
 	Dispatcher int           `json:"d"` // index in hollowConfig.Dispatchers
 	Version    int64         `json:"v"`
-	AppliedAt  time.Duration `json:"t"` // Unix time
+	AppliedAt  time.Duration `json:"t"` // by sharedNow
 }
 
 // hollowCounters holds totals since the start of a process of hollow dispatchers, summed over its dispatchers.
@@ -202,7 +202,7 @@
 // recordApplied records that a dispatcher has just applied a version.
 func (p *hollowProcess) recordApplied(number int, version int64) {
 	p.mutex.Lock()
-	p.applied = append(p.applied, hollowApplied{Dispatcher: number, Version: version, AppliedAt: p.loop.Now()})
+	p.applied = append(p.applied, hollowApplied{Dispatcher: number, Version: version, AppliedAt: sharedNow()})
 	p.mutex.Unlock()
 	p.wakeReporter()
 }
--- a/internal/rehearsal/scale/meter.go
+++ b/internal/rehearsal/scale/meter.go
@@ -10,6 +10,7 @@
 // run.
 type sample struct {
 	takenAt       time.Time
+	sharedTime    time.Duration            // takenAt by sharedNow
 	cpu           map[string]time.Duration // by process
 	residentBytes map[string]int64         // by process
 	peakResident  map[string]int64         // by process
@@ -53,6 +54,7 @@
 func (m *meter) read() sample {
 	taken := sample{
 		takenAt:       time.Now(),
+		sharedTime:    sharedNow(),
 		cpu:           map[string]time.Duration{},
 		residentBytes: map[string]int64{},
 		peakResident:  map[string]int64{},
--- a/internal/rehearsal/scale/originprocess.go
+++ b/internal/rehearsal/scale/originprocess.go
@@ -31,7 +31,7 @@
 // originVersion is a version that the origin has published.
 type originVersion struct {
 	Version     int64         `json:"version"`
-	PublishedAt time.Duration `json:"at"` // Unix time
+	PublishedAt time.Duration `json:"at"` // by sharedNow
 }
 
 // RunOrigin runs an origin until its input is closed. The origin runs in a process of its own, so that its processor time
@@ -69,16 +69,16 @@
 // apply executes a command. Workers that have just started get the present time as their start time.
 func (o *origin) apply(command originCommand) (report originReport) {
 	for _, changes := range command.Versions {
-		now := time.Now()
+		publishedAt := sharedNow()
 		hosts := make([]standin.Host, len(changes))
 		for i, change := range changes {
 			hosts[i] = change.Host
 			if change.JustStarted {
-				hosts[i].BornMs = now.UnixMilli()
+				hosts[i].BornMs = time.Now().UnixMilli()
 			}
 		}
 		version := o.change(hosts)
-		report.Published = append(report.Published, originVersion{Version: version, PublishedAt: time.Duration(now.UnixNano())})
+		report.Published = append(report.Published, originVersion{Version: version, PublishedAt: publishedAt})
 	}
 	return report
 }
--- a/internal/rehearsal/scale/report.go
+++ b/internal/rehearsal/scale/report.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strconv"
 	"text/tabwriter"
-	"time"
 )
 
 // Record is the JSON form of one run. A file holds a list of records, one for each mechanism:
@@ -131,7 +130,7 @@
 	records := csv.NewWriter(out)
 	records.Write([]string{"mechanism", "version", "made_s", "phase", "in_force_s", "last_at"})
 	for _, run := range runs {
-		startedAt := time.Duration(run.samples[0].takenAt.UnixNano())
+		startedAt := run.samples[0].sharedTime
 		for _, published := range run.tracker.publishedVersions {
 			reached := run.tracker.propagationOf(published)
 			inForce := "never"
--- a/internal/rehearsal/scale/run.go
+++ b/internal/rehearsal/scale/run.go
@@ -235,7 +235,7 @@
 	}
 	change()
 	cluster.network.applyCuts()
-	now := unixNow()
+	now := sharedNow()
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
 	for zone := range before {
@@ -255,7 +255,7 @@
 // records them as reachable since the beginning of the restart, so that their catch-up delay includes the restart.
 func (r *runner) restartZone(action Action) error {
 	cluster := r.cluster
-	now := unixNow()
+	now := sharedNow()
 	cluster.mutex.Lock()
 	for _, name := range cluster.hollowNames(action.Zone) {
 		cluster.tracker.recordUnreachable(name, now)
--- a/internal/rehearsal/scale/run_test.go
+++ b/internal/rehearsal/scale/run_test.go
@@ -18,18 +18,19 @@
 // which kind of child to be.
 const childEnv = "HOLLYYOKE_SCALE_CHILD"
 
+// childKinds holds what each kind of child process does.
+var childKinds = map[string]func() error{
+	"hollow": func() error { return RunHollow(os.Stdin, os.Stdout) },
+	"origin": func() error { return RunOrigin(os.Stdin, os.Stdout) },
+}
+
 // TestMain runs the tests or, if the environment asks for it, a child process of a run.
 func TestMain(tests *testing.M) {
-	var err error
-	switch os.Getenv(childEnv) {
-	case "hollow":
-		err = RunHollow(os.Stdin, os.Stdout)
-	case "origin":
-		err = RunOrigin(os.Stdin, os.Stdout)
-	default:
+	runChild, isChild := childKinds[os.Getenv(childEnv)]
+	if !isChild {
 		os.Exit(tests.Run())
 	}
-	if err != nil {
+	if err := runChild(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
