decision: a worker that starts in the future counts as started when it is listed

Callers: a dispatcher whose clock is an hour behind held each restarted worker in slow start for that hour, at a third of what it can take.

Cause: the age of a worker was its listed start time's, and at least 0, until the clock had reached that time.

Change: effectiveStartTime takes a start in the future as now.

--- a/decision/slowstart.go
+++ b/decision/slowstart.go
@@ -64,9 +64,13 @@
 // delta adds or restarts should have started just now. If by its listed start time it has already warmed up,
 // but for less than clockError, the clock of this machine may be ahead. The worker then counts as started
 // now, so that it is not sent as much as a warm worker. If in fact the worker was only unreachable for a
-// while, it gets less than it could take.
+// while, it gets less than it could take. A start time in the future, which a clock that is behind makes of
+// any start, counts as now too, so that the worker's slow start ends in time.
 func (m *Machine) effectiveStartTime(listed time.Duration, delta bool) time.Duration {
 	age := m.now - listed
+	if age < 0 {
+		return m.now
+	}
 	warmUp := m.settings.SlowStartDuration
 	if delta && listed > 0 && warmUp > 0 && age >= warmUp && age < warmUp+clockError {
 		return m.now
--- a/decision/slowstart_clock_test.go
+++ b/decision/slowstart_clock_test.go
@@ -32,8 +32,9 @@
 	}
 }
 
-func (c clockCase) run(t *testing.T) {
-	const slowStart = 8 * time.Second
+// newSlowStartMachine returns a machine whose workers warm up in the given time.
+func newSlowStartMachine(t *testing.T, slowStart time.Duration) *Machine {
+	t.Helper()
 	machine, err := New(Settings{
 		Classes:           []Class{{Deadline: time.Second}},
 		SlowStartFloor:    0.3,
@@ -44,6 +45,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return machine
+}
+
+func (c clockCase) run(t *testing.T) {
+	const slowStart = 8 * time.Second
+	machine := newSlowStartMachine(t, slowStart)
 	first := []Endpoint{{Name: "other"}}
 	if c.knownAs >= 0 {
 		first = append(first, Endpoint{Name: "w", StartedAt: c.knownAs})
@@ -72,3 +79,23 @@
 		t.Error("the worker is still in slow start after SlowStartDuration")
 	}
 }
+
+// Guards against a worker that stays in slow start for an hour: if the dispatcher's clock is behind, each worker that
+// starts has a start time in the future.
+func TestWorkerFromTheFutureWarmsUp(t *testing.T) {
+	const slowStart = 8 * time.Second
+	for _, kind := range []ListKind{ListSnapshot, ListDelta} {
+		machine := newSlowStartMachine(t, slowStart)
+		now := 2 * time.Hour
+		list := Event{Kind: ListUpdated, ListKind: kind, Endpoints: []Endpoint{{Name: "w", StartedAt: now + time.Hour}}}
+		machine.Handle(now, list, nil)
+		if machine.capacityFraction(machine.workers["w"]) == 1 {
+			t.Errorf("list kind %v: a worker that has just started counts as warm", kind)
+		}
+		now += slowStart + time.Second
+		machine.Handle(now, list, nil) // listed again with the same start time
+		if machine.capacityFraction(machine.workers["w"]) < 1 {
+			t.Errorf("list kind %v: the worker is still in slow start %v after it was listed", kind, slowStart+time.Second)
+		}
+	}
+}
