dispatch: a request that expires before any attempt ran is rejected, not failed

Callers: 502 or -ERR FAILED (may have run: a renewal must not be repeated) for a request of which no attempt was made, when the loop was late by a millisecond.

Cause: the expiry answered 'failed' without asking whether an attempt may have run; only the machine's own failures were turned into rejections.

Change: one function makes the response to a request that is not served.

Shown: TestExpiredRequestThatNeverRanIsRejected failed before, passes; dispatch, httpfront, faktory and workerclient pass.

--- a/internal/dispatch/cancellation.go
+++ b/internal/dispatch/cancellation.go
@@ -53,7 +53,8 @@
 }
 
 // expire ends a request at its deadline: it stops the open attempts as timed out and, if the request still has no
-// response then, answers it as failed. So every request is answered, whatever the machine does.
+// response then, answers it as failed, or as rejected if no attempt of it ran. So every request is answered, whatever the
+// machine does.
 func (d *Dispatcher) expire(request *openRequest) {
 	request.deadline = min(request.deadline, d.Loop.Now()) // ExpireAll comes early; the guard now forbids new attempts
 	// The end of each stopped attempt is reported to the machine, which may assign another one or conclude the request.
@@ -63,7 +64,7 @@
 	if request.answered {
 		return
 	}
-	d.respond(request, Response{Outcome: Failed})
+	d.respond(request, d.failure(request))
 	d.withdraw(request)
 }
 
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -30,22 +30,22 @@
 	if request == nil {
 		return
 	}
-	if response.Outcome == Failed && d.proveNeverRan(request) {
-		response = Response{Outcome: Rejected, RetryAfter: d.Settings.MaxRetryAfter}
+	if response.Outcome == Failed && !request.answered {
+		d.stopUndelivered(request)
+		response = d.failure(request)
 	}
 	d.respond(request, response)
 	d.cleanUp(request)
 }
 
-// proveNeverRan stops the undelivered attempts of a request that the machine has failed, and reports whether that shows
-// that no attempt of the request ran. The machine counts each outstanding attempt as one that may have run; only the
-// worker clients know whether its last byte has been sent.
-func (d *Dispatcher) proveNeverRan(request *openRequest) bool {
-	if request.answered || !request.mayHaveRun() {
-		return false
+// failure returns the response to a request that is not served. It is a rejection if no attempt of the request ran: the
+// machine counts each outstanding attempt as one that may have run, but the worker clients know whether its last byte has
+// been sent.
+func (d *Dispatcher) failure(request *openRequest) Response {
+	if request.mayHaveRun() {
+		return Response{Outcome: Failed}
 	}
-	d.stopUndelivered(request)
-	return !request.mayHaveRun()
+	return Response{Outcome: Rejected, RetryAfter: d.Settings.MaxRetryAfter}
 }
 
 // respond gives a request its final response, if it has not been answered or cancelled yet.
