dispatch: the machine's timers count from the time of its decision

Callers: a request could end by the dispatcher's expiry, two ticks after the time at which the decision machine ends it, with another answer and another time after which to retry.

Cause: the clock was read three times for one decision: for the time left of an arrival, for the machine, and when its timers were set. Each delay in between moved the machine's deadline towards the expiry and beyond it.

Change: the time left of an arrival and the timers of an action count from the one reading that the machine gets.

Shown: TestTimersCountFromTheDecision failed before, and with either half of the change alone; passes. dispatch, httpfront and simulator pass with -race; the simulator's recorded results are as before.

--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "hollyyoke.example/hollyyoke/decision"
+import (
+	"time"
+
+	"hollyyoke.example/hollyyoke/decision"
+)
 
 // machineDriver contains the decision machine and the queue of its events. The machine handles one event at a time:
 // events that arise while its actions are carried out wait in the queue.
@@ -33,16 +37,20 @@
 	}
 	for len(driver.queue) > 0 {
 		next := driver.nextEvent()
-		driver.actions = driver.machine.Handle(d.Loop.Now(), next, driver.actions[:0])
+		now := d.Loop.Now()
+		if next.Kind == decision.RequestArrived {
+			next.TimeLeft = d.timeLeftOf(next.Request, now)
+		}
+		driver.actions = driver.machine.Handle(now, next, driver.actions[:0])
 		for i := range driver.actions {
-			d.execute(&driver.actions[i])
+			d.execute(&driver.actions[i], now)
 		}
 	}
 	driver.handling = false
 }
 
-// execute carries out one action of the machine.
-func (d *Dispatcher) execute(action *decision.Action) {
+// execute carries out one action that the machine has decided on at a clock time.
+func (d *Dispatcher) execute(action *decision.Action, decidedAt time.Duration) {
 	switch action.Kind {
 	case decision.Assign:
 		d.assign(action.Request, action.Worker, action.Reservation)
@@ -53,7 +61,7 @@
 	case decision.CancelAttempt:
 		d.cancelAttempt(action.Request, action.Attempt)
 	case decision.SetTimer:
-		d.setTimer(action.Timer, d.Loop.Now()+action.Delay)
+		d.setTimer(action.Timer, decidedAt+action.Delay)
 	case decision.CheckHealth:
 		if client := d.clientOf(action.Worker); client != nil {
 			client.CheckHealth(action.Worker)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -92,12 +92,11 @@
 	d.counters.total.Accepted++
 	d.traceAccepted(open)
 	d.handle(decision.Event{
-		Kind:        decision.RequestArrived,
+		Kind:        decision.RequestArrived, // handle sets TimeLeft
 		Request:     open.handle,
 		Class:       request.Class,
 		Slots:       request.Slots,
 		Work:        request.Work,
-		TimeLeft:    d.timeLeftToDecide(open, now),
 		ClientRetry: request.ClientRetry,
 		Key:         request.Key,
 	})
@@ -137,6 +136,15 @@
 	return max(request.ArrivedAt+d.timeoutOf(request)-responseMargin, now)
 }
 
+// timeLeftOf is timeLeftToDecide for the request with a handle. It returns 0 if the request has ended.
+func (d *Dispatcher) timeLeftOf(requestHandle uint64, now time.Duration) time.Duration {
+	open := d.requests.Get(requestHandle)
+	if open == nil {
+		return 0
+	}
+	return d.timeLeftToDecide(open, now)
+}
+
 // timeLeftToDecide returns the time that the decision machine is told a request has left, or 0 if its client gives up
 // now. It counts from the reading of the request: the machine compares it with what it has seen of other requests, and a
 // request that waited in the kernel of a busy machine is not to be rejected for that.
