decision: requests are swept before their deadline also with longer objectives

Callers: a request that an idle worker could take waited until its deadline and was rejected, where its class's objective is longer than its deadline.

Change: an objective counts as the deadline at most for the interval.

Shown: TestRequestIsSweptBeforeItsDeadline failed before, passes.

--- a/decision/sweep.go
+++ b/decision/sweep.go
@@ -16,12 +16,14 @@
 	minObjectiveDivisor = 50
 )
 
-// sweepInterval derives the interval of the sweep from the shortest latency objective.
+// sweepInterval derives the interval of the sweep from the shortest latency objective. An objective counts
+// as the deadline of its class at most, so that each request is swept before its deadline.
 func (s *Settings) sweepInterval() time.Duration {
 	shortest := time.Duration(math.MaxInt64)
 	for i := range s.Classes {
 		class := &s.Classes[i]
-		shortest = min(shortest, max(class.LatencyObjective, class.Deadline/minObjectiveDivisor))
+		objective := min(class.LatencyObjective, class.Deadline)
+		shortest = min(shortest, max(objective, class.Deadline/minObjectiveDivisor))
 	}
 	return max(shortest/sweepsPerObjective, s.Tick)
 }
--- a/decision/sweep_test.go
+++ b/decision/sweep_test.go
@@ -152,3 +152,20 @@
 	}
 	return settings
 }
+
+// Guards against a request that an idle worker could take and that waits until its deadline: with an objective beyond the
+// deadline, the sweep that marks it late came after the deadline.
+func TestRequestIsSweptBeforeItsDeadline(t *testing.T) {
+	settings := testSettings()
+	for i := range settings.Classes {
+		settings.Classes[i].Deadline = 2 * time.Second
+		settings.Classes[i].LatencyObjective = 4 * time.Second
+	}
+	machine, err := New(settings, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if machine.sweepInterval >= settings.Classes[0].Deadline-2*settings.Tick {
+		t.Errorf("a sweep each %v, with a deadline of %v", machine.sweepInterval, settings.Classes[0].Deadline)
+	}
+}
