Test of a dead predecessor: requests go out on new connections

Seen: TestSuccessorUsesListOfDeadPredecessor, 'Post: EOF' at the first request after the predecessor's SIGKILL, at times beside load.

Cause: both processes share the test's client; its pool had a connection to the dead process, of which it had not read the end.

Change: the test closes idle connections after the kill; post reports whether a failed request was on a reused connection. Checks and bounds are as before.

--- a/cmd/dispatcher/client_test.go
+++ b/cmd/dispatcher/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -26,9 +27,12 @@
 	if leftMs > 0 {
 		request.Header.Set("X-Time-Left-Ms", fmt.Sprint(leftMs))
 	}
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { reused = got.Reused }}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := d.client.Do(request)
 	if err != nil {
-		d.t.Errorf("%s: %v", id, err)
+		d.t.Errorf("%s: %v (on a reused connection: %v)", id, err, reused)
 		return 0, "", ""
 	}
 	defer response.Body.Close()
--- a/cmd/dispatcher/replacement_test.go
+++ b/cmd/dispatcher/replacement_test.go
@@ -167,8 +167,8 @@
 
 	successor := daemon.startSuccessor()
 	successor.waitUntil("ready with the list handed over", successor.ready)
-	daemon.cmd.Process.Kill()
-	daemon.waitForExit()
+	daemon.kill()
+	successor.client.CloseIdleConnections() // those to the dead process, of which the client may not have read the end yet
 	successor.waitForLog("predecessor has ended")
 	for i := range 10 {
 		if status := successor.postStatus("renewal", fmt.Sprint("list-", i)); status != 200 {
