flood: hostile clients run until the view of the connections was taken

Seen: TestFlood beside load, 'want unknown connections and rejections'.

Cause: they ran for a fixed time, 1 s beyond the known clients' last request; the view is taken after the last answer, which comes later on a busy machine.

Change: they run until they are stopped, after the view.

--- a/cmd/rehearse/flood_test.go
+++ b/cmd/rehearse/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"os"
 	"strings"
 	"testing"
@@ -110,3 +111,26 @@
 		t.Errorf("two seconds after the limit rose %d were sent and %d served, want at least 80 and nine tenths of them", last.Replayed, last.Served)
 	}
 }
+
+// Guards against a view of the connections that is taken when the flood is over: hostile clients stopped at a fixed time,
+// and known clients may be served later than that on a busy machine.
+func TestHostileClientsRunUntilStopped(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	target.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
+	flood := smallFlood()
+	flood.Duration = 10 * time.Millisecond
+	stop := flood.startHostile(target.Addr().String(), 5)
+	const busyFor = 3 * time.Second // that known clients are served later than planned
+	for began := time.Now(); time.Since(began) < busyFor; {
+		conn, err := target.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+	}
+	stop()
+}
--- a/cmd/rehearse/floodpart.go
+++ b/cmd/rehearse/floodpart.go
@@ -23,11 +23,11 @@
 const (
 	firstKnownClient   = "127.9.0.1"
 	floodWorkers       = 9
-	floodLead          = time.Second     // time from the start of a part to the first request of known clients
-	hostileOverrun     = 2 * time.Second // how much longer hostile clients run than known clients send
-	knownKeys          = 997             // number of different keys of known clients' requests
-	exhaustedLimit     = 16              // the daemon's descriptor limit while descriptors are exhausted
-	maxConnectionsJSON = 64 << 10        // bytes of the admin API's answer
+	floodLead          = time.Second // time from the start of a part to the first request of known clients
+	maxHostileOverrun  = time.Minute // how much longer than known clients send hostile clients run at most
+	knownKeys          = 997         // number of different keys of known clients' requests
+	exhaustedLimit     = 16          // the daemon's descriptor limit while descriptors are exhausted
+	maxConnectionsJSON = 64 << 10    // bytes of the admin API's answer
 )
 
 // floodPart is one part of a flood run: one daemon under load.
@@ -55,7 +55,8 @@
 		return floodResult{}, err
 	}
 	defer fleet.Close()
-	hostile := c.startHostile(fleet.Addr, part.hostileClients)
+	stopHostile := c.startHostile(fleet.Addr, part.hostileClients)
+	defer stopHostile()
 	duringDone := make(chan struct{})
 	go func() {
 		defer close(duringDone)
@@ -74,7 +75,7 @@
 	if part.operatorFile != "" {
 		result.Connections = connectionsJSON(fleet)
 	}
-	result.Hostile = <-hostile
+	result.Hostile = stopHostile()
 	<-duringDone
 	result.evaluate(replayed, fleet)
 	return result, nil
@@ -149,25 +150,31 @@
 	})
 }
 
-// startHostile starts the hostile clients and returns a channel that receives their counts when they have stopped.
-func (c *floodCmd) startHostile(target string, clients int) <-chan hostileload.Counts {
-	counts := make(chan hostileload.Counts, 1)
+// startHostile starts the hostile clients. They run until stop is called, which returns their counts, so that the daemon
+// is under load until the last of the known clients has its answer, however late that comes.
+func (c *floodCmd) startHostile(target string, clients int) (stop func() hostileload.Counts) {
 	if clients == 0 {
-		counts <- hostileload.Counts{}
-		return counts
+		return func() hostileload.Counts { return hostileload.Counts{} }
 	}
 	config := hostileload.Config{
 		Target:   target,
 		Seed:     c.Seed,
 		Clients:  clients,
 		Sources:  c.Sources,
-		Duration: c.Duration + hostileOverrun,
+		Duration: floodLead + c.Duration + maxHostileOverrun,
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	var totals hostileload.Counts
 	go func() {
-		totals, _ := hostileload.Run(context.Background(), config)
-		counts <- totals
+		defer close(ended)
+		totals, _ = hostileload.Run(ctx, config)
 	}()
-	return counts
+	return func() hostileload.Counts {
+		cancel()
+		<-ended
+		return totals
+	}
 }
 
 // replayKnown sends the known clients' requests from consecutive addresses, and announces each one to the fleet's ledger.
