An attempt's bytes do not leave at or after its deadline, piece by piece

Cause: the guard is asked before the first write(2). A request that goes out in many slow pieces reaches its last one after the deadline.

Change: WriteBefore asks for the clock before each write(2), and stops: the request stays incomplete, and the attempt never ran.

Shown: TestWriteBeforeSendsNothingTooLate (new interface); transport and workerclient pass with -race.

--- a/internal/transport/abort_test.go
+++ b/internal/transport/abort_test.go
@@ -35,3 +35,23 @@
 			received, taken, err)
 	}
 }
+
+// Guards against an attempt that leaves after its deadline: a write in many slow pieces goes on behind the time at which
+// it was allowed.
+func TestWriteBeforeSendsNothingTooLate(t *testing.T) {
+	engine := startEngine(t, 100)
+	server := serve(t, engine, AcceptOptions{NewHandler: newRecordingHandler(engine).accept, Limit: 20})
+	peer, conn := server.open(t)
+	runOnLoop(engine, func() {
+		now := engine.Loop.Now()
+		inTime := conn.WriteBefore([]byte("in time"), now+time.Hour)
+		tooLate := conn.WriteBefore([]byte("too late"), now)
+		if !inTime || tooLate {
+			t.Errorf("written in time %v, too late %v; want true and false", inTime, tooLate)
+		}
+		conn.Close()
+	})
+	if got, err := io.ReadAll(peer); string(got) != "in time" {
+		t.Errorf("the peer has %q, %v", got, err)
+	}
+}
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -1,21 +1,33 @@
 package transport
 
 import (
+	"errors"
+	"math"
 	"net"
 	"syscall"
 	"time"
 )
 
+// noTimeLimit is the limit of a write that may begin at any time.
+const noTimeLimit = time.Duration(math.MaxInt64)
+
+// errTooLate means that a write was not begun because its time limit had come.
+var errTooLate = errors.New("the time limit of the write has come")
+
 // Write sends p, and queues a copy of the bytes that do not fit in the socket's send
 // buffer at present. It returns false if the connection is closed or the write fails.
-func (c *Conn) Write(p []byte) bool {
+func (c *Conn) Write(p []byte) bool { return c.WriteBefore(p, noTimeLimit) }
+
+// WriteBefore is like Write, but begins no write(2) at or after a clock time. If the time comes before the socket has
+// taken p or its buffer is full, it closes the connection and returns false.
+func (c *Conn) WriteBefore(p []byte, limit time.Duration) bool {
 	if !c.connected() {
 		return false
 	}
 	nothingQueued := c.UnsentBytes() == 0
 	c.writeOffset += int64(len(p))
 	if nothingQueued {
-		written, err := c.writeToSocket(p)
+		written, err := c.writeToSocket(p, limit)
 		if err != nil {
 			c.shutDown()
 			return false
@@ -36,18 +48,21 @@
 // become writable before it writes the rest. The poller is edge-triggered, so nbio would
 // wait forever after a write that was short or interrupted while the send buffer was not
 // full.
-func (c *Conn) writeToSocket(p []byte) (n int, err error) {
+func (c *Conn) writeToSocket(p []byte, limit time.Duration) (n int, err error) {
 	err = net.ErrClosed // if the descriptor is closed already
-	c.withDescriptor(func(fd int) { n, err = c.writeUntilFull(fd, p) })
+	c.withDescriptor(func(fd int) { n, err = c.writeUntilFull(fd, p, limit) })
 	c.sentBytes.Add(int64(n))
 	return n, err
 }
 
 // writeUntilFull calls write(2) until all of p is written or write(2) returns EAGAIN,
-// since the send buffer is full.
-func (c *Conn) writeUntilFull(fd int, p []byte) (n int, err error) {
+// since the send buffer is full. It returns errTooLate once the clock has reached limit.
+func (c *Conn) writeUntilFull(fd int, p []byte, limit time.Duration) (n int, err error) {
 	for n < len(p) {
 		began := c.engine.Loop.Now()
+		if began >= limit {
+			return n, errTooLate
+		}
 		written, err := syscall.Write(fd, p[n:])
 		n += max(written, 0) // -1 on an error
 		switch err {
--- a/internal/workerclient/lastbyte.go
+++ b/internal/workerclient/lastbyte.go
@@ -42,7 +42,7 @@
 		return
 	}
 	tooLate := now-c.request.lastByte.due > maxLastByteLateness
-	if tooLate || !c.conn.Write([]byte{c.request.lastByte.value}) {
+	if tooLate || !c.conn.WriteBefore([]byte{c.request.lastByte.value}, c.sendLimit()) {
 		c.close()
 		c.retryUnsent()
 		return
--- a/internal/workerclient/request.go
+++ b/internal/workerclient/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
 	"time"
 
@@ -75,18 +76,27 @@
 // writeToSocket writes a request to the socket, without the last byte if that is held back. It returns false if the
 // connection has failed.
 func (c *connection) writeToSocket(out []byte) bool {
+	limit := c.sendLimit()
 	if !c.request.lastByte.held {
-		written := c.conn.Write(out)
+		written := c.conn.WriteBefore(out, limit)
 		c.request.end = c.conn.WriteOffset()
 		return written
 	}
 	last := len(out) - 1
-	written := c.conn.Write(out[:last])
+	written := c.conn.WriteBefore(out[:last], limit)
 	c.request.end = c.conn.WriteOffset() + 1
 	c.request.lastByte.value = out[last]
 	return written
 }
 
+// sendLimit returns the clock time at which no byte of the request may be sent any more.
+func (c *connection) sendLimit() time.Duration {
+	if c.request.isHealthCheck() {
+		return math.MaxInt64
+	}
+	return c.attempt.Deadline
+}
+
 // traceWrite writes a trace step that a request of size bytes is written.
 func (c *connection) traceWrite(now time.Duration, size int) {
 	dispatcher := c.client.dispatcher
