soak: attempts and requests are dated by the kernel, and violations show both sides

Seen: 'time left' beside load, by dispatchers that were on time.

Cause: a stand-in dated an attempt when it read it, up to 0.4 s after its kernel had it, and a request before its client wrote it.

Change: an attempt arrives by tcpi_last_data_recv of the worker's socket; a client's time runs from the last byte, as the protocol says. Violations print the client's and the worker's times, a close without an answer the dispatcher's own line about it (trace step 'client connection closed'). Bounds are as before.

--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -79,6 +79,7 @@
 // transport.Handler.
 func (c *clientConnection) OnClosed(*transport.Conn, error) {
 	response := c.response
+	c.traceClose("client")
 	c.release()
 	if response.pending {
 		c.frontEnd.dispatcher.Cancel(response.handle)
@@ -103,6 +104,7 @@
 // closeNow immediately closes a connection on which no response is pending.
 func (c *clientConnection) closeNow() {
 	c.checkNoResponsePending()
+	c.traceClose("dispatcher, at once")
 	c.release()
 	c.conn.Close()
 }
@@ -110,6 +112,7 @@
 // closeGracefully closes a connection on which no response is pending, once all written bytes have reached the client.
 func (c *clientConnection) closeGracefully() {
 	c.checkNoResponsePending()
+	c.traceClose("dispatcher")
 	c.release()
 	c.conn.CloseGracefully()
 }
--- a/internal/rehearsal/soak/clients.go
+++ b/internal/rehearsal/soak/clients.go
@@ -168,7 +168,8 @@
 	return p.request.timeout + answerSlack + extraAnswerWait
 }
 
-// writeRequest writes a request and its extra bytes. It ignores errors, because reading the answer then fails too.
+// writeRequest writes a request and its extra bytes, and records when the kernel had taken the request. It ignores errors,
+// because reading the answer then fails too.
 func writeRequest(conn net.Conn, sent *request) {
 	body := "job"
 	if sent.largeBody {
@@ -176,6 +177,7 @@
 	}
 	fmt.Fprintf(conn, "POST /%s/key-%02d HTTP/1.1\r\nHost: d\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
 		sent.class, sent.key, correlationHeader, sent.id, timeLeftHeader, sent.timeout.Milliseconds(), len(body), body)
+	sent.writtenAt = time.Now()
 	if sent.extraBytes > 0 {
 		io.WriteString(conn, strings.Repeat("x", sent.extraBytes))
 	}
--- a/internal/rehearsal/soak/connection.go
+++ b/internal/rehearsal/soak/connection.go
@@ -17,6 +17,8 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	served bool // a request on the connection was answered
+
+	connectedAt time.Time
 }
 
 // dialClient opens a new connection to a dispatcher.
@@ -25,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConnection{conn: conn, reader: bufio.NewReader(conn)}, nil
+	return &clientConnection{conn: conn, reader: bufio.NewReader(conn), connectedAt: time.Now()}, nil
 }
 
 // isOpen reports whether the dispatcher has kept the connection open and there is no unread input. It does not block.
@@ -47,12 +49,15 @@
 // exchange sends a request, waits up to the given time for the answer, and records the result in sent. It closes the
 // connection if it cannot be reused.
 func (c *clientConnection) exchange(sent *request, wait time.Duration) {
+	sent.connectedAt = c.connectedAt
+	sent.localPort = c.conn.LocalAddr().(*net.TCPAddr).Port
 	sent.sentAt = time.Now()
 	sent.reusedConnection = c.served
 	c.conn.SetDeadline(sent.sentAt.Add(wait))
 	writeRequest(c.conn, sent)
 	status, reusable, err := c.readAnswer()
 	now := time.Now()
+	sent.retransmits = readTCPInfo(c.conn).retransmits
 	switch {
 	case err == nil:
 		sent.status = status
--- a/internal/rehearsal/soak/records.go
+++ b/internal/rehearsal/soak/records.go
@@ -11,9 +11,11 @@
 	id            string // ID of the request
 	class         string
 	worker        string
-	remoteAddress string // address of the dispatcher's end of the connection
-	connection    int    // number of the connection at the worker
-	arrivedAt     time.Time
+	remoteAddress string        // address of the dispatcher's end of the connection
+	connection    int           // number of the connection at the worker
+	acceptedAt    time.Time     // when the worker accepted the connection
+	arrivedAt     time.Time     // when the kernel had received all of it
+	readAt        time.Time     // when the worker had read all of it
 	timeLeft      time.Duration // time that the client has left, according to the dispatcher
 	neverRan      bool          // the worker rejected the attempt, or returned it without starting it
 	readLate      bool          // the worker read the attempt late, so that it may have arrived before arrivedAt
@@ -24,16 +26,35 @@
 	return fmt.Sprintf("at %s, on its connection %d from %s", a.worker, a.connection, a.remoteAddress)
 }
 
+// times describes when the attempt arrived, by the clock of the dispatchers' logs.
+func (a attempt) times() string {
+	return fmt.Sprintf("connection accepted %s, arrived %s, read %s",
+		logTime(a.acceptedAt), logTime(a.arrivedAt), logTime(a.readAt))
+}
+
+// times describes when the request was sent, by the clock of the dispatchers' logs.
+func (r *request) times() string {
+	return fmt.Sprintf("sent from %s to %s on a connection of %s, port %d, %d segments sent again",
+		logTime(r.sentAt), logTime(r.writtenAt), logTime(r.connectedAt), r.localPort, r.retransmits)
+}
+
+// logTime formats a time as the dispatchers' logs do.
+func logTime(at time.Time) string { return at.UTC().Format("15:04:05.000") }
+
 // request is a request, as its client observed it.
 type request struct {
 	id               string
 	class            string
 	daemon           *daemon
 	timeout          time.Duration
-	key              int  // number of the key in its path
-	largeBody        bool // its body has largeBodyBytes
-	extraBytes       int  // number of bytes that the client writes after the request
-	sentAt           time.Time
+	key              int       // number of the key in its path
+	largeBody        bool      // its body has largeBodyBytes
+	extraBytes       int       // number of bytes that the client writes after the request
+	connectedAt      time.Time // when the connection was opened
+	localPort        int       // port of the client's end of the connection
+	sentAt           time.Time // when the client began to write the request
+	writtenAt        time.Time // when the kernel had taken all of it
+	retransmits      int       // segments of the connection that the kernel had sent again when the client was done
 	clientLeftAt     time.Time // when the client closed the connection; zero if it did not
 	reusedConnection bool      // an earlier request on the connection was answered
 	resent           bool      // it repeats a request whose connection was closed without an answer
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -187,7 +187,7 @@
 	case c.arrived[sent.id]:
 		c.addViolation(ruleLost, sent.sentAt, "%s came to a worker, and its connection was closed with no answer", sent.id)
 	case !mayCloseUnread:
-		c.addViolation(ruleLost, sent.sentAt, "%s was closed with no answer, on a new connection", sent.id)
+		c.addViolation(ruleLost, sent.sentAt, "%s was closed with no answer, on a new connection%s", sent.id, c.closeOf(sent))
 	case sent.resent:
 		c.addViolation(ruleLost, sent.sentAt, "%s was closed with no answer for the second time", sent.id)
 	default:
@@ -247,6 +247,24 @@
 	return "\n    " + strings.Join(sent.daemon.traceOf(sent.id), "\n    ")
 }
 
+// storyOf returns lines with the times of a request and of an attempt of it, and with what the dispatcher has logged.
+func (c *ruleChecker) storyOf(sent *request, arrived attempt) string {
+	return fmt.Sprintf("\n    client: %s\n    worker: %s%s", sent.times(), arrived.times(), c.traceOf(sent))
+}
+
+// closeOf returns lines with the times of a request whose connection was closed without an answer, the shutdowns of its
+// dispatcher, and what the dispatcher has logged about the connection.
+func (c *ruleChecker) closeOf(sent *request) string {
+	lines := fmt.Sprintf("\n    client: %s, closed %s", sent.times(), logTime(sent.closedAt))
+	for _, one := range sent.daemon.allShutdowns() {
+		lines += "\n    SIGTERM " + logTime(one.terminatedAt)
+	}
+	for _, line := range sent.daemon.traceOf(fmt.Sprintf("port=%d ", sent.localPort)) {
+		lines += "\n    " + line
+	}
+	return lines
+}
+
 // checkAttempt checks that an attempt was allowed to arrive when it did. Only ruleDrain is checked if the dispatcher
 // was stopped between the request and the attempt, or if the worker read the attempt late, since the attempt may then
 // have arrived earlier.
@@ -261,14 +279,14 @@
 		lateness := c.cancellationLateness(sent, arrived)
 		if c.exceedsAllowed(sinceClientLeft-cancellationSlack, lateness) {
 			c.addViolation(ruleLost, arrived.arrivedAt, "%s came to %s %v after its client had left%s",
-				arrived.id, arrived, sinceClientLeft, c.traceOf(sent))
+				arrived.id, arrived, sinceClientLeft, c.storyOf(sent, arrived))
 		}
 	}
-	clientTimeLeft := sent.timeout - arrived.arrivedAt.Sub(sent.sentAt)
+	clientTimeLeft := sent.timeout - arrived.arrivedAt.Sub(sent.writtenAt)
 	excess := arrived.timeLeft - clientTimeLeft - timeLeftSlack
 	if c.exceeds(excess, sent.daemon, sent.sentAt, arrived.arrivedAt) {
 		c.addViolation(ruleTimeLeft, arrived.arrivedAt, "%s was given %v, which is %v too much%s",
-			arrived.id, arrived.timeLeft, excess, c.traceOf(sent))
+			arrived.id, arrived.timeLeft, excess, c.storyOf(sent, arrived))
 	}
 }
 
--- a/internal/rehearsal/soak/timeline.go
+++ b/internal/rehearsal/soak/timeline.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -122,6 +123,13 @@
 func (t *timeline) wasStopped(from, to time.Time) bool { return t.overlapsAny(&t.stops, from, to) }
 func (t *timeline) wasFlooded(from, to time.Time) bool { return t.overlapsAny(&t.floods, from, to) }
 
+// allShutdowns returns all graceful shutdowns so far.
+func (t *timeline) allShutdowns() []shutdown {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Clone(t.shutdowns)
+}
+
 // killedAfterTerm returns the first shutdown whose process was killed between from and to because it took too long.
 // found is false if there is none.
 func (t *timeline) killedAfterTerm(from, to time.Time) (killed shutdown, found bool) {
--- a/internal/rehearsal/soak/worker.go
+++ b/internal/rehearsal/soak/worker.go
@@ -92,7 +92,7 @@
 		acceptAllowed := w.acceptAllowed
 		w.mutex.Unlock()
 		<-acceptAllowed
-		go w.serve(conn, w.mayHaveWaited())
+		go w.serve(conn, time.Now(), w.mayHaveWaited())
 	}
 }
 
--- a/internal/rehearsal/soak/workerconnection.go
+++ b/internal/rehearsal/soak/workerconnection.go
@@ -22,6 +22,7 @@
 	number int // number of the connection among those to the worker
 	input  *bufio.Reader
 
+	acceptedAt   time.Time
 	acceptedLate bool // the next attempt is the first, and may have arrived long before it is read
 
 	// While a request is served, another goroutine waits until the dispatcher sends more or ends the connection.
@@ -31,12 +32,13 @@
 
 // serve serves a connection until it ends. acceptedLate tells whether the first request may have arrived long before it
 // is read.
-func (w *worker) serve(conn net.Conn, acceptedLate bool) {
+func (w *worker) serve(conn net.Conn, acceptedAt time.Time, acceptedLate bool) {
 	c := &workerConnection{
 		worker:       w,
 		conn:         conn,
 		number:       w.addConnection(conn),
 		input:        bufio.NewReader(conn),
+		acceptedAt:   acceptedAt,
 		acceptedLate: acceptedLate,
 	}
 	defer conn.Close()
@@ -92,7 +94,8 @@
 		records.addIncomplete() // the attempt has not arrived completely
 		return false
 	}
-	arrived.arrivedAt = time.Now()
+	arrived.readAt = time.Now()
+	arrived.arrivedAt = arrived.readAt.Add(-readTCPInfo(c.conn).sinceData)
 	c.startReadingNext()
 	admitted := c.worker.admit()
 	arrived.neverRan = !admitted || plan.fault == answerReturned
@@ -119,6 +122,7 @@
 		worker:        c.worker.name,
 		remoteAddress: c.conn.RemoteAddr().String(),
 		connection:    c.number,
+		acceptedAt:    c.acceptedAt,
 		timeLeft:      time.Duration(timeLeftMs) * time.Millisecond,
 	}
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -34,6 +34,7 @@
 	engine     *Engine
 	group      *connGroup
 	peer       netip.Addr
+	peerPort   int
 	socket     *nbio.Conn          // nil if nbio could not duplicate the descriptor
 	newHandler func(*Conn) Handler // nil after it has been called
 	state      connState
@@ -71,6 +72,7 @@
 	if ok {
 		addr, _ := netip.AddrFromSlice(tcp.IP)
 		connection.peer = addr.Unmap()
+		connection.peerPort = tcp.Port
 	}
 	socket, err := nbio.NBConn(conn) // duplicates the descriptor with dup(2)
 	if err != nil {
@@ -127,6 +129,9 @@
 // Peer returns the IP address of the peer.
 func (c *Conn) Peer() netip.Addr { return c.peer }
 
+// PeerPort returns the port of the peer, or 0 if it is unknown.
+func (c *Conn) PeerPort() int { return c.peerPort }
+
 // LocalPort returns the local port, or 0 if it is unknown.
 func (c *Conn) LocalPort() int {
 	if c.socket == nil {
