testgate: an entry for a test that fails only at times, with its recorded text

Change: an entry whose sight begins with 'at times "TEXT"' tolerates a pass and a failure whose output has TEXT, and says which it was; any other failure, and a missing test, fail the run; without a text the entry is not read.

Shown: TestEntryThatFailsAtTimes and two cases of TestReadKnownFailures, both ways; testgate's tests pass.

--- a/internal/tools/testgate/knownfailures.go
+++ b/internal/tools/testgate/knownfailures.go
@@ -13,6 +13,10 @@
 	entryFields    = 5
 	fieldSeparator = " | "
 
+	// sometimesPrefix begins what was seen of a case that fails only at times. The text of its failure follows in
+	// quotation marks.
+	sometimesPrefix = "at times "
+
 	// soakPackage stands in place of the package in an entry that is not a Go test but
 	// a seed of the soak, which is printed and not run.
 	soakPackage = "soak"
@@ -30,6 +34,18 @@
 	Issue   string
 }
 
+// failsSometimes returns the text that a failure of the case has in its output, if the case fails only at times. Then it
+// may pass or fail, but not with another text.
+func (f knownFailure) failsSometimes() (text string, sometimes bool) {
+	rest, sometimes := strings.CutPrefix(f.Seen, sometimesPrefix)
+	if !sometimes {
+		return "", false
+	}
+	_, rest, _ = strings.Cut(rest, `"`)
+	text, _, _ = strings.Cut(rest, `"`)
+	return text, true
+}
+
 // isGoTest reports whether go test runs the case.
 func (f knownFailure) isGoTest() bool { return f.Package != soakPackage }
 
@@ -71,11 +87,15 @@
 			return knownFailure{}, fmt.Errorf("%w: a part is empty", errEntryForm)
 		}
 	}
-	return knownFailure{
+	failure := knownFailure{
 		Package: fields[0],
 		Test:    fields[1],
 		Command: fields[2],
 		Seen:    fields[3],
 		Issue:   fields[4],
-	}, nil
+	}
+	if text, sometimes := failure.failsSometimes(); sometimes && text == "" {
+		return knownFailure{}, fmt.Errorf("%w: %q without the text of the failure in quotation marks", errEntryForm, sometimesPrefix)
+	}
+	return failure, nil
 }
--- a/internal/tools/testgate/main.go
+++ b/internal/tools/testgate/main.go
@@ -2,7 +2,8 @@
 // `go test -json` with its own arguments, prints what the tests print, and fails
 // like go test does, with one exception: a failing test that KNOWN-RED.txt lists is
 // reported and tolerated. An entry whose test passes, or that matches no test,
-// fails the run, so that no entry remains after its fault is fixed.
+// fails the run, so that no entry remains after its fault is fixed. An entry of a test
+// that fails only at times tolerates a pass, and of failures only the recorded one.
 package main
 
 import (
--- a/internal/tools/testgate/main_test.go
+++ b/internal/tools/testgate/main_test.go
@@ -69,6 +69,38 @@
 	}
 }
 
+// An entry of a case that fails only at times tolerates the recorded failure and a pass, and says which it was. A failure
+// with another text, and a missing test, fail the run.
+func TestEntryThatFailsAtTimes(t *testing.T) {
+	const (
+		recorded = `{"Action":"output","Package":"m/a","Test":"TestFails","Output":"x_test.go:1: late by 3 s\n"}` + "\n"
+		other    = `{"Action":"output","Package":"m/a","Test":"TestFails","Output":"x_test.go:2: lost\n"}` + "\n"
+	)
+	run, end, _ := strings.Cut(fails, "\n")
+	passesNow := strings.ReplaceAll(passes, "TestPasses", "TestFails")
+	entry := []knownFailure{{Package: "a", Test: "TestFails", Seen: `at times "late by": a cause`}}
+	for _, test := range []struct{ name, events, wantPrinted, wantError string }{
+		{"fails as recorded", run + "\n" + recorded + end, "known red: m/a TestFails", ""},
+		{"passes", passesNow, "known red, passed this time: m/a TestFails", ""},
+		{"fails otherwise", run + "\n" + other + end, "lost", "failed, but not with"},
+		{"fails without output", passes + fails, "", "failed, but not with"},
+		{"no such test", passes, "", "matches no test"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var printed strings.Builder
+			results := newResults(&printed)
+			if err := results.read(strings.NewReader(test.events)); err != nil {
+				t.Fatal(err)
+			}
+			err := results.evaluate(entry, nil)
+			asWanted := err == nil && test.wantError == "" || err != nil && test.wantError != "" && strings.Contains(err.Error(), test.wantError)
+			if !asWanted || !strings.Contains(printed.String(), test.wantPrinted) {
+				t.Errorf("%v and %q, want %q and %q", err, printed.String(), test.wantError, test.wantPrinted)
+			}
+		})
+	}
+}
+
 // Each entry is printed completely. A seed of the soak is printed as not run, and needs no matching test.
 func TestEntriesArePrinted(t *testing.T) {
 	var printed strings.Builder
@@ -109,6 +141,8 @@
 		{"a field missing", "internal/core | TestX | a cause | issue 27\n", ":1: not of the form", 0},
 		{"a field too many", "internal/core | TestX | x | a cause | issue 27 | x\n", ":1: not of the form", 0},
 		{"an empty field", "# x\ninternal/core |  | x | a cause | issue 27\n", ":2: not of the form", 0},
+		{"fails at times", "a | TestX | go test ./a | at times \"late\": a cause | issue 27\n", "", 1},
+		{"fails at times without a text", "a | TestX | go test ./a | at times late | issue 27\n", "without the text", 0},
 		{"a seed without a command", "soak | seed 12 | one request lost | issue 37\n", ":1: not of the form", 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/tools/testgate/results.go
+++ b/internal/tools/testgate/results.go
@@ -44,7 +44,7 @@
 	out          io.Writer
 	outcomes     map[testName]action   // the latest of actionRun, actionPass, actionFail and actionSkip
 	finished     int                   // tests that passed, failed or were skipped
-	output       map[testName][]string // of tests that have not finished
+	output       map[testName][]string // of tests that have failed or have not finished
 	failedBuilds []string              // packages that do not build
 }
 
@@ -95,8 +95,9 @@
 	r.outcomes[name] = outcome
 	if outcome == actionFail {
 		fmt.Fprint(r.out, strings.Join(r.output[name], ""))
+	} else {
+		delete(r.output, name)
 	}
-	delete(r.output, name)
 	if name.Test != "" {
 		r.finished++
 	}
@@ -114,11 +115,17 @@
 			continue
 		}
 		name, outcome := r.find(failure)
-		switch outcome {
-		case actionFail:
+		text, sometimes := failure.failsSometimes()
+		switch {
+		case outcome == actionFail && sometimes && !r.printed(name, text):
+			errs = append(errs, fmt.Errorf("%s failed, but not with %q as %s says", name, text, listFile))
+			tolerated[name] = true // it is reported here
+		case outcome == actionFail:
 			tolerated[name] = true
 			fmt.Fprintf(r.out, "known red: %s: %s: %s (%s)\n", name, failure.Command, failure.Seen, failure.Issue)
-		case "":
+		case outcome == actionPass && sometimes:
+			fmt.Fprintf(r.out, "known red, passed this time: %s: %s: %s (%s)\n", name, failure.Command, failure.Seen, failure.Issue)
+		case outcome == "":
 			errs = append(errs, fmt.Errorf("%s: %s matches no test", listFile, failure.Test))
 		default:
 			errs = append(errs, fmt.Errorf(
@@ -138,6 +145,16 @@
 	return errors.Join(errs...)
 }
 
+// printed reports whether the output of a failed test, or of one of its subtests, contains a text.
+func (r *results) printed(failed testName, text string) bool {
+	for name, output := range r.output {
+		if (name == failed || failed.contains(name)) && strings.Contains(strings.Join(output, ""), text) {
+			return true
+		}
+	}
+	return false
+}
+
 // find returns the name and the outcome of the test that an entry names. The outcome is empty if there is no such test.
 func (r *results) find(failure knownFailure) (testName, action) {
 	for name, outcome := range r.outcomes {
