transport: no descriptor is closed while the poller may have an event for it

Callers: a new connection was closed with no answer, also after its request was read; a connection to a worker alike (soak, traced dispatchers, little processor time).

Cause: a connection that was shut down is closed by the poller at its event, or by a timer after 0.2 s. A late poller still has that event: a new connection got the descriptor, and the old one's event closed it.

Change: the timer waits for 10 s.

--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -7,10 +7,15 @@
 )
 
 const (
-	// shutdownTimeout is how long the poller has to close a connection that was shut
-	// down. After it the connection is closed without waiting for a poller event.
+	// shutdownTimeout is how long the poller usually takes at most to close a connection
+	// that was shut down.
 	shutdownTimeout = 200 * time.Millisecond
 
+	// lostEventTimeout is the time after which a connection that was shut down is closed
+	// without a poller event. It is far longer than the poller of a process that gets
+	// hardly any processor time has an event without handling it.
+	lostEventTimeout = 10 * time.Second
+
 	lingerTimeout  = time.Second          // longest time for which CloseGracefully waits for the peer
 	lingerInterval = 5 * time.Millisecond // time between reads of bytes that are discarded
 
@@ -78,7 +83,8 @@
 // shutDown ends the connection with shutdown(2). nbio's poller gets an event for that
 // at once, and closes the descriptor. If the descriptor were closed here while the
 // poller still had an event for it, that event would close the next connection that
-// gets the same descriptor.
+// gets the same descriptor. Therefore the timer, which closes it if there is no event, is
+// long.
 func (c *Conn) shutDown() {
 	open := false
 	c.withDescriptor(func(fd int) {
@@ -88,9 +94,8 @@
 	if !open {
 		return
 	}
-	// There may be no further event, for example after a reset. Then the timer closes the socket.
 	c.closeTimer.Fire = func() { _ = c.socket.Close() }
-	c.engine.Loop.Set(&c.closeTimer, c.engine.Loop.Now()+shutdownTimeout)
+	c.engine.Loop.Set(&c.closeTimer, c.engine.Loop.Now()+lostEventTimeout)
 }
 
 // CloseGracefully closes the connection when all written bytes have been sent and the
