--- a/decision/slowstart_clock_test.go
+++ b/decision/slowstart_clock_test.go
@@ -80,14 +80,15 @@
 	}
 }
 
-// Guards against a worker that stays in slow start for an hour: if the dispatcher's clock is behind, each worker that
-// starts has a start time in the future.
+// Guards against a worker that stays in slow start for an hour: if the dispatcher's clock is behind, each
+// worker that starts has a start time in the future.
 func TestWorkerFromTheFutureWarmsUp(t *testing.T) {
 	const slowStart = 8 * time.Second
 	for _, kind := range []ListKind{ListSnapshot, ListDelta} {
 		machine := newSlowStartMachine(t, slowStart)
 		now := 2 * time.Hour
-		list := Event{Kind: ListUpdated, ListKind: kind, Endpoints: []Endpoint{{Name: "w", StartedAt: now + time.Hour}}}
+		endpoints := []Endpoint{{Name: "w", StartedAt: now + time.Hour}}
+		list := Event{Kind: ListUpdated, ListKind: kind, Endpoints: endpoints}
 		machine.Handle(now, list, nil)
 		if machine.capacityFraction(machine.workers["w"]) == 1 {
 			t.Errorf("list kind %v: a worker that has just started counts as warm", kind)
@@ -95,7 +96,7 @@
 		now += slowStart + time.Second
 		machine.Handle(now, list, nil) // listed again with the same start time
 		if machine.capacityFraction(machine.workers["w"]) < 1 {
-			t.Errorf("list kind %v: the worker is still in slow start %v after it was listed", kind, slowStart+time.Second)
+			t.Errorf("list kind %v: the worker is still in slow start after SlowStartDuration", kind)
 		}
 	}
 }
--- a/decision/sweep_test.go
+++ b/decision/sweep_test.go
@@ -153,8 +153,8 @@
 	return settings
 }
 
-// Guards against a request that an idle worker could take and that waits until its deadline: with an objective beyond the
-// deadline, the sweep that marks it late came after the deadline.
+// Guards against a request that an idle worker could take and that waits until its deadline: with an
+// objective beyond the deadline, the sweep that marks it late came after the deadline.
 func TestRequestIsSweptBeforeItsDeadline(t *testing.T) {
 	settings := testSettings()
 	for i := range settings.Classes {
@@ -165,7 +165,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if machine.sweepInterval >= settings.Classes[0].Deadline-2*settings.Tick {
-		t.Errorf("a sweep each %v, with a deadline of %v", machine.sweepInterval, settings.Classes[0].Deadline)
+	deadline := settings.Classes[0].Deadline
+	if machine.sweepInterval >= deadline-2*settings.Tick {
+		t.Errorf("a sweep each %v, with a deadline of %v", machine.sweepInterval, deadline)
 	}
 }
