--- a/internal/rehearsal/soak/records.go
+++ b/internal/rehearsal/soak/records.go
@@ -64,6 +64,14 @@
 	answeredAt       time.Time
 }
 
+// timeRunsFrom returns when the client's time begins: at the last byte of its request.
+func (r *request) timeRunsFrom() time.Time {
+	if r.writtenAt.After(r.sentAt) {
+		return r.writtenAt
+	}
+	return r.sentAt
+}
+
 // clientLeft reports whether the client closed the connection without an answer.
 func (r *request) clientLeft() bool { return !r.clientLeftAt.IsZero() }
 
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -282,7 +282,7 @@
 				arrived.id, arrived, sinceClientLeft, c.storyOf(sent, arrived))
 		}
 	}
-	clientTimeLeft := sent.timeout - arrived.arrivedAt.Sub(sent.writtenAt)
+	clientTimeLeft := sent.timeout - arrived.arrivedAt.Sub(sent.timeRunsFrom())
 	excess := arrived.timeLeft - clientTimeLeft - timeLeftSlack
 	if c.exceeds(excess, sent.daemon, sent.sentAt, arrived.arrivedAt) {
 		c.addViolation(ruleTimeLeft, arrived.arrivedAt, "%s was given %v, which is %v too much%s",
