--- a/internal/dispatch/attemptreport.go
+++ b/internal/dispatch/attemptreport.go
@@ -35,8 +35,8 @@
 	})
 }
 
-// checkSent has the guard check an attempt whose last byte was sent at the given clock time, and logs the recorded claims about the
-// request if the attempt breaks a rule.
+// checkSent has the guard check an attempt whose last byte was sent at the given clock time, and logs the recorded claims
+// about the request if the attempt breaks a rule.
 func (d *Dispatcher) checkSent(attempt *openAttempt, sentAt time.Duration) {
 	request := d.requests.Get(attempt.requestHandle)
 	if request == nil {
--- a/internal/transport/arrival.go
+++ b/internal/transport/arrival.go
@@ -16,8 +16,8 @@
 	at  time.Duration // clock time
 }
 
-// ArrivedAt returns the clock time at which the kernel had received the first byte of the contents, or an earlier one.
-// It returns 0 if the time is not known.
+// ArrivedAt returns the clock time at which the kernel had received the piece that the contents begin with, or an earlier
+// one. It returns 0 if the time is not known.
 func (b *Buffer) ArrivedAt() time.Duration {
 	if len(b.arrivals) == 0 {
 		return 0
