soak: attempts are judged in the order in which they arrived

Since attempts are dated by the worker's kernel, the order of the records, that of the reads, need not be theirs; a repeat's window and the retry budget's are judged in order.

Change: the checks sort the attempts by arrival first.

--- a/internal/rehearsal/soak/arrival_test.go
+++ b/internal/rehearsal/soak/arrival_test.go
@@ -44,3 +44,17 @@
 		t.Errorf("arrived %v after it was sent, read %v after it", delay, arrived.readAt.Sub(sentAt))
 	}
 }
+
+// Guards against a repeat that is not seen because the worker of the first attempt read it last.
+func TestAttemptsAreJudgedInTheirOrderOfArrival(t *testing.T) {
+	r := &run{start: time.Now(), idPrefix: "id"}
+	at := func(span time.Duration) time.Time { return r.start.Add(span) }
+	r.records.attempts = []attempt{
+		{id: "id", class: classTransfer, worker: "read first", arrivedAt: at(3 * time.Second)},
+		{id: "id", class: classTransfer, worker: "read last", arrivedAt: at(time.Second)},
+	}
+	r.checkRules()
+	if first := r.records.attempts[0].worker; first != "read last" {
+		t.Errorf("the attempt %q is judged first", first)
+	}
+}
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -40,6 +40,8 @@
 func (r *run) checkRules() Report {
 	r.records.mutex.Lock()
 	defer r.records.mutex.Unlock()
+	// Workers record attempts when they have read them, which need not be the order in which they arrived.
+	slices.SortStableFunc(r.records.attempts, func(a, b attempt) int { return a.arrivedAt.Compare(b.arrivedAt) })
 	checker := ruleChecker{run: r, arrived: map[string]bool{}}
 	for _, arrived := range r.records.attempts {
 		checker.arrived[arrived.id] = true
