transport: a write after a failed one closes no descriptor

Cause: after a failed write the connection is shut down and still has unsent bytes.

Change: a connection that is shut down takes no more writes, so that its descriptor is left to the poller.

--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -86,6 +86,7 @@
 // gets the same descriptor. Therefore the timer, which closes it if there is no event, is
 // long.
 func (c *Conn) shutDown() {
+	c.shutDownBegun = true
 	open := false
 	c.withDescriptor(func(fd int) {
 		_ = syscall.Shutdown(fd, syscall.SHUT_RDWR) // fails with ENOTCONN if the peer has reset the connection
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -45,6 +45,7 @@
 
 	closeTimer     eventloop.Deadline // for the steps of CloseGracefully and Discard, and for the timeout of shutDown
 	lingerDeadline time.Duration      // clock time at which lingering ends
+	shutDownBegun  bool               // shutDown was called: nothing more is written
 	sendingClosed  bool               // while lingering: the sending side of the socket has been shut down
 	discarding     bool               // Discard was called: received bytes are discarded
 	discardedBytes int
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -26,6 +26,9 @@
 	}
 	nothingQueued := c.UnsentBytes() == 0
 	c.writeOffset += int64(len(p))
+	if c.shutDownBegun {
+		return false // nbio's Write would fail, and close the descriptor at once
+	}
 	if nothingQueued {
 		written, err := c.writeToSocket(p, limit)
 		if err != nil {
