transport: a number closed outside the poller is registered after its batch

Callers: what 'closed with no answer, on a new connection' had left, a stop of 10 s or a reset between two calls of write(2).

Cause: the timer for a lost event, and nbio's Write for what the socket had no room for, close a descriptor on the loop's goroutine. The poller may still have an event of it; a new connection gets the number, and the event closes it.

Change: such a number is noted before the close, and is registered again only when the poller has begun and ended a batch since; no time is involved.

A failing registration is ruled out by reading.

--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -81,10 +81,7 @@
 }
 
 // shutDown ends the connection with shutdown(2). nbio's poller gets an event for that
-// at once, and closes the descriptor. If the descriptor were closed here while the
-// poller still had an event for it, that event would close the next connection that
-// gets the same descriptor. Therefore the timer, which closes it if there is no event, is
-// long.
+// at once, and closes the descriptor. The timer closes it if there is no event.
 func (c *Conn) shutDown() {
 	c.shutDownBegun = true
 	open := false
@@ -95,10 +92,16 @@
 	if !open {
 		return
 	}
-	c.closeTimer.Fire = func() { _ = c.socket.Close() }
+	c.closeTimer.Fire = c.closeOnLoop
 	c.engine.Loop.Set(&c.closeTimer, c.engine.Loop.Now()+lostEventTimeout)
 }
 
+// closeOnLoop makes nbio close the descriptor on the loop's goroutine, without an event.
+func (c *Conn) closeOnLoop() {
+	c.withDescriptor(c.engine.reuse.beforeClose)
+	_ = c.socket.Close()
+}
+
 // CloseGracefully closes the connection when all written bytes have been sent and the
 // peer has closed its side too, or after lingerTimeout. The handler gets no more
 // events.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -82,10 +82,9 @@
 		e.Loop.Post(func() { connection.onRegisterFailed(err) })
 		return
 	}
-	e.sessionMu.Lock()
-	socket.SetSession(connection)
 	connection.socket = socket
-	e.sessionMu.Unlock()
+	e.setSession(socket, connection)
+	connection.withDescriptor(e.reuse.beforeRegister)
 	_, _ = e.poller.AddConn(socket) // on an error nbio has closed the connection and calls onClosed
 }
 
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -40,6 +40,7 @@
 	admission Admission
 
 	poller *nbio.Engine
+	reuse  reuseGuard
 	conns  slotmap.Map[Conn] // belongs to the loop's goroutine
 
 	dials       *connGroup // dialed connections, except those in reserved
@@ -84,15 +85,32 @@
 	engine.poller.OnRead(engine.onReadable)
 	engine.poller.OnWrittenSize(engine.onWritten)
 	engine.poller.OnClose(engine.onClosed)
-	return engine, engine.poller.Start()
+	err := engine.poller.Start()
+	if err != nil {
+		return nil, err
+	}
+	engine.reuse.barrier, err = newPollerBarrier(engine)
+	return engine, err
 }
 
-// connOf returns the connection to which a socket of an nbio callback belongs, or nil
-// if the socket was not registered by this engine.
-func (e *Engine) connOf(socket *nbio.Conn) *Conn {
+// setSession sets what a socket of an nbio callback belongs to: a *Conn or a *pollerBarrier.
+func (e *Engine) setSession(socket *nbio.Conn, session any) {
 	e.sessionMu.Lock()
 	defer e.sessionMu.Unlock()
-	c, _ := socket.Session().(*Conn)
+	socket.SetSession(session)
+}
+
+// sessionOf returns what a socket of an nbio callback belongs to.
+func (e *Engine) sessionOf(socket *nbio.Conn) any {
+	e.sessionMu.Lock()
+	defer e.sessionMu.Unlock()
+	return socket.Session()
+}
+
+// connOf returns the connection to which a socket of an nbio callback belongs, or nil
+// if it belongs to none.
+func (e *Engine) connOf(socket *nbio.Conn) *Conn {
+	c, _ := e.sessionOf(socket).(*Conn)
 	return c
 }
 
@@ -107,14 +125,15 @@
 }
 
 func (e *Engine) onReadable(socket *nbio.Conn) {
-	c := e.connOf(socket)
-	if c == nil {
-		return
-	}
-	e.waitForTransit()
-	err := c.read()
-	if err != nil {
-		_ = socket.CloseWithError(err)
+	switch session := e.sessionOf(socket).(type) {
+	case *pollerBarrier:
+		session.onReadable()
+	case *Conn:
+		e.waitForTransit()
+		err := session.read()
+		if err != nil {
+			_ = socket.CloseWithError(err)
+		}
 	}
 }
 
--- a/internal/transport/reuse_test.go
+++ b/internal/transport/reuse_test.go
@@ -112,3 +112,32 @@
 	})
 	reuse.checkNewConnections(t)
 }
+
+// Guards against a new connection that is closed with no answer: the timer that closes a connection without an event fires
+// in a process that was stopped for a while, before its poller handles the event that it has.
+func TestCloseByTimerClosesNoNewConnection(t *testing.T) {
+	reuse := newDescriptorReuse(t)
+	reuse.endConnections(t, resetPeer, func(conns []*Conn) {
+		for _, conn := range conns {
+			conn.Close()
+			if conn.closeTimer.Fire != nil { // not closed by the poller before the test could block it
+				conn.closeTimer.Fire()
+			}
+		}
+	})
+	reuse.checkNewConnections(t)
+}
+
+// Guards against a new connection that is closed with no answer: a connection is reset between the write(2) that fills the
+// send buffer and the one by which nbio tries to write the rest, and nbio then closes the descriptor.
+func TestResetBeforeQueuedWriteClosesNoNewConnection(t *testing.T) {
+	reuse := newDescriptorReuse(t)
+	reuse.endConnections(t, resetPeer, func(conns []*Conn) {
+		for _, conn := range conns {
+			if conn.writeQueued([]byte("rest")) {
+				t.Error("a write to a connection that its peer has reset succeeded")
+			}
+		}
+	})
+	reuse.checkNewConnections(t)
+}
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -40,8 +40,20 @@
 	if len(p) == 0 {
 		return true
 	}
+	return c.writeQueued(p)
+}
+
+// writeQueued makes nbio queue p, for which the socket had no room. nbio tries to write it
+// first; if that fails, since the connection has broken meanwhile, nbio closes the
+// descriptor on the loop's goroutine, and writeQueued returns false.
+func (c *Conn) writeQueued(p []byte) bool {
+	c.withDescriptor(c.engine.reuse.beforeClose)
 	_, err := c.socket.Write(p)
-	return err == nil
+	if err != nil {
+		return false
+	}
+	c.withDescriptor(c.engine.reuse.notClosed)
+	return true
 }
 
 // writeToSocket writes p until all of it is written or the socket's send buffer is
