soak: attempts are dated by the kernel's receive times, not by its tick

Seen: false 'duplicate' and 'drain' of TestSoakWithDurableQueues beside load; the dispatchers' logs have the true order.

Cause: tcpi_last_data_recv counts in ticks of 4 ms. An attempt was dated up to 4 ms before its sending or after its reading, and two within a tick changed places.

Change: recvmsg(2) with SO_TIMESTAMPNS tells when the kernel received what was read, to microseconds.

--- a/internal/rehearsal/soak/arrival_test.go
+++ b/internal/rehearsal/soak/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -58,3 +59,51 @@
 		t.Errorf("the attempt %q is judged first", first)
 	}
 }
+
+// Guards against attempts whose order is not the true one: they were dated by the kernel's tick, up to 4 ms before they were
+// sent or after they were read, so that one that its worker had rejected seemed to come after the one that ran.
+func TestDataArrivesBetweenItsSendingAndItsReading(t *testing.T) {
+	const messages = 100
+	const maxPause = 8 * time.Millisecond
+	config := net.ListenConfig{Control: prepareListener}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dispatcher, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dispatcher.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	source := &timestampedReader{conn: conn.(*net.TCPConn)}
+	exchange := func() (sentAt time.Time) {
+		time.Sleep(rand.N(maxPause))
+		sentAt = time.Now()
+		fmt.Fprint(dispatcher, "message")
+		time.Sleep(rand.N(maxPause))
+		if _, err := source.Read(make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+		return sentAt
+	}
+	for source.receivedAt.IsZero() { // the kernel begins to report times a moment after it was asked to
+		exchange()
+	}
+	wrong := 0
+	for range messages {
+		sentAt := exchange()
+		arrivedAt := source.arrivalOfLatest()
+		if arrivedAt.Before(sentAt) || arrivedAt.After(time.Now()) {
+			wrong++
+		}
+	}
+	if wrong > 0 {
+		t.Errorf("%d of %d messages arrived before they were sent or after they were read", wrong, messages)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/soak/receivetime_linux.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// maxTickError is the maximum difference between tcpInfo.sinceData and the true time since the latest data: the kernel
+// counts in ticks, of 10 ms at most.
+const maxTickError = 10 * time.Millisecond
+
+// timestampReceives makes the kernel report when it received the data of a socket, or of the connections of a listener.
+func timestampReceives(fd uintptr) error {
+	return unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
+}
+
+// timestampedReader reads from a TCP connection and keeps when the kernel received the data that it has read last.
+// timestampReceives must have been called for the connection or its listener.
+type timestampedReader struct {
+	conn       *net.TCPConn
+	receivedAt time.Time // when the kernel received the latest data; zero if it did not report the time
+}
+
+// Read implements io.Reader.
+func (r *timestampedReader) Read(p []byte) (n int, err error) {
+	raw, err := r.conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var control [128]byte
+	var controlLength int
+	var receiveErr error
+	err = raw.Read(func(fd uintptr) (done bool) {
+		n, controlLength, _, _, receiveErr = unix.Recvmsg(int(fd), p, control[:], 0)
+		return receiveErr != syscall.EAGAIN && receiveErr != syscall.EINTR
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case receiveErr != nil:
+		return 0, receiveErr
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	r.receivedAt = receiveTime(control[:controlLength])
+	return n, nil
+}
+
+// receiveTime returns the time that the control messages of recvmsg(2) report, or zero if they report none. The kernel
+// reports it by the wall clock. The result has a monotonic clock reading, so that a later step of the wall clock does not
+// matter.
+func receiveTime(control []byte) time.Time {
+	now := time.Now()
+	messages, err := unix.ParseSocketControlMessage(control)
+	if err != nil {
+		return time.Time{}
+	}
+	for _, message := range messages {
+		isTimestamp := message.Header.Level == unix.SOL_SOCKET && message.Header.Type == unix.SCM_TIMESTAMPNS
+		if isTimestamp && len(message.Data) >= int(unsafe.Sizeof(unix.Timespec{})) {
+			reported := *(*unix.Timespec)(unsafe.Pointer(&message.Data[0]))
+			return now.Add(-now.Sub(time.Unix(reported.Unix())))
+		}
+	}
+	return time.Time{}
+}
+
+// arrivalOfLatest returns when the kernel received the latest data that was read. If the kernel did not report that, or the
+// wall clock was stepped since, the result may be wrong by up to maxTickError.
+func (r *timestampedReader) arrivalOfLatest() time.Time {
+	asked := time.Now()
+	sinceData := readTCPInfo(r.conn).sinceData
+	earliest := asked.Add(-sinceData - maxTickError)
+	latest := time.Now().Add(-sinceData + maxTickError)
+	switch {
+	case r.receivedAt.IsZero():
+		return asked.Add(-sinceData)
+	case r.receivedAt.Before(earliest):
+		return earliest
+	case r.receivedAt.After(latest):
+		return latest
+	}
+	return r.receivedAt
+}
--- a/internal/rehearsal/soak/worker.go
+++ b/internal/rehearsal/soak/worker.go
@@ -58,7 +58,7 @@
 
 // listen begins to accept connections.
 func (w *worker) listen() error {
-	config := net.ListenConfig{Control: shrinkReceiveBuffer}
+	config := net.ListenConfig{Control: prepareListener}
 	listener, err := config.Listen(context.Background(), "tcp", w.address)
 	if err != nil {
 		return err
@@ -70,14 +70,15 @@
 	return nil
 }
 
-// shrinkReceiveBuffer sets a small receive buffer for the connections of a listener, so that the dispatcher can send
-// only a part of a large request while the worker does not read.
-func shrinkReceiveBuffer(_, _ string, raw syscall.RawConn) error {
-	var setErr error
+// prepareListener sets a small receive buffer for the connections of a listener, so that the dispatcher can send only a
+// part of a large request while the worker does not read, and makes the kernel report when it received their data.
+func prepareListener(_, _ string, raw syscall.RawConn) error {
+	var sizeErr, timestampErr error
 	err := raw.Control(func(fd uintptr) {
-		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+		sizeErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+		timestampErr = timestampReceives(fd)
 	})
-	return cmp.Or(err, setErr)
+	return cmp.Or(err, sizeErr, timestampErr)
 }
 
 // acceptConnections accepts and serves connections until the listener is closed. While accepting is suspended, it
--- a/internal/rehearsal/soak/workerconnection.go
+++ b/internal/rehearsal/soak/workerconnection.go
@@ -20,7 +20,8 @@
 	worker *worker
 	conn   net.Conn
 	number int // number of the connection among those to the worker
-	input  *bufio.Reader
+	source *timestampedReader
+	input  *bufio.Reader // reads from source
 
 	acceptedAt   time.Time
 	acceptedLate bool // the next attempt is the first, and may have arrived long before it is read
@@ -33,11 +34,13 @@
 // serve serves a connection until it ends. acceptedLate tells whether the first request may have arrived long before it
 // is read.
 func (w *worker) serve(conn net.Conn, acceptedAt time.Time, acceptedLate bool) {
+	source := &timestampedReader{conn: conn.(*net.TCPConn)}
 	c := &workerConnection{
 		worker:       w,
 		conn:         conn,
 		number:       w.addConnection(conn),
-		input:        bufio.NewReader(conn),
+		source:       source,
+		input:        bufio.NewReader(source),
 		acceptedAt:   acceptedAt,
 		acceptedLate: acceptedLate,
 	}
@@ -95,7 +98,7 @@
 		return false
 	}
 	arrived.readAt = time.Now()
-	arrived.arrivedAt = arrived.readAt.Add(-readTCPInfo(c.conn).sinceData)
+	arrived.arrivedAt = c.source.arrivalOfLatest()
 	c.startReadingNext()
 	admitted := c.worker.admit()
 	arrived.neverRan = !admitted || plan.fault == answerReturned
