soak: a close with no answer shows what the client's read returned

A violation 'closed with no answer' did not tell a reset from an orderly close.

Change: the violation prints the error of the client's read.

Shown: the unit tests of the soak pass; no violation was brought with it.

--- a/internal/rehearsal/soak/connection.go
+++ b/internal/rehearsal/soak/connection.go
@@ -65,6 +65,7 @@
 		c.served = true
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		sent.closedAt = now
+		sent.closeError = err
 	}
 	if err != nil || !reusable {
 		c.close()
--- a/internal/rehearsal/soak/records.go
+++ b/internal/rehearsal/soak/records.go
@@ -60,6 +60,7 @@
 	resent           bool      // it repeats a request whose connection was closed without an answer
 	notConnected     bool      // no connection could be opened for the request
 	closedAt         time.Time // when the dispatcher closed the connection without an answer; zero if it did not
+	closeError       error     // what reading the answer then returned
 	status           int       // status of the final answer, or 0 if there was none
 	answeredAt       time.Time
 }
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -257,7 +257,7 @@
 // closeOf returns lines with the times of a request whose connection was closed without an answer, the shutdowns of its
 // dispatcher, and what the dispatcher has logged about the connection.
 func (c *ruleChecker) closeOf(sent *request) string {
-	lines := fmt.Sprintf("\n    client: %s, closed %s", sent.times(), logTime(sent.closedAt))
+	lines := fmt.Sprintf("\n    client: %s, closed %s: %v", sent.times(), logTime(sent.closedAt), sent.closeError)
 	for _, one := range sent.daemon.allShutdowns() {
 		lines += "\n    SIGTERM " + logTime(one.terminatedAt)
 	}
