--- a/internal/rehearsal/soak/arrival_test.go
+++ b/internal/rehearsal/soak/arrival_test.go
@@ -8,19 +8,28 @@
 	"time"
 )
 
-// Guards against violations that are the stand-in's own lateness: an attempt was dated when the worker read it, and on a
-// busy machine that was up to 0.4 s after it had arrived.
-func TestAttemptIsDatedByItsArrival(t *testing.T) {
-	const readAfter = 300 * time.Millisecond
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// dialWorker returns a listener like that of a worker, and a connection to it that is not accepted yet.
+func dialWorker(t *testing.T) (listener net.Listener, dispatcher net.Conn) {
+	t.Helper()
+	config := net.ListenConfig{Control: prepareListener}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	dispatcher, err := net.Dial("tcp", listener.Addr().String())
+	t.Cleanup(func() { listener.Close() })
+	dispatcher, err = net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { dispatcher.Close() })
+	return listener, dispatcher
+}
+
+// Guards against violations that are the stand-in's own lateness: an attempt was dated when the worker read it, and on a
+// busy machine that was up to 0.4 s after it had arrived.
+func TestAttemptIsDatedByItsArrival(t *testing.T) {
+	const readAfter = 300 * time.Millisecond
+	listener, dispatcher := dialWorker(t)
 	fmt.Fprint(dispatcher, "POST /renewal/k HTTP/1.1\r\nHost: w\r\nX-Correlation-Id: late\r\nX-Time-Left-Ms: 1000\r\nContent-Length: 3\r\n\r\njob")
 	sentAt := time.Now()
 	time.Sleep(readAfter)
@@ -65,17 +74,7 @@
 func TestDataArrivesBetweenItsSendingAndItsReading(t *testing.T) {
 	const messages = 100
 	const maxPause = 8 * time.Millisecond
-	config := net.ListenConfig{Control: prepareListener}
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	dispatcher, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer dispatcher.Close()
+	listener, dispatcher := dialWorker(t)
 	conn, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
