soak: a drain violation shows what the dispatcher was told, and when

Change: the violation prints the notifications around the attempt's arrival, in the order of their records, on which connection each was sent and whether the dispatcher had closed it by then, and the times of client and worker.

Shown: the unit tests of the soak pass; rules and bounds are unchanged.

--- a/internal/rehearsal/soak/checkrecords_test.go
+++ b/internal/rehearsal/soak/checkrecords_test.go
@@ -100,7 +100,7 @@
 		report := checkRecords(t, func(r *run, m recordMaker) {
 			r.discovery.endpoints["s-here"] = endpoint{Name: "s-here"}
 			list := endpointList{Endpoints: []endpoint{{Name: "s-here", Health: healthDraining}}}
-			r.discovery.recordNotification("n", list, interval{from: m.second(9.9), to: m.second(10)})
+			r.discovery.recordNotification("n", list, interval{from: m.second(9.9), to: m.second(10)}, "")
 			r.records.requests = []request{m.answered("id", 11)}
 			r.records.attempts = []attempt{m.arrived("id", "s-here", arrivedAt, 3)}
 		})
--- a/internal/rehearsal/soak/discovery.go
+++ b/internal/rehearsal/soak/discovery.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -39,6 +41,7 @@
 type healthChange struct {
 	changedAt time.Time
 	health    health
+	sentOn    string // description of the connection on which a dispatcher was notified; empty in the service's own history
 }
 
 // discovery is the stand-in for the discovery service. It serves watches, which receive the changes since a version of
@@ -89,7 +92,7 @@
 // recordNotification records that a list was sent to a dispatcher. A worker that a complete list does not contain
 // counts as gone. A ready worker counts as notified when the write begins, since the dispatcher may use it from then
 // on. Any other worker counts as notified when the write ends, since the dispatcher must stop using it only then.
-func (d *discovery) recordNotification(dispatcher string, list endpointList, writing interval) {
+func (d *discovery) recordNotification(dispatcher string, list endpointList, writing interval, sentOn string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	listed := map[string]health{}
@@ -108,7 +111,7 @@
 		if health == healthReady {
 			notifiedAt = writing.from
 		}
-		d.addNotification(dispatcher, worker, healthChange{changedAt: notifiedAt, health: health})
+		d.addNotification(dispatcher, worker, healthChange{changedAt: notifiedAt, health: health, sentOn: sentOn})
 	}
 }
 
@@ -138,6 +141,23 @@
 	return notReadyIn(d.notified[dispatcher][worker], at)
 }
 
+// notificationsAround describes the last notifications of a dispatcher about a worker before the given time, and the first
+// ones after it, in the order in which they were recorded.
+func (d *discovery) notificationsAround(dispatcher, worker string, at time.Time) (lines string) {
+	const before, after = 4, 2 // numbers of notifications
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	changes := d.notified[dispatcher][worker]
+	first := slices.IndexFunc(changes, func(change healthChange) bool { return change.changedAt.After(at) })
+	if first < 0 {
+		first = len(changes)
+	}
+	for _, change := range changes[max(first-before, 0):min(first+after, len(changes))] {
+		lines += fmt.Sprintf("\n    told %s at %s %s", change.health, change.changedAt.UTC().Format("15:04:05.000000"), change.sentOn)
+	}
+	return lines
+}
+
 // set sets the address and health with which a worker is listed, and notifies the watches.
 func (d *discovery) set(worker, address string, newHealth health) {
 	d.mutex.Lock()
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -267,6 +267,12 @@
 	return lines
 }
 
+// toldOf returns lines with what a dispatcher was told of an attempt's worker around the arrival of the attempt.
+func (c *ruleChecker) toldOf(dispatcher *daemon, arrived attempt) string {
+	told := c.run.discovery.notificationsAround(dispatcher.name, arrived.worker, arrived.arrivedAt)
+	return fmt.Sprintf("\n    arrived at %s%s", arrived.arrivedAt.UTC().Format("15:04:05.000000"), told)
+}
+
 // checkAttempt checks that an attempt was allowed to arrive when it did. Only ruleDrain is checked if the dispatcher
 // was stopped between the request and the attempt, or if the worker read the attempt late, since the attempt may then
 // have arrived earlier.
@@ -314,8 +320,8 @@
 	if wasNotified && checkNotified && !dispatcher.wasStopped(notifiedAt, arrived.arrivedAt) {
 		late := arrived.arrivedAt.Sub(notifiedAt) - drainGrace
 		if c.exceeds(late, dispatcher, notifiedAt, arrived.arrivedAt) {
-			c.addViolation(ruleDrain, arrived.arrivedAt, "%s came to %s, %v beyond the grace after %s was told%s",
-				arrived.id, arrived, late, dispatcher.name, c.traceOf(sent))
+			c.addViolation(ruleDrain, arrived.arrivedAt, "%s came to %s, %v beyond the grace after %s was told%s%s",
+				arrived.id, arrived, late, dispatcher.name, c.toldOf(dispatcher, arrived), c.storyOf(sent, arrived))
 			return
 		}
 	}
--- a/internal/rehearsal/soak/tcpinfo_linux.go
+++ b/internal/rehearsal/soak/tcpinfo_linux.go
@@ -10,6 +10,7 @@
 // tcpInfo is what the kernel knows of a TCP connection.
 type tcpInfo struct {
 	sinceData   time.Duration // time since the latest data was received
+	peerClosed  bool          // the peer has closed or reset the connection
 	retransmits int           // number of segments that this end has sent again
 }
 
@@ -23,6 +24,7 @@
 		known, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil {
 			info.sinceData = time.Duration(known.Last_data_recv) * time.Millisecond
+			info.peerClosed = known.State != unix.BPF_TCP_ESTABLISHED
 			info.retransmits = int(known.Total_retrans)
 		}
 	})
--- a/internal/rehearsal/soak/watch.go
+++ b/internal/rehearsal/soak/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -71,10 +72,19 @@
 	_, err := io.WriteString(conn, encodeChunk(state.line))
 	writing.to = time.Now()
 	if err == nil {
-		d.recordNotification(dispatcher, state.list, writing)
+		d.recordNotification(dispatcher, state.list, writing, describeWatch(conn))
 	}
 }
 
+// describeWatch describes a connection of a dispatcher, for violations.
+func describeWatch(conn net.Conn) string {
+	description := fmt.Sprintf("from %v", conn.RemoteAddr())
+	if readTCPInfo(conn).peerClosed {
+		description += ", which the dispatcher had closed"
+	}
+	return description
+}
+
 // watch sends changes as they are made, and blank lines as heartbeats, until the dispatcher closes
 // the connection or a fault ends the watch.
 func (d *discovery) watch(conn net.Conn, dispatcher string, state watchState, closed <-chan struct{}) {
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -3,7 +3,7 @@
 // Division of the descriptors that the process may use. Most of the descriptors for
 // connections are for accepted ones.
 const (
-	// overheadDescriptors is the number of descriptors for the Go runtime, epoll, the
+	// overheadDescriptors is the number of descriptors for the Go runtime, epoll, the poller's barrier, the
 	// listeners, the reserved dials, and the duplicate that a connection has for a
 	// moment when nbio takes it over.
 	overheadDescriptors = 24
