soak: a receive time is not limited by the kernel's time of the latest data

Cause: the new date was limited to 10 ms around tcpi_last_data_recv, against a step of the wall clock. That date can be as late as the read.

Change: the kernel's receive time is taken as it is.

No test was made that brings the late date.

--- a/internal/rehearsal/soak/receivetime_linux.go
+++ b/internal/rehearsal/soak/receivetime_linux.go
@@ -10,10 +10,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// maxTickError is the maximum difference between tcpInfo.sinceData and the true time since the latest data: the kernel
-// counts in ticks, of 10 ms at most.
-const maxTickError = 10 * time.Millisecond
-
 // timestampReceives makes the kernel report when it received the data of a socket, or of the connections of a listener.
 func timestampReceives(fd uintptr) error {
 	return unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
@@ -70,20 +66,11 @@
 	return time.Time{}
 }
 
-// arrivalOfLatest returns when the kernel received the latest data that was read. If the kernel did not report that, or the
-// wall clock was stepped since, the result may be wrong by up to maxTickError.
+// arrivalOfLatest returns when the kernel received the latest data that was read. If the kernel did not report that, the
+// result may be wrong by a tick of the kernel, or be the time of a segment that was sent again.
 func (r *timestampedReader) arrivalOfLatest() time.Time {
-	asked := time.Now()
-	sinceData := readTCPInfo(r.conn).sinceData
-	earliest := asked.Add(-sinceData - maxTickError)
-	latest := time.Now().Add(-sinceData + maxTickError)
-	switch {
-	case r.receivedAt.IsZero():
-		return asked.Add(-sinceData)
-	case r.receivedAt.Before(earliest):
-		return earliest
-	case r.receivedAt.After(latest):
-		return latest
+	if r.receivedAt.IsZero() {
+		return time.Now().Add(-readTCPInfo(r.conn).sinceData)
 	}
 	return r.receivedAt
 }
