soak: data that the end of its connection followed is dated by its arrival

Cause: the kernel's receive time of what is read is that of the end of the connection, if that came before the read.

Change: the earlier of the receive time and the kernel's time of the latest data, with its tick, is the date. Bounds are as before.

--- a/internal/rehearsal/soak/arrival_test.go
+++ b/internal/rehearsal/soak/arrival_test.go
@@ -106,3 +106,25 @@
 		t.Errorf("%d of %d messages arrived before they were sent or after they were read", wrong, messages)
 	}
 }
+
+// Guards against an attempt that is dated by the end of its connection, which came before the worker read the attempt.
+func TestDataBeforeEndIsDatedByItsArrival(t *testing.T) {
+	const endAfter = 300 * time.Millisecond
+	listener, dispatcher := dialWorker(t)
+	fmt.Fprint(dispatcher, "message")
+	sentAt := time.Now()
+	time.Sleep(endAfter)
+	dispatcher.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	source := &timestampedReader{conn: conn.(*net.TCPConn)}
+	if _, err := source.Read(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	if late := source.arrivalOfLatest().Sub(sentAt); late > endAfter/2 {
+		t.Errorf("the data arrived %v after it was sent", late)
+	}
+}
--- a/internal/rehearsal/soak/receivetime_linux.go
+++ b/internal/rehearsal/soak/receivetime_linux.go
@@ -10,6 +10,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// maxTickError is the maximum error of tcpInfo.sinceData by the kernel's counting in ticks, of 10 ms at most.
+const maxTickError = 10 * time.Millisecond
+
 // timestampReceives makes the kernel report when it received the data of a socket, or of the connections of a listener.
 func timestampReceives(fd uintptr) error {
 	return unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
@@ -66,11 +69,17 @@
 	return time.Time{}
 }
 
-// arrivalOfLatest returns when the kernel received the latest data that was read. If the kernel did not report that, the
-// result may be wrong by a tick of the kernel, or be the time of a segment that was sent again.
+// arrivalOfLatest returns when the kernel received the latest data that was read. Both times that the kernel keeps can be
+// late: the receive time is that of the end of the connection if it came before the read, and tcpInfo.sinceData can count
+// from a later segment. So the earlier one holds.
 func (r *timestampedReader) arrivalOfLatest() time.Time {
+	sinceData := readTCPInfo(r.conn).sinceData
+	latest := time.Now().Add(-sinceData + maxTickError)
 	if r.receivedAt.IsZero() {
-		return time.Now().Add(-readTCPInfo(r.conn).sinceData)
+		return latest.Add(-maxTickError)
+	}
+	if r.receivedAt.After(latest) {
+		return latest
 	}
 	return r.receivedAt
 }
