--- a/internal/transport/pollerbarrier.go
+++ b/internal/transport/pollerbarrier.go
@@ -11,12 +11,11 @@
 )
 
 // pollerBarrier waits until the poller has handled the events that it has got so far. The poller gets a batch of events
-// at once, and handles one after the other. It has no callback between two batches; the barrier has a connection of its
-// own instead, of which it makes the poller get events.
+// at once, and handles one after the other. It has no callback between two batches; the barrier has a pipe instead, of
+// which it makes the poller get events.
 type pollerBarrier struct {
-	engine *Engine
-	socket *nbio.Conn // the end that the poller watches
-	signal int        // descriptor of the other end; a byte written to it makes socket readable
+	readEnd *nbio.Conn // the end that the poller watches
+	signal  int        // descriptor of the other end; a byte written to it makes readEnd readable
 
 	mu        sync.Mutex
 	cond      sync.Cond // signals that passed has changed
@@ -25,26 +24,27 @@
 	passed    uint64    // requests that have ended: all events that the poller had got before are handled
 }
 
+// pipeEnd is an end of a pipe, in the form in which nbio takes over descriptors.
+type pipeEnd struct{ *os.File }
+
+func (pipeEnd) LocalAddr() net.Addr  { return nil }
+func (pipeEnd) RemoteAddr() net.Addr { return nil }
+
 // newPollerBarrier registers a barrier with the engine's poller, which must have been started.
 func newPollerBarrier(engine *Engine) (*pollerBarrier, error) {
-	ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, err
-	}
-	file := os.NewFile(uintptr(ends[0]), "poller barrier")
-	defer file.Close()
-	conn, err := net.FileConn(file)
+	var ends [2]int
+	err := unix.Pipe2(ends[:], unix.O_NONBLOCK|unix.O_CLOEXEC)
 	if err != nil {
 		return nil, err
 	}
-	b := &pollerBarrier{engine: engine, signal: ends[1]}
+	b := &pollerBarrier{signal: ends[1]}
 	b.cond.L = &b.mu
-	b.socket, err = nbio.NBConn(conn)
+	b.readEnd, err = nbio.NBConn(pipeEnd{os.NewFile(uintptr(ends[0]), "poller barrier")}) // duplicates the descriptor
 	if err != nil {
 		return nil, err
 	}
-	engine.setSession(b.socket, b)
-	_, err = engine.poller.AddConn(b.socket)
+	engine.setSession(b.readEnd, b)
+	_, err = engine.poller.AddConn(b.readEnd)
 	return b, err
 }
 
@@ -65,7 +65,7 @@
 func (b *pollerBarrier) wakePoller() {
 	for {
 		_, err := unix.Write(b.signal, []byte{0})
-		if err != syscall.EINTR { // EAGAIN: the socket is readable already
+		if err != syscall.EINTR { // EAGAIN: the pipe is readable already
 			return
 		}
 	}
@@ -85,13 +85,19 @@
 	b.cond.Broadcast()
 }
 
-// drain reads all bytes from the socket.
+// drain reads all bytes from the pipe.
 func (b *pollerBarrier) drain() {
+	raw, err := b.readEnd.SyscallConn()
+	if err != nil {
+		return
+	}
 	var bytes [64]byte
-	for {
-		n, err := b.socket.Read(bytes[:])
-		if n <= 0 && err != syscall.EINTR {
-			return
+	_ = raw.Control(func(fd uintptr) {
+		for {
+			n, err := unix.Read(int(fd), bytes[:])
+			if n <= 0 && err != syscall.EINTR {
+				return
+			}
 		}
-	}
+	})
 }
