--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,136 +1,120 @@
 //go:build review
 
-// Command 3 cuts a dispatcher that follows membership servers off from them, lets a worker begin
-// to drain, and checks that the worker gets nothing new once the drain counts as told.
+// Command 3 replaces a dispatcher with durable queues while clients rest on connections that
+// stay open, and checks that each renewal that they send after SIGTERM is answered, and that one
+// that is answered 202 is stored.
 package main
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 
 	"hollyyoke.example/hollyyoke/review/harness"
 )
 
 const (
-	clients     = 4
-	runTime     = 200 * time.Millisecond
-	pause       = 300 * time.Millisecond // between a client's requests
-	timeLeft    = 5 * time.Second
-	beforeCut   = 3 * time.Second
-	beforeDrain = time.Second      // after the cut
-	afterDrain  = 16 * time.Second // until the cut heals
-	afterHeal   = 4 * time.Second
-
-	toldAfter = 6 * time.Second                            // whether or not it arrived
-	grace     = 500*time.Millisecond + 50*time.Millisecond // of the settings, and of the rules on sockets
-	slack     = 150 * time.Millisecond                     // for the stand-ins' own lateness
-	loadFor   = beforeCut + beforeDrain + afterDrain + afterHeal
+	clients      = 12
+	runTime      = 300 * time.Millisecond
+	leaseSeconds = 15 // lease_s and grace_s
+	firstSend    = 200 * time.Millisecond
+	sendInterval = 60 * time.Millisecond // the last client sends 0.86 s after SIGTERM
+	settleTime   = 12 * time.Second      // after the last answer, in which an accepted job must have begun
 )
 
+// timeLeft is how long the clients wait: the class's deadline, and less for every other one.
+var timeLeft = []time.Duration{8 * time.Second, 2 * time.Second}
+
 func main() {
 	run := harness.Start()
-	staying := run.StartWorker("s-1", 4, runTime)
-	leaving := run.StartWorker("s-2", 4, runTime)
-	discovery := run.StartDiscovery(staying.Host("ready"), leaving.Host("ready"))
-	links := []*harness.Link{
-		run.StartLink(startRelay(run, "relay-z1", "zarqa-east", discovery.Address)),
-		run.StartLink(startRelay(run, "relay-z2", "russeifa", discovery.Address)),
-	}
-	listen, admin := run.FreeAddress(), run.FreeAddress()
-	command, source := harness.RunCommand+" --operator "+writeOperator(run, links), discovery.Address
-	if os.Getenv("FOLLOW") == "0" { // for comparison: the discovery watch, behind the same cut
-		links = append(links, run.StartLink(discovery.Address))
-		command, source = harness.RunCommand, links[2].Address
-	}
-	config := run.WriteConfig("config.json", harness.Config{Name: "n1", Listen: listen, Discovery: source, Admin: admin})
-	run.StartProcess("dispatcher", command, []string{"BALANCER_CONFIG=" + config, "TMPDIR=" + run.Folder})
-	run.WaitUntil("the dispatcher is ready", 10*time.Second, func() bool { return harness.Ready(admin) })
+	workers := []*harness.Worker{run.StartWorker("s-1", 6, runTime), run.StartWorker("s-2", 6, runTime)}
+	discovery := run.StartDiscovery(workers[0].Host("ready"), workers[1].Host("ready"))
+	platform := run.StartPlatform()
+	options := run.WriteDurableOptions(leaseSeconds).Path
+	config := run.WriteConfig("config.json", harness.Config{Name: "n1", Listen: platform.Address, Discovery: discovery.Address})
+	admins := []string{run.FreeAddress(), run.FreeAddress()}
+	old := platform.StartDaemon(run, "predecessor", config, admins[0], "--faktory", options)
+	run.WaitUntil("the predecessor is ready", 10*time.Second, func() bool { return harness.Ready(admins[0]) })
 
-	stop := time.Now().Add(loadFor)
-	for number := range clients {
-		go load(run, listen, number, stop)
-	}
-	time.Sleep(beforeCut)
-	told := time.Duration(0)
+	connections := connect(run, platform.Address)
+	time.Sleep(time.Second)
+	current := admins[0]
 	if run.Trouble {
-		told = toldAfter
-		for _, link := range links {
-			link.Cut()
-		}
-		run.Log("the dispatcher is cut off from its membership servers")
+		platform.StartDaemon(run, "successor", config, admins[1], "--faktory", options)
+		run.WaitUntil("the successor is ready", 6*time.Second, func() bool { return harness.Ready(admins[1]) })
+		old.Signal(syscall.SIGTERM)
+		go old.WaitExit(3700 * time.Millisecond)
+		current = admins[1]
 	}
-	time.Sleep(beforeDrain)
-	leaving.Drain()
-	drained := time.Now()
-	discovery.Set(leaving.Host("draining"))
-	time.Sleep(afterDrain)
-	if run.Trouble {
-		run.Log("the cut heals; the counters of the invariants: %s", harness.Get("http://"+admin+"/control/invariants"))
-		for _, link := range links {
-			link.Heal()
-		}
-	}
-	time.Sleep(afterHeal)
-
-	limit := told + grace + slack
-	late := 0
-	for _, arrival := range leaving.Arrivals() {
-		after := arrival.At.Sub(drained)
-		if after > limit {
-			late++
-			run.Log("s-2 got %s %.3f s after the drain, %.3f s after the limit", arrival.ID, after.Seconds(), (after - limit).Seconds())
-		}
-	}
-	if late > 0 {
-		run.Broken("a draining worker got %d new requests more than %v after its drain", late, limit)
+	signalled := time.Now()
+	answers := make([]harness.Answer, clients)
+	var group sync.WaitGroup
+	for number, connection := range connections {
+		group.Go(func() {
+			time.Sleep(time.Until(signalled.Add(firstSend + time.Duration(number)*sendInterval)))
+			answers[number] = sendAfterSignal(run, platform.Address, connection, number)
+		})
 	}
+	group.Wait()
+	run.Log("waiting %v for the jobs that were answered 202; nobody asks again", settleTime)
+	time.Sleep(settleTime)
+	judge(run, workers, run.JobStates(current), answers)
 	run.End()
 }
 
-// startRelay starts a relay that follows discovery, and returns its address.
-func startRelay(run *harness.Run, name, zone, discovery string) string {
-	address, admin := run.FreeAddress(), run.FreeAddress()
-	path := filepath.Join(run.Folder, name+".toml")
-	options := fmt.Sprintf("[relay]\nname = %q\nzone = %q\nlisten = %q\nadmin_addr = %q\nupstreams = [%q]\n", name, zone, address, admin, discovery)
-	run.Must(os.WriteFile(path, []byte(options), 0o644))
-	run.StartProcess(name, "exec bin/membership-relay --operator "+path, nil)
-	run.WaitUntil(name+" has a list", 10*time.Second, func() bool {
-		text := harness.Get("http://" + address + "/v1/servers")
-		return len(text) > 0 && text[0] == '{'
-	})
-	return address
+// connect opens the clients' connections. Each has one renewal served.
+func connect(run *harness.Run, address string) (connections []*harness.Client) {
+	for number := range clients {
+		connection, err := run.Connect(fmt.Sprint(number), address)
+		run.Must(err)
+		answer := connection.Post("/renewal/before", fmt.Sprintf("before-%d", number), fmt.Sprintf("before-%d", number), 8*time.Second, "gold")
+		if answer.Status != 200 || answer.Close {
+			run.NotRun("client %d was not served before the replacement", number)
+		}
+		connections = append(connections, connection)
+	}
+	return connections
 }
 
-// writeOperator writes the operator's file: the dispatcher follows the relay of its zone, and
-// that of another zone as the second server.
-func writeOperator(run *harness.Run, links []*harness.Link) string {
-	path := filepath.Join(run.Folder, "operator.toml")
-	options := fmt.Sprintf("[membership]\non = true\nzone = \"zarqa-east\"\n"+
-		"[[membership.servers]]\nzone = \"zarqa-east\"\naddress = %q\n"+
-		"[[membership.servers]]\nzone = \"russeifa\"\naddress = %q\n", links[0].Address, links[1].Address)
-	run.Must(os.WriteFile(path, []byte(options), 0o644))
-	return path
+// sendAfterSignal sends a renewal on a connection that is still open. If the connection was
+// closed without an answer at once, the close may have crossed the request: then it sends the
+// request once more, on a new connection.
+func sendAfterSignal(run *harness.Run, address string, connection *harness.Client, number int) harness.Answer {
+	key := fmt.Sprintf("after-%d", number)
+	left := timeLeft[number%len(timeLeft)]
+	answer := connection.Post("/renewal/"+key, "c-"+key, key, left, "gold")
+	if answer.Err == nil || answer.After > 500*time.Millisecond {
+		return answer
+	}
+	run.Log("client %d: the close crossed the request, which is sent once more", number)
+	again, err := run.Connect(fmt.Sprint(number), address)
+	if err != nil {
+		return harness.Answer{Err: err}
+	}
+	return again.Post("/renewal/"+key, "d-"+key, key, left, "gold")
 }
 
-// load sends one request after the other on a kept connection.
-func load(run *harness.Run, address string, number int, stop time.Time) {
-	var connection *harness.Client
-	for count := 0; time.Now().Before(stop); count++ {
-		if connection == nil {
-			opened, err := run.Connect(fmt.Sprint(number), address)
-			if err != nil {
-				time.Sleep(time.Second)
-				continue
-			}
-			connection = opened
+// judge checks the answers.
+func judge(run *harness.Run, workers []*harness.Worker, states map[string]string, answers []harness.Answer) {
+	ran := map[string]int{}
+	for _, worker := range workers {
+		for _, job := range worker.Runs() {
+			ran[job.Key]++
 		}
-		answer := connection.Post("/status-check/m", fmt.Sprintf("c-%d-%d", number, count), "", timeLeft, "x")
-		if answer.Err != nil || answer.Close {
-			connection.Close()
-			connection = nil
+	}
+	for number, answer := range answers {
+		key := fmt.Sprintf("after-%d", number)
+		seen := fmt.Sprintf("%s: answer %d, state %q, ran %d times", key, answer.Status, states[key], ran[key])
+		switch {
+		case ran[key] > 1:
+			run.Broken("%s: ran twice", seen)
+		case answer.Err != nil:
+			run.Broken("%s: read, and closed without an answer %.2f s after it was sent", seen, answer.After.Seconds())
+		case answer.Status == 202 && states[key] == "":
+			run.Broken("%s: answered as stored, and is not stored", seen)
+		default:
+			run.Log("%s: in order", seen)
 		}
-		time.Sleep(pause)
 	}
 }
--- a/review/harness/durable.go
+++ b/review/harness/durable.go
@@ -10,14 +10,24 @@
 	"strings"
 )
 
-// WriteFaktoryOptions writes the file of the Faktory front end, with both classes durable, and
-// returns its path.
-func (r *Run) WriteFaktoryOptions(leaseSeconds int) string {
-	path := filepath.Join(r.Folder, "faktory.toml")
-	options := fmt.Sprintf("listen = %q\n[durable]\npath = %q\nqueues = [\"status-check\", \"renewal\"]\nlease_s = %d\ngrace_s = %d\n",
-		r.FreeAddress(), filepath.Join(r.Folder, "jobs.db"), leaseSeconds, leaseSeconds)
-	r.Must(os.WriteFile(path, []byte(options), 0o644))
-	return path
+// DurableOptions are the options of the Faktory front end, with both classes durable.
+type DurableOptions struct {
+	Path    string // of the file with the options
+	Address string // of the front end
+	Store   string // path of the store
+}
+
+// WriteDurableOptions writes the file with the options.
+func (r *Run) WriteDurableOptions(leaseSeconds int) DurableOptions {
+	options := DurableOptions{
+		Path:    filepath.Join(r.Folder, "faktory.toml"),
+		Address: r.FreeAddress(),
+		Store:   filepath.Join(r.Folder, "jobs.db"),
+	}
+	text := fmt.Sprintf("listen = %q\n[durable]\npath = %q\nqueues = [\"status-check\", \"renewal\"]\nlease_s = %d\ngrace_s = %d\n",
+		options.Address, options.Store, leaseSeconds, leaseSeconds)
+	r.Must(os.WriteFile(options.Path, []byte(text), 0o644))
+	return options
 }
 
 // JobStates returns the state of each durable job by its idempotency key, as the admin API tells
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -24,12 +24,10 @@
 	// A waiting one is always dropped.
 	DropCancelled bool
 
-	run      *Run
-	slots    chan struct{}
-	mu       sync.Mutex
-	runs     []JobRun
-	arrivals []Arrival
-	draining bool
+	run   *Run
+	slots chan struct{}
+	mu    sync.Mutex
+	runs  []JobRun
 }
 
 // JobRun is a job that a worker has started.
@@ -39,32 +37,6 @@
 	Completed             bool
 }
 
-// Arrival is a request that a worker has received.
-type Arrival struct {
-	ID string
-	At time.Time
-}
-
-// Arrivals returns the requests that have come here.
-func (w *Worker) Arrivals() []Arrival {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]Arrival{}, w.arrivals...)
-}
-
-// Drain makes GET /healthz answer 503 from now on. What comes is served all the same.
-func (w *Worker) Drain() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.draining = true
-}
-
-func (w *Worker) isDraining() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.draining
-}
-
 // StartWorker starts a worker with a number of slots.
 func (r *Run) StartWorker(name string, slots int, runTime time.Duration) *Worker {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -134,12 +106,8 @@
 			}
 		}
 		if request.Method == http.MethodGet {
-			status := "200 OK"
-			if w.isDraining() {
-				status = "503 Service Unavailable"
-			}
-			w.run.Log("worker %s: %s, answered %s", w.Name, request.URL, status)
-			io.WriteString(conn, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+			w.run.Log("worker %s: %s, answered 200", w.Name, request.URL)
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
 		if !w.job(conn, request) {
@@ -153,9 +121,6 @@
 	id := request.Header.Get("X-Correlation-Id")
 	key := request.Header.Get("Idempotency-Key")
 	w.run.Log("worker %s: received %s %s key=%q time-left=%s", w.Name, id, request.URL, key, request.Header.Get("X-Time-Left-Ms"))
-	w.mu.Lock()
-	w.arrivals = append(w.arrivals, Arrival{id, time.Now()})
-	w.mu.Unlock()
 	closed := conn.closed
 	select {
 	case w.slots <- struct{}{}:
