--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -29,7 +29,7 @@
 // Run is one run of a case: its record, its temporary folder and its processes.
 type Run struct {
 	Folder  string // temporary
-	Trouble bool   // false with TROUBLE=0
+	Trouble bool   // whether the case's disruption happens; run.sh leaves it out with TROUBLE=0
 
 	mu      sync.Mutex
 	began   time.Time
@@ -38,10 +38,11 @@
 	broken  int
 }
 
-// Start opens record.txt in the folder of the case, which is the argument of the program.
+// Start opens record.txt in the folder of the case. The program's arguments are that folder, and
+// whether the disruption is on or off.
 func Start() *Run {
-	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: PROGRAM CASE-FOLDER")
+	if len(os.Args) != 3 || os.Args[2] != "on" && os.Args[2] != "off" {
+		fmt.Fprintln(os.Stderr, "usage: PROGRAM CASE-FOLDER on|off")
 		os.Exit(ExitNotRun)
 	}
 	record, err := os.Create(filepath.Join(os.Args[1], "record.txt"))
@@ -49,7 +50,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(ExitNotRun)
 	}
-	run := &Run{began: time.Now(), record: record, Trouble: os.Getenv("TROUBLE") != "0"}
+	run := &Run{began: time.Now(), record: record, Trouble: os.Args[2] == "on"}
 	run.Folder, err = os.MkdirTemp("", "review-")
 	run.Must(err)
 	time.AfterFunc(maxRunTime, func() { run.NotRun("the case did not end in time") })
