Durable jobs: closing the store answers every call, and no front end uses it afterwards

Cause: durable.Service had no contract for its end. Close set a flag, carryOut dropped all effects from then on, with the answers of writes that Close itself had waited for; later calls waited for an answer that could not come. Nothing told the HTTP front end; its timer said 202 whatever the store knew.

Change: each call is registered and answered once. Close runs beside the loop: it takes no more changes but reports, waits until all that was changed is on disk, closes the file, and answers the rest: ErrClosing (stored, not ended: 202), NotStoredError (503), and by the caller's time ErrUnconfirmed (502). The HTTP front end asks whether the service is open, and its 503 closes the connection while a successor accepts. The process exits at its time also if the store hangs.

--- /dev/null
+++ b/cmd/dispatcher/durableconnections_test.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// answerLimit is how long a request on an open connection may take to be answered once the
+// store is another process's. It is less than the time until idle connections are closed.
+const answerLimit = time.Second
+
+// sendDurable sends a renewal with an idempotency key, whose client waits for the given time.
+func (c *clientConn) sendDurable(key string, timeLeft time.Duration) {
+	fmt.Fprintf(c, "POST /renewal/m HTTP/1.1\r\nX-Correlation-Id: c-%s-%d\r\nIdempotency-Key: %s\r\n"+
+		"X-Time-Left-Ms: %d\r\nContent-Length: 1\r\n\r\nx", key, time.Now().UnixNano(), key, timeLeft.Milliseconds())
+}
+
+// renewUntilDone sends a renewal with a key on new connections until it is answered with
+// another status than 202 and 503, and returns that status.
+func (d *testDaemon) renewUntilDone(key string) (status int) {
+	d.t.Helper()
+	d.waitUntil("an answer to "+key, func() bool {
+		connection := d.connect()
+		defer connection.Close()
+		connection.sendDurable(key, 2*time.Second)
+		response, err := http.ReadResponse(connection.reader, nil)
+		if err != nil {
+			return false
+		}
+		status = response.StatusCode
+		return status != http.StatusAccepted && status != http.StatusServiceUnavailable
+	})
+	return status
+}
+
+// connectServed opens connections on each of which a renewal has been served.
+func (d *testDaemon) connectServed(count int) (connections []*clientConn) {
+	d.t.Helper()
+	for i := range count {
+		connection := d.connect()
+		connection.sendDurable(fmt.Sprint("before-", i), testTimeout)
+		if status, ends := connection.readResponse(d.t); status != http.StatusOK || ends {
+			d.t.Fatalf("a renewal before the replacement: status %d, the connection ends: %v", status, ends)
+		}
+		connections = append(connections, connection)
+	}
+	return connections
+}
+
+// A process gives its store to a successor while clients keep their connections and send
+// renewals on them. Each must be answered at once, and truly: one that is not stored must not
+// be answered with 202, or left without an answer when the process exits. One that is asked
+// again with its key runs once, in the successor.
+func TestDurableRequestsOnOpenConnectionsAfterStoreIsReleased(t *testing.T) {
+	daemon := startHandedOverDaemon(t)
+	daemon.worker.setRespond(respondDone)
+	timesLeft := []time.Duration{8 * time.Second, 600 * time.Millisecond, 30 * time.Millisecond}
+	connections := daemon.connectServed(2 * len(timesLeft))
+	successor := daemon.startSuccessor()
+	successor.waitUntil("the successor is ready", successor.ready)
+	daemon.signal(syscall.SIGTERM)
+	successor.waitForLog("durable jobs taken over")
+	for i, connection := range connections {
+		key := fmt.Sprint("after-", i)
+		sentAt := time.Now()
+		connection.sendDurable(key, timesLeft[i%len(timesLeft)])
+		status, ends := connection.readResponse(t)
+		if status != http.StatusServiceUnavailable || !ends || time.Since(sentAt) > answerLimit {
+			t.Errorf("%s, %v left: status %d after %v, the connection ends: %v",
+				key, timesLeft[i%len(timesLeft)], status, time.Since(sentAt), ends)
+		}
+	}
+	if code := daemon.waitForExit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	for i := range connections {
+		if status := daemon.renewUntilDone(fmt.Sprint("after-", i)); status != http.StatusOK {
+			t.Errorf("after-%d, asked again: status %d", i, status)
+		}
+	}
+	for id, runs := range daemon.worker.runsByID() {
+		if runs != 1 {
+			t.Errorf("%s ran %d times", id, runs)
+		}
+	}
+}
+
+// A process gives its store to a successor while renewals are open that no worker has taken.
+// Each is answered with 202 when the store is closed, whatever time its client has left, and
+// is in the successor's store.
+func TestOpenDurableRequestsAreAnsweredWhenStoreIsReleased(t *testing.T) {
+	daemon := startHandedOverDaemon(t)
+	daemon.worker.setRespond(respondUnprocessed)
+	var connections []*clientConn
+	for i := range 6 {
+		connection := daemon.connect()
+		connection.sendDurable(fmt.Sprint("open-", i), 8*time.Second)
+		connections = append(connections, connection)
+	}
+	daemon.waitUntil("all renewals are stored", func() bool {
+		_, list := daemon.callAdmin("GET", "/control/jobs")
+		return strings.Count(list, `"idem:open-`) == len(connections)
+	})
+	successor := daemon.startSuccessor()
+	successor.waitUntil("the successor is ready", successor.ready)
+	signalledAt := time.Now()
+	daemon.signal(syscall.SIGTERM)
+	for i, connection := range connections {
+		response, err := http.ReadResponse(connection.reader, nil)
+		if err != nil {
+			t.Errorf("open-%d: closed without a response %v after SIGTERM: %v", i, time.Since(signalledAt), err)
+			continue
+		}
+		io.Copy(io.Discard, response.Body)
+		if response.StatusCode != http.StatusAccepted || !response.Close {
+			t.Errorf("open-%d: status %d, the connection ends: %v", i, response.StatusCode, response.Close)
+		}
+	}
+	if took := time.Since(signalledAt); took > answerLimit {
+		t.Errorf("the last open request was answered %v after SIGTERM", took)
+	}
+	successor.waitForLog("durable jobs taken over")
+	daemon.worker.setRespond(respondDone)
+	for i := range connections {
+		if status := daemon.renewUntilDone(fmt.Sprint("open-", i)); status != http.StatusOK {
+			t.Errorf("open-%d, asked again: status %d", i, status)
+		}
+	}
+}
--- a/internal/admin/fulltestapi_test.go
+++ b/internal/admin/fulltestapi_test.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { a.runOnLoop(func() { service.Close() }) })
+	t.Cleanup(func() { a.runOnLoop(func() { service.CloseNow() }) })
 	service.OnRunnable = func(jobs.Job) {}
 	a.service = service
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -29,7 +29,8 @@
 	p.dispatcher.Log("handing over to the successor")
 	p.frontEnds.http.HandOver()
 	p.frontEnds.faktory.Stop()
-	p.frontEnds.faktory.Release(func() {
+	expireRequestsAt := began + p.killTime() - killMargin
+	p.frontEnds.faktory.Release(expireRequestsAt, func() {
 		p.replacement.storeReleased = true
 		p.sendToPeer(handover.Message{StoreReleased: true})
 	})
@@ -37,7 +38,7 @@
 	pending := &pendingHandover{
 		process:          p,
 		closeIdleAt:      began + handoverIdleTimeout,
-		expireRequestsAt: began + p.killTime() - killMargin,
+		expireRequestsAt: expireRequestsAt,
 	}
 	p.stopWhen(pending.advance, handoverPoll)
 }
@@ -74,12 +75,14 @@
 	return r.finished(now)
 }
 
-// finished reports whether the handover is complete. Connections on which the client has
-// not read the last response do not count once half of killMargin is left until SIGKILL.
+// finished reports whether the handover is complete. Once half of killMargin is left until
+// SIGKILL, neither the store counts, which the end of the process releases, nor
+// connections on which the client has not read the last response.
 func (r *pendingHandover) finished(now time.Duration) bool {
 	p := r.process
-	if !p.replacement.storeReleased || p.dispatcher.Unanswered() > 0 || p.frontEnds.faktory.Busy() {
+	if p.dispatcher.Unanswered() > 0 || p.frontEnds.faktory.Busy() {
 		return false
 	}
-	return p.frontEnds.http.OpenConnections() == 0 || now >= r.expireRequestsAt+killMargin/2
+	released := p.replacement.storeReleased && p.frontEnds.http.OpenConnections() == 0
+	return released || now >= r.expireRequestsAt+killMargin/2
 }
--- a/internal/durable/benchmark_test.go
+++ b/internal/durable/benchmark_test.go
@@ -95,7 +95,7 @@
 					b.Fatalf("%d of %d may run", ready, service.machine.Len())
 				}
 				b.StopTimer()
-				service.Close()
+				service.CloseNow()
 				b.StartTimer()
 			}
 			b.ReportMetric(float64(info.Size())/(1<<20), "MB")
--- a/internal/durable/example_test.go
+++ b/internal/durable/example_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"time"
 
 	"hollyyoke.example/hollyyoke/internal/durable"
 	"hollyyoke.example/hollyyoke/internal/eventloop"
@@ -32,8 +33,7 @@
 			fmt.Println("leased to", leased.Worker, err)
 			service.Ack(leased.ID, leased.Fence, nil, func(err error) {
 				fmt.Println("acknowledged:", err)
-				service.Close()
-				loop.Stop()
+				service.Close(loop.Now()+time.Second, func(error) { loop.Stop() })
 			})
 		})
 	}
--- a/internal/durable/golden_test.go
+++ b/internal/durable/golden_test.go
@@ -60,7 +60,7 @@
 	path := filepath.Join(t.TempDir(), "jobs.db")
 	s := openScripted(t, path)
 	runScript(s)
-	if err := s.Close(); err != nil {
+	if err := s.CloseNow(); err != nil {
 		t.Fatal(err)
 	}
 	goldentest.Compare(t, "records.txt", string(dump(t, path)))
@@ -125,7 +125,7 @@
 // A service recovers the jobs of that file, with the states that Recover derives, and the paused classes.
 func TestGoldenRecovered(t *testing.T) {
 	s := openScripted(t, goldentest.Unpack(t, goldenStore))
-	defer s.Close()
+	defer s.CloseNow()
 	var out bytes.Buffer
 	s.Each(func(job jobs.Job) { fmt.Fprintln(&out, describe(job)) })
 	paused := map[string]bool{}
--- a/internal/durable/service.go
+++ b/internal/durable/service.go
@@ -34,6 +34,7 @@
 	startWaiters  waiters                          // workers that asked to start
 	leaseWaiters  map[string]func(jobs.Job, error) // callers of Assign, by job
 	finalWaiters  map[string][]func(jobs.Job)      // callers of Watch, by job
+	calls         openCalls                        // all calls that have a callback and are not answered yet
 
 	// OnRunnable is called with a job each time that it becomes ready to be leased. It must be set before Start.
 	OnRunnable func(jobs.Job)
@@ -45,7 +46,9 @@
 	pausedClasses []string       // as they were when the store was opened
 	pendingAudits []store.Record // to be stored with the next change
 	auditCount    int            // audits made since the store was opened
-	closed        bool
+
+	unstored map[string]uint64 // by job, the newest version that was passed to the store and is not on disk
+	closing  closeState
 }
 
 // Open opens the store, or creates it, and recovers the jobs in it. If the store is damaged, the error names the file.
@@ -65,7 +68,10 @@
 		startWaiters:  waiters{},
 		leaseWaiters:  map[string]func(jobs.Job, error){},
 		finalWaiters:  map[string][]func(jobs.Job){},
+		calls:         newOpenCalls(),
+		unstored:      map[string]uint64{},
 	}
+	service.closing.answerTimer.Fire = service.giveUpWaiting
 	service.dueTimer.Fire = func() { service.carryOut(service.machine.Tick(service.loop.Now())) }
 	defer useAllCores()()
 	stored, err := readJobs(file, service.readRecord)
@@ -87,40 +93,23 @@
 	return func() { runtime.GOMAXPROCS(max(before, 2)) }
 }
 
-// Start calls OnRunnable for the recovered jobs that are ready, and from then on for each job that becomes ready.
+// Start calls OnRunnable for the recovered jobs that are ready, and from then on for each job that becomes ready. It does
+// nothing if the service has been closed.
 func (s *Service) Start() {
+	if !s.IsOpen() {
+		return
+	}
 	recovered := s.recovered
 	s.recovered = nil
 	s.carryOut(recovered)
 }
 
-// Close stores all changes that have been made and closes the file. The pending callbacks of Watch are called with the
-// current state of their jobs; the next process that opens the store continues these jobs.
-func (s *Service) Close() error {
-	if s.closed {
-		return nil
-	}
-	s.closed = true
-	for id, callbacks := range s.finalWaiters {
-		job, _ := s.machine.Get(id)
-		for _, onFinal := range callbacks {
-			onFinal(job)
-		}
-	}
-	clear(s.finalWaiters)
-	s.loop.Clear(&s.dueTimer)
-	return s.store.Close()
-}
-
 // carryOut carries out the effects of a call to the machine, and sets the timer to its next due time.
 func (s *Service) carryOut(effects []jobs.Effect) {
-	if s.closed {
-		return
-	}
 	for _, effect := range effects {
 		s.carryOutOne(effect)
 	}
-	if at, ok := s.machine.NextDue(); ok && !s.closed {
+	if at, ok := s.machine.NextDue(); ok && s.IsOpen() {
 		s.loop.Set(&s.dueTimer, at)
 	}
 }
@@ -144,7 +133,9 @@
 			onLeased(job, nil)
 		}
 	case jobs.AnnounceRunnable:
-		s.OnRunnable(job)
+		if s.IsOpen() {
+			s.OnRunnable(job)
+		}
 	case jobs.AnnounceLeaseExpiry:
 		if s.OnLeaseExpired != nil {
 			s.OnLeaseExpired(job)
@@ -153,28 +144,41 @@
 }
 
 // Push accepts a job, to run at notBefore at the earliest, and calls onStored with nil once the job is on disk, or with
-// jobs.ErrIDConflict or a *jobs.NotStoredError. Repeating the push of an accepted job succeeds and changes nothing.
+// jobs.ErrIDConflict, a *jobs.NotStoredError or ErrUnconfirmed. Repeating the push of an accepted job succeeds and
+// changes nothing.
 func (s *Service) Push(job jobs.Job, notBefore time.Duration, onStored func(error)) {
+	if !s.IsOpen() {
+		onStored(errNotStoredByClose)
+		return
+	}
 	effects := s.machine.Push(s.loop.Now(), job, notBefore)
 	s.answerWhenStored(effects, jobs.AnswerPush, s.pushWaiters, job.ID, onStored)
 }
 
 // Assign leases a job to a worker with the given guarantee. It calls onLeased with a nil error once the lease is on
 // disk, or with the error for which the lease is not granted. It returns false, and does not call onLeased, if the job
-// is not ready, or requires a worker that deduplicates and this one does not.
+// is not ready, or requires a worker that deduplicates and this one does not, or if the service is not open.
 func (s *Service) Assign(id, worker string, guarantee jobs.Guarantee, onLeased func(jobs.Job, error)) bool {
+	if !s.IsOpen() {
+		return false
+	}
 	effects := s.machine.Assign(s.loop.Now(), id, worker, guarantee)
 	if len(effects) == 0 {
 		return false
 	}
-	s.leaseWaiters[id] = onLeased
+	s.addLeaseWaiter(id, onLeased)
 	s.carryOut(effects)
 	return true
 }
 
 // StartJob handles a worker's request to start a job under the fence of its lease. It calls onGranted with nil once the
-// start is on disk, or with jobs.ErrLeaseVoid if the worker must not start the job.
+// start is on disk, or with jobs.ErrLeaseVoid, a *jobs.NotStoredError or ErrUnconfirmed if the worker must not start the
+// job.
 func (s *Service) StartJob(id string, fence uint64, onGranted func(error)) {
+	if !s.IsOpen() {
+		onGranted(errNotStoredByClose)
+		return
+	}
 	effects, err := s.machine.Start(s.loop.Now(), id, fence)
 	if err != nil {
 		onGranted(err)
@@ -192,8 +196,13 @@
 }
 
 // Ack handles a worker's report that a job is done, with its result. It calls onStored with nil once the report is on
-// disk, or with jobs.ErrUnknownJob or jobs.ErrLeaseVoid if the report is rejected.
+// disk, with jobs.ErrUnknownJob or jobs.ErrLeaseVoid if the report is rejected, or with a *jobs.NotStoredError or
+// ErrUnconfirmed if the worker has to report again.
 func (s *Service) Ack(id string, fence uint64, result []byte, onStored func(error)) {
+	if !s.acceptsReports() {
+		onStored(errNotStoredByClose)
+		return
+	}
 	effects := s.machine.Ack(s.loop.Now(), id, fence, result)
 	s.answerWhenStored(effects, jobs.AnswerReport, s.reportWaiters, id, onStored)
 }
@@ -201,13 +210,20 @@
 // Fail handles a worker's report that a job failed or, with started false, that the worker never started it. It calls
 // onStored as Ack does.
 func (s *Service) Fail(id string, fence uint64, reason jobs.Reason, started bool, onStored func(error)) {
+	if !s.acceptsReports() {
+		onStored(errNotStoredByClose)
+		return
+	}
 	effects := s.machine.Fail(s.loop.Now(), id, fence, reason, started)
 	s.answerWhenStored(effects, jobs.AnswerReport, s.reportWaiters, id, onStored)
 }
 
 // Resolve records an operator's decision about a job in doubt: either it ran, or it did not run and runs again. The
-// error is a *jobs.TransitionError.
+// error is a *jobs.TransitionError, or ErrClosing.
 func (s *Service) Resolve(id string, ran bool, reason jobs.Reason) error {
+	if !s.IsOpen() {
+		return ErrClosing
+	}
 	effects, err := s.machine.Resolve(s.loop.Now(), id, ran, reason)
 	if err != nil {
 		return err
@@ -219,8 +235,11 @@
 }
 
 // Move discards, kills or requeues a job that waits to run or is dead; operator says that the request comes from an
-// operator. The error is a *jobs.TransitionError.
+// operator. The error is a *jobs.TransitionError, or ErrClosing.
 func (s *Service) Move(id string, move jobs.Move, reason jobs.Reason, operator bool) error {
+	if !s.IsOpen() {
+		return ErrClosing
+	}
 	effects, err := s.machine.Move(s.loop.Now(), id, move, reason, operator)
 	if err != nil {
 		return err
--- a/internal/durable/snapshot.go
+++ b/internal/durable/snapshot.go
@@ -7,13 +7,19 @@
 )
 
 // Snapshot writes a consistent copy of the store to a file of the given name in the same directory. The store can be
-// used meanwhile. Snapshot calls done with nil once the copy is on disk, or with the error.
+// used meanwhile. Snapshot calls done with nil once the copy is on disk, or with the error, ErrClosing or
+// ErrUnconfirmed.
 func (s *Service) Snapshot(name string, done func(error)) {
 	path, err := SiblingPath(s.path, name)
 	if err != nil {
 		done(err)
 		return
 	}
+	if !s.IsOpen() {
+		done(ErrClosing)
+		return
+	}
+	answer := s.calls.add(done)
 	go func() {
 		err := s.store.Snapshot(path)
 		s.loop.Post(func() {
@@ -22,7 +28,7 @@
 			} else {
 				s.log.Info("snapshot of the durable jobs", "path", path)
 			}
-			done(err)
+			answer(err)
 		})
 	}()
 }
--- a/internal/durable/storing.go
+++ b/internal/durable/storing.go
@@ -14,6 +14,7 @@
 	}
 	records := append(s.pendingAudits, store.Record{ID: job.ID, Value: job})
 	s.pendingAudits = nil
+	s.unstored[job.ID] = job.Version
 	s.store.Put(records, func(err error) {
 		s.loop.Post(func() { s.onWritten(job.ID, job.Version, err) })
 	})
@@ -30,13 +31,32 @@
 
 // onWritten is called when a version of a job is on disk, or could not be written.
 func (s *Service) onWritten(id string, version uint64, err error) {
-	if err == nil {
+	if err != nil {
+		s.onWriteFailed(id, version, err)
+	} else {
+		s.forgetUnstored(id, version)
 		s.carryOut(s.machine.Stored(s.loop.Now(), id, version))
 		s.notifyFinal(id)
-		return
 	}
+	s.closeFileWhenStored()
+}
+
+// forgetUnstored records that a version of a job, or one that contains its change, is on disk or will never be.
+func (s *Service) forgetUnstored(id string, version uint64) {
+	if s.unstored[id] <= version {
+		delete(s.unstored, id)
+	}
+}
+
+// onWriteFailed is called when a version of a job could not be written: a push or a lease is rejected, and any other
+// change is written again.
+func (s *Service) onWriteFailed(id string, version uint64, err error) {
 	job, known := s.machine.Get(id)
-	if !known || job.Version != version || s.closed {
+	if !known {
+		s.forgetUnstored(id, version)
+		return
+	}
+	if job.Version != version {
 		return // a later version contains this change too
 	}
 	s.log.Error("durable job not stored", "id", id, "state", job.State.String(), "error", err)
@@ -55,6 +75,7 @@
 // push creates a new job.
 func (s *Service) rejectPush(job jobs.Job, err error) {
 	rejected := s.pushWaiters.takeAll(job.ID)
+	s.forgetUnstored(job.ID, job.Version)
 	s.carryOut(s.machine.StoreFailed(job.ID, job.Version, err))
 	for _, onStored := range rejected {
 		onStored(&jobs.NotStoredError{Cause: err})
@@ -65,6 +86,7 @@
 // storing the next lease at once would probably fail too.
 func (s *Service) rejectLease(job jobs.Job, err error) {
 	onLeased := s.takeLeaseWaiter(job.ID)
+	s.forgetUnstored(job.ID, job.Version)
 	effects := s.machine.StoreFailed(job.ID, job.Version, err)
 	if onLeased != nil {
 		onLeased(job, err)
@@ -75,17 +97,23 @@
 // storeAgain stores a version of a job again, unless the job has changed since.
 func (s *Service) storeAgain(id string, version uint64) {
 	job, known := s.machine.Get(id)
-	if known && job.Version == version && !s.closed {
+	if known && job.Version == version && s.acceptsReports() {
 		s.storeJob(job)
 	}
 }
 
-// AfterSync calls done with nil once all changes made before it are on disk, or with the store's error.
+// AfterSync calls done with nil once all changes made before it are on disk, or with the store's error, ErrClosing or
+// ErrUnconfirmed.
 func (s *Service) AfterSync(done func(error)) { s.storeRecord(syncedRecord, nil, done) }
 
 // storeRecord stores a record that is not a job, or deletes it if value is nil.
 func (s *Service) storeRecord(id string, value any, done func(error)) {
+	if !s.IsOpen() {
+		done(ErrClosing)
+		return
+	}
+	answer := s.calls.add(done)
 	s.store.Put([]store.Record{{ID: id, Value: value}}, func(err error) {
-		s.loop.Post(func() { done(err) })
+		s.loop.Post(func() { answer(err) })
 	})
 }
--- a/internal/durable/testservice_test.go
+++ b/internal/durable/testservice_test.go
@@ -58,11 +58,10 @@
 
 // close closes the service as a graceful shutdown does.
 func (s *testService) close() {
-	s.onLoop(func() {
-		if err := s.service.Close(); err != nil {
-			s.t.Error(err)
-		}
-	})
+	closed := s.begin(func(done func(error)) { s.service.Close(s.loop.Now()+testTimeout, done) })
+	if err := receive(s.t, "the end of the close", closed); err != nil {
+		s.t.Error(err)
+	}
 	s.loop.Stop()
 	<-s.stopped
 }
--- a/internal/durable/waiters.go
+++ b/internal/durable/waiters.go
@@ -33,7 +33,7 @@
 func (s *Service) answerWhenStored(effects []jobs.Effect, kind jobs.EffectKind, waiting waiters, id string, done func(error)) {
 	answer, others := splitAnswer(effects, kind)
 	if answer == nil {
-		waiting.add(id, done)
+		waiting.add(id, s.calls.add(done))
 	}
 	s.carryOut(others)
 	if answer != nil {
@@ -51,6 +51,16 @@
 	return nil, effects
 }
 
+// addLeaseWaiter adds the callback of Assign that waits for a job's lease.
+func (s *Service) addLeaseWaiter(id string, onLeased func(jobs.Job, error)) {
+	var leased jobs.Job
+	answer := s.calls.add(func(err error) { onLeased(leased, err) })
+	s.leaseWaiters[id] = func(job jobs.Job, err error) {
+		leased = job
+		answer(err)
+	}
+}
+
 // takeLeaseWaiter removes and returns the callback of Assign that waits for a job's lease, or nil if there is none.
 func (s *Service) takeLeaseWaiter(id string) func(jobs.Job, error) {
 	onLeased := s.leaseWaiters[id]
@@ -58,14 +68,35 @@
 	return onLeased
 }
 
-// Watch calls onFinal once the job is in a final state that is on disk. It also calls it if there is no such job, or if
-// the service is closed before.
-func (s *Service) Watch(id string, onFinal func(jobs.Job)) {
-	if job, final := s.finalJob(id); final {
-		onFinal(job)
-		return
+// Watch calls onFinal with a stored job and nil once the job is in a final state that is on disk. It calls onFinal with
+// ErrClosing if the service closes before, and with jobs.ErrUnknownJob if there is no such job.
+func (s *Service) Watch(id string, onFinal func(jobs.Job, error)) {
+	job, known := s.machine.Get(id)
+	switch {
+	case !known:
+		onFinal(jobs.Job{}, jobs.ErrUnknownJob)
+	case s.isFinal(job):
+		onFinal(job, nil)
+	case !s.acceptsReports():
+		onFinal(jobs.Job{}, ErrClosing)
+	default:
+		s.addFinalWaiter(id, onFinal)
 	}
-	s.finalWaiters[id] = append(s.finalWaiters[id], onFinal)
+}
+
+// addFinalWaiter adds a callback of Watch that waits for the final state of a job.
+func (s *Service) addFinalWaiter(id string, onFinal func(jobs.Job, error)) {
+	var final jobs.Job
+	answer := s.calls.add(func(err error) {
+		if err != nil {
+			err = ErrClosing // the job itself is stored, whatever could not be
+		}
+		onFinal(final, err)
+	})
+	s.finalWaiters[id] = append(s.finalWaiters[id], func(job jobs.Job) {
+		final = job
+		answer(nil)
+	})
 }
 
 // notifyFinal calls the callbacks of Watch for a job if its final state is on disk.
@@ -74,8 +105,8 @@
 	if len(waiting) == 0 {
 		return
 	}
-	job, final := s.finalJob(id)
-	if !final {
+	job, known := s.machine.Get(id)
+	if !known || !s.isFinal(job) {
 		return
 	}
 	delete(s.finalWaiters, id)
@@ -84,8 +115,7 @@
 	}
 }
 
-// finalJob returns a job, and reports whether its final state is on disk or there is no such job.
-func (s *Service) finalJob(id string) (job jobs.Job, final bool) {
-	job, known := s.machine.Get(id)
-	return job, !known || job.State.IsFinal() && s.machine.IsStored(id)
+// isFinal reports whether a job's state is final and on disk.
+func (s *Service) isFinal(job jobs.Job) bool {
+	return job.State.IsFinal() && s.machine.IsStored(job.ID)
 }
--- a/internal/faktory/frontend.go
+++ b/internal/faktory/frontend.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"hollyyoke.example/hollyyoke/internal/dispatch"
 	"hollyyoke.example/hollyyoke/internal/durable"
@@ -73,20 +74,32 @@
 }
 
 // Release closes the listening socket, all connections and the store, so that a
-// successor can open them, and then calls done. Without durable queues it only
-// calls done.
-func (f FrontEnd) Release(done func()) {
+// successor can open them, and then calls done. Commands that wait for the store
+// are answered by the loop time answerBy. Without durable queues it only calls
+// done.
+func (f FrontEnd) Release(answerBy time.Duration, done func()) {
 	if f.durableQueues() == nil {
 		done()
 		return
 	}
-	f.Server.releaseDurable(done)
+	f.Server.releaseDurable(answerBy, done)
 }
 
-// Close closes the store. The front end must not be used after that.
+// CloseStore closes the store while the loop runs, as durable.Service.Close does, and
+// then calls done. Without durable queues it only calls done.
+func (f FrontEnd) CloseStore(answerBy time.Duration, done func()) {
+	if f.durableQueues() == nil {
+		done()
+		return
+	}
+	f.Server.closeStore(answerBy, done)
+}
+
+// Close closes the store if it is still open. The loop must not run, and the front
+// end must not be used after that.
 func (f FrontEnd) Close() error {
 	if queues := f.durableQueues(); queues != nil {
-		return queues.Service.Close()
+		return queues.Service.CloseNow()
 	}
 	return nil
 }
--- a/internal/faktory/release.go
+++ b/internal/faktory/release.go
@@ -17,34 +17,60 @@
 // releaseDurable closes each connection once its command is answered, then closes
 // the store and calls done. The workers reconnect to the successor and report
 // their jobs there.
-func (s *Server) releaseDurable(done func()) {
+func (s *Server) releaseDurable(answerBy time.Duration, done func()) {
 	s.acceptor.Close()
 	s.durable.scheduler.Release()
-	deadline := s.dispatcher.Loop.Now() + releaseTimeout
-	s.continueRelease(deadline, done)
+	release := &storeRelease{
+		server:    s,
+		waitUntil: min(s.dispatcher.Loop.Now()+releaseTimeout, answerBy),
+		answerBy:  answerBy,
+		done:      done,
+	}
+	release.advance()
+}
+
+// storeRelease is a release of the store in progress.
+type storeRelease struct {
+	server    *Server
+	waitUntil time.Duration // loop time until which commands are awaited
+	answerBy  time.Duration // loop time by which all commands are answered
+	done      func()
+}
+
+// advance closes the connections that can be closed. Once none is left or the time has
+// come, it closes the others and the store.
+func (r *storeRelease) advance() {
+	loop := r.server.dispatcher.Loop
+	r.server.closeAnswered()
+	if r.server.connections.Len() > 0 && loop.Now() < r.waitUntil {
+		loop.After(releasePollInterval, r.advance)
+		return
+	}
+	r.server.connections.ForEach(func(_ uint64, c *connection) { c.closeGracefully() })
+	r.server.closeStore(r.answerBy, r.done)
 }
 
-// continueRelease closes the connections that can be closed. If others are left it
-// runs again after releasePollInterval.
-func (s *Server) continueRelease(deadline time.Duration, done func()) {
-	loop := s.dispatcher.Loop
-	timedOut := loop.Now() >= deadline
+// closeAnswered closes the connections whose command is answered, or is a FETCH, which
+// gets no job any more.
+func (s *Server) closeAnswered() {
 	s.connections.ForEach(func(_ uint64, c *connection) {
 		switch {
 		case c.fetch != nil:
 			c.writeLine(nullBulk)
 			c.closeGracefully()
-		case !c.busy, timedOut:
+		case !c.busy:
 			c.closeGracefully()
 		}
 	})
-	if s.connections.Len() > 0 {
-		loop.After(releasePollInterval, func() { s.continueRelease(deadline, done) })
-		return
-	}
-	err := s.durable.Service.Close()
-	if err != nil {
-		s.dispatcher.Log(fmt.Sprintf("durable job store: %v", err))
-	}
-	done()
+}
+
+// closeStore closes the store, which answers all commands that wait for it, and calls
+// done.
+func (s *Server) closeStore(answerBy time.Duration, done func()) {
+	s.durable.Close(answerBy, func(err error) {
+		if err != nil {
+			s.dispatcher.Log(fmt.Sprintf("durable job store: %v", err))
+		}
+		done()
+	})
 }
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -134,6 +134,7 @@
 	frontEnd.loop().Clear(&c.stall.timer)
 	frontEnd.loop().Clear(&c.reading.floodTimer)
 	c.input.free()
+	c.endDurable()
 	c.closed = true
 }
 
--- a/internal/httpfront/golden_test.go
+++ b/internal/httpfront/golden_test.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { rig.Do(func() { service.Close() }) })
+	t.Cleanup(func() { rig.Do(func() { service.CloseNow() }) })
 	ignoreError := func(error) {}
 	service.OnRunnable = func(job jobs.Job) {
 		request, _ := durable.ReadRequest(job)
--- a/internal/httpfront/idempotency.go
+++ b/internal/httpfront/idempotency.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"time"
 
 	"hollyyoke.example/hollyyoke/decision"
@@ -12,13 +11,8 @@
 	"hollyyoke.example/hollyyoke/internal/jobs"
 )
 
-const (
-	// durableResponseMargin is how long before the client's deadline the response is written that a job is not done
-	// yet.
-	durableResponseMargin = 20 * time.Millisecond
-	// durableRetryAfter is the Retry-After of responses for a job that is not done yet or could not be stored.
-	durableRetryAfter = time.Second
-)
+// durableRetryAfter is the Retry-After of responses for a job that is not done yet, could not be stored, or may be stored.
+const durableRetryAfter = time.Second
 
 // SetDurable makes requests with an idempotency key durable in the classes for which durableClasses, indexed by class,
 // is true. Such requests are stored as jobs: requests with the same key get the result of the same job, even after a
@@ -42,24 +36,17 @@
 			"Idempotency-Key is not of 1 to 123 letters, digits or -._:~+/=@\n")
 		return
 	}
-	if frontEnd.durable == nil {
+	if frontEnd.durable == nil || !frontEnd.durable.IsOpen() {
+		c.closeAfterResponse = c.closeAfterResponse || frontEnd.closeAfterResponse // the client finds the other process by connecting
 		c.rejectTemporarily(message, request.Class, "the other process has the store\n", durableRetryAfter)
 		return
 	}
 	job := frontEnd.durableJob(request, message.Body, key)
 	c.input.consume(message.Size)
-	c.response.durableCount++
 	c.beginService()
-	response := durableResponse{connection: c, number: c.response.durableCount}
-	untilResponse := request.ArrivedAt + frontEnd.clientTimeout(request) - durableResponseMargin - frontEnd.loop().Now()
-	frontEnd.loop().After(max(untilResponse, 0), response.notDone)
-	frontEnd.durable.Push(job, 0, func(err error) {
-		if err != nil {
-			response.notStored(err)
-			return
-		}
-		frontEnd.durable.Watch(job.ID, response.ended)
-	})
+	pending := newDurableRequest(c, frontEnd.durable, job.ID, request.ArrivedAt+frontEnd.clientTimeout(request))
+	c.response.durable = pending
+	frontEnd.durable.Push(job, 0, pending.onPushed)
 }
 
 // durableJob returns the job as which a request is stored.
@@ -83,53 +70,3 @@
 	}
 	return timeout
 }
-
-// durableResponse writes the response to a durable request. Only its first write has an effect.
-type durableResponse struct {
-	connection *clientConnection
-	number     uint64 // sequence number of the request among the connection's durable requests
-}
-
-// write writes the response, if it is still pending.
-func (r durableResponse) write(status int, body []byte, retryAfter time.Duration) {
-	c := r.connection
-	connected := c.frontEnd.connections.Get(c.token) == c
-	if !connected || !c.response.pending || c.response.durableCount != r.number {
-		return
-	}
-	c.completeService(httpResponse{
-		status:     status,
-		body:       body,
-		retryAfter: retryAfter,
-		served:     status == httpwire.StatusOK,
-	})
-}
-
-// notDone responds that the job is stored but not done yet.
-func (r durableResponse) notDone() {
-	r.write(httpwire.StatusAccepted, []byte("the job is kept and not over yet: ask again with the same key\n"), durableRetryAfter)
-}
-
-// notStored responds that the job was not stored.
-func (r durableResponse) notStored(err error) {
-	if errors.Is(err, jobs.ErrIDConflict) {
-		r.write(httpwire.StatusUnprocessableContent, []byte("Idempotency-Key belongs to another request\n"), 0)
-		return
-	}
-	r.write(httpwire.StatusServiceUnavailable, []byte(err.Error()+"\n"), durableRetryAfter)
-}
-
-// ended responds with the result of a job that has ended. If the job has not ended, because its store is being handed
-// over to a successor, it responds that the job is not done yet.
-func (r durableResponse) ended(job jobs.Job) {
-	switch job.State {
-	case jobs.Done:
-		r.write(httpwire.StatusOK, job.Result, 0)
-	case jobs.Accepted, jobs.Scheduled, jobs.Ready, jobs.Leased, jobs.Started, jobs.Waiting: // the store is being handed over
-		r.notDone()
-	case jobs.InDoubt:
-		r.write(httpwire.StatusConflict, []byte("in doubt, an operator settles it: "+string(job.Reason)+"\n"), 0)
-	default:
-		r.write(httpwire.StatusBadGateway, []byte(job.State.String()+": "+string(job.Reason)+"\n"), 0)
-	}
-}
--- a/internal/httpfront/response.go
+++ b/internal/httpfront/response.go
@@ -22,9 +22,9 @@
 
 // pendingResponse is the state of the response that a client waits for, if any.
 type pendingResponse struct {
-	pending      bool   // a request is being served
-	handle       uint64 // of the request; 0 until the dispatcher has returned it, and for a durable request
-	durableCount uint64 // number of durable requests so far, by which late responses to earlier ones are recognized
+	pending bool            // a request is being served
+	handle  uint64          // of the request; 0 until the dispatcher has returned it, and for a durable request
+	durable *durableRequest // the request, if it is durable; nil otherwise
 }
 
 // textResponse returns a response of the front end itself, with a text as its body.
