Faktory: a release answers commands that wait for a slow disk before it closes them

Callers saw: a producer or worker whose command waited over 1 s for the disk while the process was replaced was closed with no reply, also where the change was stored.

Cause: continueRelease closed every connection after releaseTimeout, and any error of a report was -ERR VOID, by which a worker forgets a job that it has run.

Change: after releaseTimeout the store is closed under the open connections, which answers their commands; then they are closed. A report that is not, or may not be, stored is answered '-ERR REFUSED ...; report it again'.

--- a/internal/faktory/config.go
+++ b/internal/faktory/config.go
@@ -55,6 +55,8 @@
 	Flush       bool     `toml:"flush"`         // whether FLUSH is allowed
 
 	Log *slog.Logger `toml:"-"` // for the service of durable jobs; if it is nil nothing is logged
+
+	injectWriteError func() error // for tests: store.Options.InjectWriteError
 }
 
 // ErrSourceHandover is the error of Config.CheckHandover for a process with the
@@ -205,7 +207,7 @@
 			Retention:      seconds(c.RetainS),
 			DeadRetention:  seconds(c.RetainDeadS),
 		},
-		Store: store.Options{GroupCommitDelay: seconds(c.DelayMs / 1000)},
+		Store: store.Options{GroupCommitDelay: seconds(c.DelayMs / 1000), InjectWriteError: c.injectWriteError},
 	}
 }
 
--- a/internal/faktory/frontend_test.go
+++ b/internal/faktory/frontend_test.go
@@ -62,6 +62,16 @@
 // returns its address and the rig on which it runs. adjust changes the settings
 // before that; it may be nil.
 func openFrontEnd(t testing.TB, toml string, adjust func(*decision.Settings)) (address string, rig *testkit.Rig) {
+	t.Helper()
+	address, rig, _ = openFrontEndWith(t, toml, nil, adjust)
+	return address, rig
+}
+
+// openFrontEndWith opens a front end as openFrontEnd does, whose store calls
+// injectWriteError in each write if it is not nil.
+func openFrontEndWith(
+	t testing.TB, toml string, injectWriteError func() error, adjust func(*decision.Settings),
+) (address string, rig *testkit.Rig, frontEnd FrontEnd) {
 	t.Helper()
 	settings := testSettings()
 	if adjust != nil {
@@ -74,7 +84,7 @@
 	if err := AddWorkerKinds(&settings); err != nil {
 		t.Fatal(err)
 	}
-	var frontEnd FrontEnd
+	config.Durable.injectWriteError = injectWriteError
 	t.Cleanup(func() { frontEnd.Close() }) // runs after the rig's own cleanup, which stops the loop
 	rig = testkit.NewRig(t, func(rigSettings *decision.Settings) { *rigSettings = settings })
 	rig.LimitDescriptors(t, 512)
@@ -89,5 +99,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return address, rig
+	return address, rig, frontEnd
 }
--- a/internal/faktory/release.go
+++ b/internal/faktory/release.go
@@ -7,7 +7,7 @@
 
 const (
 	// releaseTimeout is how long a release waits for commands that are not answered
-	// yet, before it closes their connections.
+	// yet, before it closes the store, which answers them.
 	releaseTimeout = time.Second
 
 	// releasePollInterval is how often a release checks for such connections.
@@ -32,13 +32,13 @@
 // storeRelease is a release of the store in progress.
 type storeRelease struct {
 	server    *Server
-	waitUntil time.Duration // loop time until which commands are awaited
+	waitUntil time.Duration // loop time until which commands are awaited before the store is closed
 	answerBy  time.Duration // loop time by which all commands are answered
 	done      func()
 }
 
-// advance closes the connections that can be closed. Once none is left or the time has
-// come, it closes the others and the store.
+// advance closes the connections that can be closed, and the store once none is left
+// or the time has come.
 func (r *storeRelease) advance() {
 	loop := r.server.dispatcher.Loop
 	r.server.closeAnswered()
@@ -46,8 +46,10 @@
 		loop.After(releasePollInterval, r.advance)
 		return
 	}
-	r.server.connections.ForEach(func(_ uint64, c *connection) { c.closeGracefully() })
-	r.server.closeStore(r.answerBy, r.done)
+	r.server.closeStore(r.answerBy, func() {
+		r.server.closeAnswered()
+		r.done()
+	})
 }
 
 // closeAnswered closes the connections whose command is answered, or is a FETCH, which
--- a/internal/faktory/reports.go
+++ b/internal/faktory/reports.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 
 	"hollyyoke.example/hollyyoke/decision"
+	"hollyyoke.example/hollyyoke/internal/durable"
 	"hollyyoke.example/hollyyoke/internal/jobs"
 )
 
@@ -158,10 +160,16 @@
 	return jobs.Reason(cmp.Or(text, "failed"))
 }
 
-// leaseResultReply returns the reply to a report about a lease: +OK, or -ERR VOID and
+// leaseResultReply returns the reply to a report about a lease: +OK, -ERR REFUSED if the
+// report has to be sent again, since it is not or may not be stored, or else -ERR VOID and
 // the text of err.
 func leaseResultReply(err error) string {
-	if err != nil {
+	var notStored *jobs.NotStoredError
+	switch {
+	case err == nil:
+	case errors.As(err, &notStored), errors.Is(err, durable.ErrUnconfirmed):
+		err = fmt.Errorf("REFUSED %w; report it again", err)
+	default:
 		err = fmt.Errorf("VOID %w", err)
 	}
 	return resultReply(err)
