Durable requests: 202 is written only once the store has confirmed the job

Callers saw: a client whose time was over was answered 202, 'the job is kept', before the disk had the job; after a kill or a failed write it was unknown.

Cause: durableResponse.notDone, a timer, wrote 202 whatever the store knew.

Change: a durable request knows whether its push was confirmed. At the client's time it answers 202 if so; else it waits for the store's word (202, or 503), and 0.3 s later answers 502 with a Retry-After, since a write on its way can't be promised not to run.

--- a/internal/httpfront/durablerequest.go
+++ b/internal/httpfront/durablerequest.go
@@ -10,16 +10,25 @@
 	"hollyyoke.example/hollyyoke/internal/jobs"
 )
 
-// durableResponseMargin is how long before the client's deadline the response is written that a job is not done yet.
-const durableResponseMargin = 20 * time.Millisecond
+const (
+	// durableResponseMargin is how long before the client's deadline the response is written that a job is not done
+	// yet.
+	durableResponseMargin = 20 * time.Millisecond
+	// confirmationGrace is how long after the client's deadline the store may still confirm that a job is stored,
+	// before the response says that this is not known.
+	confirmationGrace = 300 * time.Millisecond
+)
 
 // durableRequest is a request with an idempotency key whose response is pending. It is answered exactly once: with the
-// result of its job, or, when its client's time is over, with the response that the job is not done yet.
+// result of its job, or, when its client's time is over, with what the store has confirmed about the job.
 type durableRequest struct {
 	connection *clientConnection
 	service    *durable.Service
 	jobID      string
-	timer      eventloop.Deadline // when the client's time is over
+	confirmBy  time.Duration      // loop time at which it is answered even if the store has not confirmed its job
+	timer      eventloop.Deadline // when the client's time is over, or at confirmBy
+	stored     bool               // the job is on disk
+	expired    bool               // the client's time is over
 }
 
 // newDurableRequest returns a request whose client waits for the response until the loop time clientDeadline.
@@ -29,7 +38,7 @@
 		service:    service,
 		jobID:      jobID,
 	}
-	request.timer.Fire = request.respondNotDone
+	request.timer.Fire = func() { request.expire(clientDeadline + confirmationGrace) }
 	request.loop().Set(&request.timer, clientDeadline-durableResponseMargin)
 	return request
 }
@@ -40,7 +49,11 @@
 func (r *durableRequest) onPushed(err error) {
 	switch {
 	case err == nil:
+		r.stored = true
 		r.service.Watch(r.jobID, r.onFinal)
+		if r.expired {
+			r.respondNotDone()
+		}
 	case errors.Is(err, jobs.ErrIDConflict):
 		r.respond(httpwire.StatusUnprocessableContent, "Idempotency-Key belongs to another request\n", 0)
 	case errors.Is(err, durable.ErrUnconfirmed):
@@ -67,6 +80,22 @@
 	}
 }
 
+// expire is called when the client's time is over. If the store has not confirmed the job, the response waits for that,
+// until the loop time confirmBy.
+func (r *durableRequest) expire(confirmBy time.Duration) {
+	if r.stored {
+		r.respondNotDone()
+		return
+	}
+	if r.expired {
+		confirmBy = min(confirmBy, r.confirmBy)
+	}
+	r.expired = true
+	r.confirmBy = confirmBy
+	r.timer.Fire = r.respondUnconfirmed
+	r.loop().Set(&r.timer, confirmBy)
+}
+
 // respondNotDone responds that the job is stored but not done yet.
 func (r *durableRequest) respondNotDone() {
 	r.respond(httpwire.StatusAccepted, "the job is kept and not over yet: ask again with the same key\n", durableRetryAfter)
