Shutdown: durable requests are answered before SIGKILL may come

Callers saw: after SIGTERM without a successor, clients with 8 s left whose renewals were stored waited for their answer as long as any worker had a job, up to 8 s; SIGKILL comes after 3.7 s. A push in the store's queue was never answered.

Cause: a request that waits for its job is none of the dispatcher's. The store was closed after the loop had stopped, when nothing could call back.

Change: the shutdown closes the store on the running loop once nothing is read and no job is at a worker, which answers every caller. 0.25 s before SIGKILL may come, those that still wait are told what is known: 202, or 502 with a Retry-After.

--- a/cmd/dispatcher/durablehandover_test.go
+++ b/cmd/dispatcher/durablehandover_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 	directory   string        // contains the file with the address for dialFaktory
 	newClient   *http.Client  // opens a new connection for each request
 	slowArrived chan struct{} // receives a value when the held request has reached the worker
+	releaseSlow func()        // makes the worker complete the held request
 }
 
 // handedOverKey is the idempotency key of the request that the HTTP worker holds during
@@ -26,7 +28,7 @@
 const handedOverKey = "slow-2"
 
 // startHandedOverDaemon starts the dispatcher. The HTTP worker holds the request with
-// handedOverKey until the test ends. It rejects all other requests, so that a Faktory worker
+// handedOverKey until releaseSlow is called or the test ends. It rejects all other requests, so that a Faktory worker
 // gets them.
 func startHandedOverDaemon(t *testing.T) *handedOverDaemon {
 	t.Helper()
@@ -37,7 +39,8 @@
 		slowArrived: make(chan struct{}, 1),
 	}
 	release := make(chan struct{})
-	t.Cleanup(func() { close(release) })
+	daemon.releaseSlow = sync.OnceFunc(func() { close(release) })
+	t.Cleanup(daemon.releaseSlow)
 	const slowID = "idem:" + handedOverKey
 	respondSlow := respondWhenReleased(slowID, daemon.slowArrived, release)
 	daemon.worker = daemon.addWorker("s-1", func(id string, conn net.Conn) bool {
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -20,6 +20,9 @@
 	upstreamTimeout = 8 * time.Second
 	// shutdownPoll is the time between checks whether all requests are answered.
 	shutdownPoll = 5 * time.Millisecond
+	// storeCloseTimeout is how long the store may take for the last changes after all other
+	// requests are answered.
+	storeCloseTimeout = time.Second
 	// flushTime is the time left for sending the last bytes before the process exits.
 	flushTime = 50 * time.Millisecond
 )
@@ -63,9 +66,18 @@
 	acceptingUntil time.Duration // the connections in the listener's queue are awaited until then, at the latest
 	readingStopped bool
 	lingerUntil    time.Duration // clients may read their responses until then; extended while requests are unanswered
+	expireAt       time.Duration // from then on durable requests are answered with what is known of their jobs
+	store          lastChanges
 	upstreamUntil  time.Duration // the upstream server may accept the last reports until then
 }
 
+// lastChanges is the end of the store of durable jobs in a shutdown.
+type lastChanges struct {
+	closing    bool          // no more changes are accepted
+	closed     bool          // all changes are on disk and all their callers are answered
+	awaitUntil time.Duration // the process exits then, even if the store is not closed
+}
+
 // newLastAnswers returns a lastAnswers for a shutdown that began at the loop time began. The
 // time at which reading stops counts from there, also if the loop was blocked meanwhile:
 // a request that arrives later may be left unanswered at SIGKILL.
@@ -76,17 +88,22 @@
 		stopReadingAt:  began + arrivalWindow + readWindow,
 		acceptingUntil: now + readWindow,
 		lingerUntil:    now + readWindow + transport.MaxLingerTime,
+		expireAt:       began + p.killTime() - killMargin,
 		upstreamUntil:  now + upstreamTimeout,
 	}
 }
 
-// advance closes idle connections, stops reading when the time has come, and reports
-// whether the process may exit.
+// advance closes idle connections, stops reading and closes the store when the time has
+// come, and reports whether the process may exit.
 func (a *lastAnswers) advance() (finished bool) {
 	frontEnds := &a.process.frontEnds
 	idle := frontEnds.closeIdle()
 	now := a.process.dispatcher.Loop.Now()
 	a.stopReading(now)
+	a.closeStore(now)
+	if frontEnds.http != nil && now >= a.expireAt {
+		frontEnds.http.ExpireDurable(a.expireAt + killMargin/2)
+	}
 	if a.readingStopped && frontEnds.http != nil {
 		idle = idle && frontEnds.http.OpenConnections() == 0
 	}
@@ -110,6 +127,21 @@
 	}
 }
 
+// closeStore begins to close the store once no job is at a worker and nothing more is read.
+// That answers the requests that wait for the store or for a job in it.
+func (a *lastAnswers) closeStore(now time.Duration) {
+	if a.store.closing || !a.readingStopped || a.process.dispatcher.Unanswered() > 0 {
+		return
+	}
+	a.store.closing = true
+	answerBy := max(a.expireAt, now+storeCloseTimeout)
+	a.store.awaitUntil = answerBy + killMargin/2
+	a.process.frontEnds.faktory.CloseStore(answerBy, func() {
+		a.store.closed = true
+		a.lingerUntil = a.process.dispatcher.Loop.Now() + transport.MaxLingerTime
+	})
+}
+
 // finished reports whether the process may exit: all requests are answered, and either no
 // connection is left (idle is true) or the time to wait for clients and for the upstream
 // server has passed.
@@ -117,6 +149,9 @@
 	if !a.readingStopped || a.process.dispatcher.Unanswered() > 0 {
 		return false
 	}
+	if !a.store.closed && now < a.store.awaitUntil {
+		return false
+	}
 	if idle || now > a.upstreamUntil {
 		return true
 	}
--- a/internal/httpfront/idempotency.go
+++ b/internal/httpfront/idempotency.go
@@ -49,6 +49,16 @@
 	frontEnd.durable.Push(job, 0, pending.onPushed)
 }
 
+// ExpireDurable answers the pending durable requests as if their clients' time were over: at once if it is known that
+// their jobs are stored, and otherwise when the store confirms that, or at the loop time confirmBy.
+func (f *FrontEnd) ExpireDurable(confirmBy time.Duration) {
+	f.connections.ForEach(func(_ uint64, c *clientConnection) {
+		if c.response.durable != nil {
+			c.response.durable.expire(confirmBy)
+		}
+	})
+}
+
 // durableJob returns the job as which a request is stored.
 func (f *FrontEnd) durableJob(request dispatch.Request, body []byte, key string) jobs.Job {
 	class := f.dispatcher.Settings.Classes[request.Class]
