Durable jobs: an operator's change is confirmed only once its own write succeeds

Callers saw: 'done' for a retry, discard or settle, and +OK for MUTATE and FLUSH, while the change was not on disk: a crash then lost it. On a full disk they saw an error, and the change came all the same.

Cause: AfterSync waited for a record written behind the change. Where the change's write fails it is written again after 100 ms; the record's result says nothing of it.

Change: AfterSync waits for the versions of the jobs that are not on disk when it is called, until each is stored or rejected.

--- a/internal/durable/diskfull_test.go
+++ b/internal/durable/diskfull_test.go
@@ -156,3 +156,40 @@
 		})
 	}
 }
+
+// An operator's change whose first write fails is written again until the disk takes it. The operator must be told that
+// it is done only then: not by the success of a later write, and not with an error while the change is still coming.
+func TestOperatorChangeIsConfirmedOnceItIsOnDisk(t *testing.T) {
+	var failNext atomic.Int32
+	writeError := func() error {
+		if failNext.Add(-1) >= 0 {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	path := filepath.Join(t.TempDir(), "jobs.db")
+	s := openTest(t, Config{Path: path, Store: store.Options{InjectWriteError: writeError}})
+	if err := s.push(jobs.Job{ID: "r", Class: "renewal", NonIdempotent: true}); err != nil {
+		t.Fatal(err)
+	}
+	calledAt := time.Now()
+	failNext.Store(2) // also where the change and the sync are one batch, which is written again one by one
+	done := s.begin(func(done func(error)) {
+		if err := s.service.Move("r", jobs.Discard, "unwanted", true); err != nil {
+			t.Error(err)
+		}
+		s.service.AfterSync(done)
+	})
+	if err := receive(t, "the confirmation", done); err != nil {
+		t.Errorf("the confirmation: %v", err)
+	}
+	if waited := time.Since(calledAt); waited < storeRetryInterval {
+		t.Errorf("confirmed %v after the call, before the change was written again", waited)
+	}
+	s.close()
+	reopened := openTest(t, Config{Path: path})
+	defer reopened.close()
+	if got := reopened.state("r"); got != "discarded" {
+		t.Errorf("the job is %s, want discarded", got)
+	}
+}
--- a/internal/durable/service.go
+++ b/internal/durable/service.go
@@ -34,6 +34,7 @@
 	startWaiters  waiters                          // workers that asked to start
 	leaseWaiters  map[string]func(jobs.Job, error) // callers of Assign, by job
 	finalWaiters  map[string][]func(jobs.Job)      // callers of Watch, by job
+	syncCalls     []*syncCall                      // callers of AfterSync that wait for changes of jobs
 	calls         openCalls                        // all calls that have a callback and are not answered yet
 
 	// OnRunnable is called with a job each time that it becomes ready to be leased. It must be set before Start.
--- a/internal/durable/storing.go
+++ b/internal/durable/storing.go
@@ -1,6 +1,9 @@
 package durable
 
 import (
+	"maps"
+	"slices"
+
 	"hollyyoke.example/hollyyoke/internal/jobs"
 	"hollyyoke.example/hollyyoke/internal/store"
 )
@@ -46,6 +49,17 @@
 	if s.unstored[id] <= version {
 		delete(s.unstored, id)
 	}
+	var completed []*syncCall
+	s.syncCalls = slices.DeleteFunc(s.syncCalls, func(call *syncCall) bool {
+		if !call.forget(id, version) {
+			return false
+		}
+		completed = append(completed, call)
+		return true
+	})
+	for _, call := range completed { // after the update, since a callback may make a new call
+		call.answer(nil)
+	}
 }
 
 // onWriteFailed is called when a version of a job could not be written: a push or a lease is rejected, and any other
@@ -102,9 +116,31 @@
 	}
 }
 
-// AfterSync calls done with nil once all changes made before it are on disk, or with the store's error, ErrClosing or
-// ErrUnconfirmed.
-func (s *Service) AfterSync(done func(error)) { s.storeRecord(syncedRecord, nil, done) }
+// syncCall is a call of AfterSync that waits for changes that are not on disk.
+type syncCall struct {
+	versions map[string]uint64 // by job, the version that has to be stored
+	answer   func(error)
+}
+
+// forget records that a version of a job is on disk or will never be, and reports whether nothing is waited for any
+// more.
+func (c *syncCall) forget(id string, version uint64) (completed bool) {
+	if wanted, waiting := c.versions[id]; waiting && wanted <= version {
+		delete(c.versions, id)
+	}
+	return len(c.versions) == 0
+}
+
+// AfterSync calls done with nil once all changes made before it are on disk, also those whose first write fails, or with
+// a *jobs.NotStoredError, ErrClosing or ErrUnconfirmed. If there is no change of a job to wait for, it calls done with
+// the result of the writes that are under way.
+func (s *Service) AfterSync(done func(error)) {
+	if !s.IsOpen() || len(s.unstored) == 0 {
+		s.storeRecord(syncedRecord, nil, done)
+		return
+	}
+	s.syncCalls = append(s.syncCalls, &syncCall{versions: maps.Clone(s.unstored), answer: s.calls.add(done)})
+}
 
 // storeRecord stores a record that is not a job, or deletes it if value is nil.
 func (s *Service) storeRecord(id string, value any, done func(error)) {
