--- a/internal/durable/closing.go
+++ b/internal/durable/closing.go
@@ -81,8 +81,9 @@
 func (s *Service) closeFile() {
 	s.closing.phase = closingFile
 	go func() {
+		s.snapshots.Wait()
 		err := s.store.Close()
-		s.loop.Post(func() { s.fileClosed(err) }) // after the results of all writes, which are posted before
+		s.loop.Post(func() { s.fileClosed(err) }) // after the results of all writes and snapshots, which are posted before
 	}()
 }
 
--- a/internal/durable/service.go
+++ b/internal/durable/service.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"runtime"
+	"sync"
 	"time"
 
 	"hollyyoke.example/hollyyoke/internal/eventloop"
@@ -50,6 +51,8 @@
 
 	unstored map[string]uint64 // by job, the newest version that was passed to the store and is not on disk
 	closing  closeState
+
+	snapshots sync.WaitGroup // the snapshots under way
 }
 
 // Open opens the store, or creates it, and recovers the jobs in it. If the store is damaged, the error names the file.
--- a/internal/durable/snapshot.go
+++ b/internal/durable/snapshot.go
@@ -20,7 +20,7 @@
 		return
 	}
 	answer := s.calls.add(done)
-	go func() {
+	s.snapshots.Go(func() {
 		err := s.store.Snapshot(path)
 		s.loop.Post(func() {
 			if err != nil {
@@ -30,7 +30,7 @@
 			}
 			answer(err)
 		})
-	}()
+	})
 }
 
 // SiblingPath returns the path of a file in the directory of a store. The name must not lead to another directory, be
