Durable jobs: an audit is written again with the change whose first write failed

Operators saw: a job that was settled, discarded or retried on a full disk had no entry in 'dispatcher jobs audit' afterwards, so nobody could tell why it did not run.

Cause: storeJob moved the pending audits into the first write. The write after storeRetryInterval had the job alone, and audited dead and doubtful jobs once more.

Change: audits of a failed write are pending again; a repeated write adds none. What is pending when the file closes is written last.

Evidence: TestAuditSurvivesFailedWrite before: map[killed: dead:1] in place of discard, kill and dead. Passes here, 5 times with -race.

--- a/internal/durable/closing.go
+++ b/internal/durable/closing.go
@@ -77,9 +77,13 @@
 	}
 }
 
-// closeFile closes the file on another goroutine, because a slow disk must not block the loop.
+// closeFile closes the file on another goroutine, because a slow disk must not block the loop. Audits that could not be
+// stored with their change are written last.
 func (s *Service) closeFile() {
 	s.closing.phase = closingFile
+	if len(s.pendingAudits) > 0 {
+		s.store.Put(s.pendingAudits, ignoreResult)
+	}
 	go func() {
 		s.snapshots.Wait()
 		err := s.store.Close()
--- a/internal/durable/diskfull_test.go
+++ b/internal/durable/diskfull_test.go
@@ -1,6 +1,7 @@
 package durable
 
 import (
+	"maps"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -193,3 +194,49 @@
 		t.Errorf("the job is %s, want discarded", got)
 	}
 }
+
+// The audit of an operator's change is stored together with it. Where the first write of both fails, the audit must come
+// with the second: else nobody can tell why a renewal was discarded or settled. There is one audit, however often the
+// write fails.
+func TestAuditSurvivesFailedWrite(t *testing.T) {
+	var failNext atomic.Int32
+	writeError := func() error {
+		if failNext.Add(-1) >= 0 {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	path := filepath.Join(t.TempDir(), "jobs.db")
+	s := openTest(t, Config{Path: path, Store: store.Options{InjectWriteError: writeError}})
+	for _, id := range []string{"discarded", "killed"} {
+		if err := s.push(jobs.Job{ID: id, Class: "renewal", NonIdempotent: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for id, move := range map[string]jobs.Move{"discarded": jobs.Discard, "killed": jobs.Kill} {
+		failNext.Store(2)
+		err := s.wait("the confirmation", func(done func(error)) {
+			if err := s.service.Move(id, move, "till, line 4711", true); err != nil {
+				t.Error(err)
+			}
+			s.service.AfterSync(done)
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	s.close()
+	offline, err := OpenOffline(path, func() time.Duration { return time.Duration(time.Now().UnixNano()) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer offline.Close()
+	actions := map[string]int{}
+	for _, audit := range offline.Audits {
+		actions[audit.ID+": "+audit.Action]++
+	}
+	want := map[string]int{"discarded: discard": 1, "killed: kill": 1, "killed: dead": 1}
+	if !maps.Equal(actions, want) {
+		t.Errorf("the audits are %v, want %v", actions, want)
+	}
+}
--- a/internal/durable/storing.go
+++ b/internal/durable/storing.go
@@ -8,18 +8,29 @@
 	"hollyyoke.example/hollyyoke/internal/store"
 )
 
-// storeJob passes a job and the pending audits to the store. Jobs that are dead or in doubt are audited and logged.
+// storeJob stores a changed job. Jobs that are dead or in doubt are audited and logged.
 func (s *Service) storeJob(job jobs.Job) {
 	if job.State == jobs.InDoubt || job.State == jobs.Dead {
 		state := job.State.String()
 		s.audit(Audit{ID: job.ID, Action: state, Worker: job.Worker, Fence: job.Fence, Reason: job.Reason})
 		s.log.Warn("durable job "+state, "id", job.ID, "class", job.Class, "worker", job.Worker, "fence", job.Fence, "reason", job.Reason)
 	}
-	records := append(s.pendingAudits, store.Record{ID: job.ID, Value: job})
+	s.writeJob(job)
+}
+
+// writeJob passes a job and the pending audits to the store. If they cannot be written, the audits are pending again.
+func (s *Service) writeJob(job jobs.Job) {
+	audits := s.pendingAudits
 	s.pendingAudits = nil
 	s.unstored[job.ID] = job.Version
+	records := append(slices.Clip(audits), store.Record{ID: job.ID, Value: job})
 	s.store.Put(records, func(err error) {
-		s.loop.Post(func() { s.onWritten(job.ID, job.Version, err) })
+		s.loop.Post(func() {
+			if err != nil {
+				s.pendingAudits = append(audits, s.pendingAudits...)
+			}
+			s.onWritten(job.ID, job.Version, err)
+		})
 	})
 }
 
@@ -112,7 +123,7 @@
 func (s *Service) storeAgain(id string, version uint64) {
 	job, known := s.machine.Get(id)
 	if known && job.Version == version && s.acceptsReports() {
-		s.storeJob(job)
+		s.writeJob(job)
 	}
 }
 
