Admin API: a change that waits for a full disk is not reported as an incomplete call

Operators saw: 408, 'the call did not come in time', for a retry, discard or settle on a full disk. The change was made, and came when there was space.

Cause: the timer of a call that is not complete ran on while the change waited.

Change: once the change is made, the call has 3 s for the disk, then it is answered 503: the change is made, not on disk yet, and is written until the disk takes it.

Evidence: TestChangeOnFullDiskIsNotReportedAsIncompleteCall (real socket): 408 before.

--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -19,6 +19,7 @@
 
 const (
 	callTimeout        = 3 * time.Second        // from the accept until the call is complete
+	storeTimeout       = 3 * time.Second        // for a change of a job to be on disk
 	newConnectionGrace = 300 * time.Millisecond // a connection younger than this is about to send its call
 )
 
--- a/internal/admin/fulltestapi_test.go
+++ b/internal/admin/fulltestapi_test.go
@@ -13,6 +13,7 @@
 	"hollyyoke.example/hollyyoke/internal/durable"
 	"hollyyoke.example/hollyyoke/internal/jobs"
 	"hollyyoke.example/hollyyoke/internal/listener"
+	"hollyyoke.example/hollyyoke/internal/store"
 	"hollyyoke.example/hollyyoke/internal/transport"
 )
 
@@ -20,12 +21,20 @@
 // durable jobs, and statistics of a versioned endpoint list.
 type fullTestAPI struct {
 	*testAPI
-	service *durable.Service
+	service    *durable.Service
+	writeError func() error // of each write of the store, if it is not nil
 }
 
 func newFullTestAPI(t *testing.T) *fullTestAPI {
 	t.Helper()
-	api := &fullTestAPI{testAPI: newTestAPI(t)}
+	return newFullTestAPIWith(t, nil)
+}
+
+// newFullTestAPIWith returns an API whose store calls writeError in each write, if it is not
+// nil.
+func newFullTestAPIWith(t *testing.T, writeError func() error) *fullTestAPI {
+	t.Helper()
+	api := &fullTestAPI{testAPI: newTestAPI(t), writeError: writeError}
 	api.openJobs(t)
 	var engine *transport.Engine
 	var err error
@@ -62,6 +71,12 @@
 	config := durable.Config{
 		Path: filepath.Join(t.TempDir(), "jobs.db"),
 		Jobs: jobs.Config{LeaseDuration: 50 * time.Millisecond, RecoveryGrace: time.Millisecond},
+		Store: store.Options{InjectWriteError: func() error {
+			if a.writeError == nil {
+				return nil
+			}
+			return a.writeError()
+		}},
 	}
 	service, err := durable.Open(a.dispatcher.Loop, config, slog.New(slog.DiscardHandler))
 	if err != nil {
--- a/internal/admin/jobs.go
+++ b/internal/admin/jobs.go
@@ -118,11 +118,19 @@
 }
 
 // respondWhenStored responds to an operation on a job: at once with err if it is not nil,
-// and otherwise when the change is on disk.
+// and otherwise when the change is on disk, or is still not after storeTimeout.
 func (c *call) respondWhenStored(err error) {
 	if err != nil {
 		c.respondError(statusConflict, err)
 		return
 	}
+	loop := c.api.dispatcher.Loop
+	c.timeout.Fire = c.respondUnconfirmed
+	loop.Set(&c.timeout, loop.Now()+storeTimeout)
 	c.jobService().AfterSync(c.respondResult)
 }
+
+// respondUnconfirmed responds to a change that is made, and is not on disk yet.
+func (c *call) respondUnconfirmed() {
+	c.respond(statusServiceUnavailable, "the change is made and not on disk yet: it is written until the disk takes it\n", "")
+}
--- /dev/null
+++ b/internal/admin/storing_test.go
@@ -0,0 +1,36 @@
+package admin
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+)
+
+// putDiscard is a call that discards a job.
+const putDiscard = "PUT /control/jobs/discard?id=job-1&reason=unwanted HTTP/1.1\r\n\r\n"
+
+// An operator discards a job while the disk is full. The call is complete, so it must not be
+// answered that it did not come in time: the operator would take the change for not made. It
+// is answered that the change is not on disk yet, and the change comes when there is space.
+func TestChangeOnFullDiskIsNotReportedAsIncompleteCall(t *testing.T) {
+	var diskFull atomic.Bool
+	api := newFullTestAPIWith(t, func() error {
+		if diskFull.Load() {
+			return syscall.ENOSPC
+		}
+		return nil
+	})
+	api.pushRenewal(t, "job-1")
+	diskFull.Store(true)
+	status, text := api.call(t, putDiscard)
+	if status != http.StatusServiceUnavailable || !strings.Contains(text, "not on disk yet") {
+		t.Errorf("the response on a full disk: %d %q", status, text)
+	}
+	diskFull.Store(false)
+	api.mustStore(t, "the change when there is space", api.service.AfterSync)
+	if _, text := api.call(t, "GET /control/jobs/show?id=job-1 HTTP/1.1\r\n\r\n"); !strings.Contains(text, `"discarded"`) {
+		t.Errorf("the job afterwards: %q", text)
+	}
+}
