Admin API: jobs of a store that the other process has are neither listed nor changed

Operators saw, during and after a replacement: the predecessor listed jobs as they had been and answered changes with 500; the successor said 'no queue is durable here: no operator's file says so' until it had the store.

Cause: the API used the service whatever its state, and took a successor without the store for a process without durable queues.

Change: both answer 503, 'the other process has the store'.

The real processes of TestDurableRequestsOnOpenConnectionsAfterStoreIsReleased check both sides.

--- a/cmd/dispatcher/durableconnections_test.go
+++ b/cmd/dispatcher/durableconnections_test.go
@@ -55,6 +55,16 @@
 	return connections
 }
 
+// checkJobsElsewhere checks that the admin API of a process says that the other process has
+// the durable jobs.
+func checkJobsElsewhere(t *testing.T, what string, daemon *testDaemon) {
+	t.Helper()
+	status, text := daemon.callAdmin(http.MethodGet, "/control/jobs")
+	if status != http.StatusServiceUnavailable {
+		t.Errorf("the list of jobs of %s: status %d, %q", what, status, text)
+	}
+}
+
 // A process gives its store to a successor while clients keep their connections and send
 // renewals on them. Each must be answered at once, and truly: one that is not stored must not
 // be answered with 202, or left without an answer when the process exits. One that is asked
@@ -66,8 +76,10 @@
 	connections := daemon.connectServed(2 * len(timesLeft))
 	successor := daemon.startSuccessor()
 	successor.waitUntil("the successor is ready", successor.ready)
+	checkJobsElsewhere(t, "a successor that has not got the store", successor)
 	daemon.signal(syscall.SIGTERM)
 	successor.waitForLog("durable jobs taken over")
+	checkJobsElsewhere(t, "a predecessor that has given up the store", daemon.testDaemon)
 	for i, connection := range connections {
 		key := fmt.Sprint("after-", i)
 		sentAt := time.Now()
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -29,6 +29,7 @@
 	SetOutOfService func(out bool) error    // begins or ends a drain; the text of an error is sent to the caller
 	Gate            *listener.Gate          // admits connections; nil if all are admitted
 	Jobs            func() *durable.Service // durable jobs; nil, or returns nil, if there are none
+	JobsElsewhere   func() bool             // reports whether the predecessor has the durable jobs; nil if there is none
 	Membership      func() discovery.Stats  // statistics of the endpoint list; nil if not available
 }
 
--- a/internal/admin/jobs.go
+++ b/internal/admin/jobs.go
@@ -29,6 +29,16 @@
 	return c.api.operations.Jobs()
 }
 
+// jobsElsewhere reports whether another process has the durable jobs: the predecessor, or the
+// successor to which this process has given them.
+func (c *call) jobsElsewhere() bool {
+	service := c.jobService()
+	if service != nil {
+		return !service.IsOpen()
+	}
+	return c.api.operations.JobsElsewhere != nil && c.api.operations.JobsElsewhere()
+}
+
 // getJobs responds with a page of the durable jobs that match the parameters state and
 // class.
 func (c *call) getJobs(query string) {
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -44,6 +44,8 @@
 		c.respond(statusNotFound, "no such call\n", "")
 	case request.Method != matched.method:
 		c.respond(statusMethodNotAllowed, matched.method+" only\n", "Allow: "+matched.method+"\r\n")
+	case matched.needsJobs && c.jobsElsewhere():
+		c.respond(statusServiceUnavailable, "the other process has the store\n", "")
 	case matched.needsJobs && c.jobService() == nil:
 		c.respond(statusConflict, "no queue is durable here: no operator's file says so\n", "")
 	default:
--- a/internal/admin/storing_test.go
+++ b/internal/admin/storing_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // putDiscard is a call that discards a job.
@@ -34,3 +35,19 @@
 		t.Errorf("the job afterwards: %q", text)
 	}
 }
+
+// A process has given its store to its successor. It must neither change jobs nor list them
+// as they were: what it knows of them is out of date.
+func TestJobsOfGivenUpStoreAreNeitherListedNorChanged(t *testing.T) {
+	api := newFullTestAPI(t)
+	api.pushRenewal(t, "job-1")
+	api.mustStore(t, "the close", func(done func(error)) {
+		api.service.Close(api.dispatcher.Loop.Now()+time.Second, done)
+	})
+	for _, call := range []string{putDiscard, "GET /control/jobs HTTP/1.1\r\n\r\n", "GET /control/jobs/show?id=job-1 HTTP/1.1\r\n\r\n"} {
+		status, text := api.call(t, call)
+		if status != http.StatusServiceUnavailable || !strings.Contains(text, "the other process has the store") {
+			t.Errorf("%.40q: %d %q", call, status, text)
+		}
+	}
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -133,6 +133,7 @@
 		Gate:            p.gate,
 		Membership:      p.registry.Stats,
 		Jobs:            func() *durable.Service { return p.frontEnds.faktory.DurableJobs() },
+		JobsElsewhere:   func() bool { return p.replacement.openFaktory != nil },
 	})
 	addr, err := api.Listen(p.config.Admin)
 	if err != nil {
