Replacement: a successor that is ending does not take over the store

Callers saw: a successor that got SIGTERM before its predecessor released the store opened it during its own shutdown, and ran the jobs in it for as long as there were any; SIGKILL would have left those at workers in doubt.

Cause: takeOverFaktory looked at no phase, and the shutdown had stopped only the front ends that existed when it began.

Change: a process that is ending leaves the store to the next one.

--- a/cmd/dispatcher/durableconnections_test.go
+++ b/cmd/dispatcher/durableconnections_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -293,3 +294,45 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+// A successor is ended before its predecessor gives up the store, and the predecessor right
+// after it. The successor must not take the store over: it would go on running the jobs that
+// wait in it until it is killed, which leaves those at workers in doubt.
+func TestEndingSuccessorDoesNotTakeOverStore(t *testing.T) {
+	const (
+		waitingJobs = 16
+		runTime     = 300 * time.Millisecond
+		killTime    = 3700 * time.Millisecond
+	)
+	daemon := startHandedOverDaemon(t)
+	daemon.worker.setRespond(respondUnprocessed)
+	for i := range waitingJobs {
+		daemon.connect().sendDurable(fmt.Sprint("waiting-", i), 8*time.Second)
+	}
+	daemon.waitUntil("all renewals are stored", func() bool {
+		_, list := daemon.callAdmin(http.MethodGet, "/control/jobs")
+		return strings.Count(list, `"idem:`) == waitingJobs
+	})
+	successor := daemon.startSuccessor()
+	successor.waitUntil("the successor is ready", successor.ready)
+	var running sync.Mutex
+	daemon.worker.setRespond(func(id string, conn net.Conn) bool {
+		running.Lock()
+		defer running.Unlock()
+		time.Sleep(runTime)
+		return respondDone(id, conn)
+	})
+	signalledAt := time.Now()
+	successor.signal(syscall.SIGTERM)
+	successor.waitUntil("the successor ends", func() bool { return !successor.ready() })
+	daemon.signal(syscall.SIGTERM)
+	if code := successor.waitForExit(); code != 0 || time.Since(signalledAt) > killTime {
+		t.Errorf("the successor exited with %d, %v after SIGTERM", code, time.Since(signalledAt))
+	}
+	if code := daemon.waitForExit(); code != 0 {
+		t.Errorf("the predecessor's exit code: %d", code)
+	}
+	if successor.hasLogged("durable jobs taken over") {
+		t.Error("the successor took the store over after its own SIGTERM")
+	}
+}
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -136,9 +136,10 @@
 }
 
 // takeOverFaktory opens the Faktory front end that the predecessor has released. While its
-// address or its store is still in use it tries again, until the loop time latest.
+// address or its store is still in use it tries again, until the loop time latest. A process
+// that is ending leaves it to the next one.
 func (p *process) takeOverFaktory(latest time.Duration) {
-	if p.replacement.openFaktory == nil {
+	if p.replacement.openFaktory == nil || p.phase == stopping {
 		return
 	}
 	loop := p.dispatcher.Loop
