--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -184,6 +184,8 @@
 	switch {
 	case sent.daemon.wasKilled(sent.sentAt, sent.closedAt):
 		c.excuse(excuseKilledInFlight)
+	case killedAfterTerm && killedShutdown.excuses(sent):
+		c.excuse(excuseKilledShutdown)
 	case killedAfterTerm:
 		c.addViolation(ruleLost, sent.sentAt, "%s came %v after SIGTERM and was unanswered at the kill", sent.id, sent.sentAt.Sub(killedShutdown.terminatedAt))
 	case c.arrived[sent.id]:
@@ -197,6 +199,12 @@
 	}
 }
 
+// excuses reports whether a request may be unanswered when the process is killed after its SIGTERM: it arrived by
+// readAfterTerm, and its client's time was not over.
+func (s shutdown) excuses(sent *request) bool {
+	return !sent.timeRunsFrom().After(s.terminatedAt.Add(readAfterTerm)) && sent.sentAt.Add(sent.timeout).After(s.killedAt)
+}
+
 func (c *ruleChecker) checkAttempts() {
 	requests := map[string]*request{}
 	for i := range c.run.records.requests {
--- a/internal/rehearsal/soak/shutdown.go
+++ b/internal/rehearsal/soak/shutdown.go
@@ -13,8 +13,8 @@
 
 const (
 	// killAfterTerm is the shortest time after a SIGTERM at which the process may be killed: the longest deadline of
-	// any class, but at least 3 s, plus 0.7 s. The longest deadline is renewalTimeout, which is more than 3 s.
-	killAfterTerm = renewalTimeout + readAfterTerm
+	// any class, taken as 3 s where it is longer, plus 0.7 s.
+	killAfterTerm = min(renewalTimeout, 3*time.Second) + readAfterTerm
 
 	// readAfterTerm is how long after a SIGTERM a request may arrive and must still receive its final answer.
 	readAfterTerm = 700 * time.Millisecond
--- a/internal/rehearsal/soak/timeline.go
+++ b/internal/rehearsal/soak/timeline.go
@@ -10,10 +10,12 @@
 type excuse string
 
 // The excuses. Only SIGKILL and SIGSTOP excuse a missing answer. SIGKILL excuses only requests that were in flight or
-// for which no connection could be opened.
+// for which no connection could be opened. The SIGKILL after a SIGTERM excuses only requests that arrived by
+// readAfterTerm and whose time was not over.
 const (
 	excuseKilledInFlight excuse = "killed, in flight"
 	excuseKilledRefused  excuse = "killed, not accepted"
+	excuseKilledShutdown excuse = "killed after SIGTERM, in its time"
 	excuseStopped        excuse = "stopped"
 )
 
