soak: a dispatcher with durable queues is replaced under clients that send keys

Rules: a whole answer in time; a close only as it crosses; what was answered 200 or 202 is stored and runs; what was answered 503 each time is not.

--- a/internal/rehearsal/soak/clients.go
+++ b/internal/rehearsal/soak/clients.go
@@ -26,6 +26,7 @@
 const (
 	correlationHeader = "X-Correlation-Id"
 	timeLeftHeader    = "X-Time-Left-Ms"
+	idempotencyHeader = "Idempotency-Key"
 )
 
 // A share of n means that one in n requests or clients, on average, has the property.
@@ -175,8 +176,12 @@
 	if sent.largeBody {
 		body = strings.Repeat("x", largeBodyBytes)
 	}
-	fmt.Fprintf(conn, "POST /%s/key-%02d HTTP/1.1\r\nHost: d\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		sent.class, sent.key, correlationHeader, sent.id, timeLeftHeader, sent.timeout.Milliseconds(), len(body), body)
+	idempotency := ""
+	if sent.idempotencyKey != "" {
+		idempotency = fmt.Sprintf("%s: %s\r\n", idempotencyHeader, sent.idempotencyKey)
+	}
+	fmt.Fprintf(conn, "POST /%s/key-%02d HTTP/1.1\r\nHost: d\r\n%s: %s\r\n%s%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		sent.class, sent.key, correlationHeader, sent.id, idempotency, timeLeftHeader, sent.timeout.Milliseconds(), len(body), body)
 	sent.writtenAt = time.Now()
 	if sent.extraBytes > 0 {
 		io.WriteString(conn, strings.Repeat("x", sent.extraBytes))
--- a/internal/rehearsal/soak/durable.go
+++ b/internal/rehearsal/soak/durable.go
@@ -14,8 +14,15 @@
 	"hollyyoke.example/hollyyoke/internal/rehearsal/childprocess"
 )
 
+// The dispatchers with durable queues, by number.
+const (
+	restartedQueue   = iota // is ended and restarted
+	diskFailingQueue        // writes and syncs of its file fail
+	replacedQueue           // its process is replaced by successors, and HTTP clients send it requests with keys
+	durableQueues
+)
+
 const (
-	durableQueues    = 2 // dispatchers with a durable queue: the first is ended and restarted, the disk of the last fails
 	durableProducers = 2 // for each queue
 	durableWorkers   = 2 // for each queue
 
@@ -40,17 +47,18 @@
 type durableQueue struct {
 	*daemon
 	address string // address of the Faktory front end
+	number  int    // restartedQueue, diskFailingQueue or replacedQueue
 
 	mutex    sync.Mutex
 	pushed   []string        // every jid that was pushed, in order
 	accepted map[string]bool // by jid, whether the producer has received +OK
 	runs     map[string]int  // by jid, number of runs
 	lastRun  time.Time
+	keyed    []keyedRequest // of HTTP clients
 }
 
-// newDurableQueue prepares a dispatcher with a durable queue. If diskFails is true, a tracer of its system calls makes
-// some of its writes and syncs of files fail.
-func (r *run) newDurableQueue(number int, diskFails bool, seed uint64) (*durableQueue, error) {
+// newDurableQueue prepares the dispatcher with a durable queue that has a number.
+func (r *run) newDurableQueue(number int, seed uint64) (*durableQueue, error) {
 	daemon, err := r.newDaemon(r.config.Daemons+number, false, seed)
 	if err != nil {
 		return nil, err
@@ -63,25 +71,32 @@
 	if err != nil {
 		return nil, err
 	}
+	queues := fmt.Sprintf("%q", classRenewal)
+	if number == replacedQueue {
+		queues = fmt.Sprintf("%q, %q, %q", classRenewal, classStatusCheck, classTransfer) // a direct queue could not be handed over
+		if err := daemon.inheritListener(r.dir); err != nil {
+			return nil, err
+		}
+	}
 	optionsPath := filepath.Join(r.dir, daemon.name+".toml")
-	options := fmt.Sprintf("listen = %q\n[durable]\npath = %q\nqueues = [%q]\nlease_s = %d\ngrace_s = %d\n",
-		address, filepath.Join(r.dir, daemon.name+".db"), classRenewal, durableLeaseSeconds, durableLeaseSeconds)
+	options := fmt.Sprintf("listen = %q\n[durable]\npath = %q\nqueues = [%s]\nlease_s = %d\ngrace_s = %d\n",
+		address, filepath.Join(r.dir, daemon.name+".db"), queues, durableLeaseSeconds, durableLeaseSeconds)
 	if err := os.WriteFile(optionsPath, []byte(options), filePermissions); err != nil {
 		return nil, err
 	}
 	daemon.options = []string{traceOption, "--faktory", optionsPath}
-	if diskFails {
+	if number == diskFailingQueue {
 		daemon.tracer = newDiskTracer(seed, r.config.Duration)
 	}
 	daemon.isHealthy = func() bool { return acceptsFaktory(address) }
-	return &durableQueue{daemon: daemon, address: address, accepted: map[string]bool{}, runs: map[string]int{}}, nil
+	return &durableQueue{daemon: daemon, address: address, number: number, accepted: map[string]bool{}, runs: map[string]int{}}, nil
 }
 
 // startDurable starts the dispatchers with durable queues, and waits until they are ready.
 func (r *run) startDurable() error {
 	random := rand.New(rand.NewPCG(r.config.Seed, durableSeedStream))
 	for number := range durableQueues {
-		queue, err := r.newDurableQueue(number, number == durableQueues-1, random.Uint64())
+		queue, err := r.newDurableQueue(number, random.Uint64())
 		if err != nil {
 			return err
 		}
@@ -112,8 +127,12 @@
 	}
 	producersAndFaults.Go(func() { queue.runInvalidReporter(ctx, "rogue", random(20)) })
 	producersAndFaults.Go(func() { queue.runInvalidReporter(ctx, "", random(21)) })
-	if queue.tracer == nil {
+	switch queue.number {
+	case restartedQueue:
 		producersAndFaults.Go(func() { queue.restartRepeatedly(ctx, random(30)) })
+	case replacedQueue:
+		producersAndFaults.Go(func() { r.replaceRepeatedly(ctx, queue.daemon, random(30)) })
+		producersAndFaults.Go(func() { r.runKeyedClients(ctx, queue, random(40)) })
 	}
 	producersAndFaults.Wait()
 	for faultsEnd := time.Now(); !queue.allAcceptedRan() && !queue.noRunSince(faultsEnd); {
--- a/internal/rehearsal/soak/records.go
+++ b/internal/rehearsal/soak/records.go
@@ -48,6 +48,7 @@
 	daemon           *daemon
 	timeout          time.Duration
 	key              int       // number of the key in its path
+	idempotencyKey   string    // with which it is sent, or empty
 	largeBody        bool      // its body has largeBodyBytes
 	extraBytes       int       // number of bytes that the client writes after the request
 	connectedAt      time.Time // when the connection was opened
--- a/internal/rehearsal/soak/replacement.go
+++ b/internal/rehearsal/soak/replacement.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -109,7 +110,13 @@
 // dispatcher, a dispatcher without one is a violation.
 func (c *ruleChecker) countReplacements() {
 	const leadTime = successorTimeout // maximum duration of the first replacement
-	for _, target := range c.run.replaced {
+	targets := slices.Clone(c.run.replaced)
+	for _, queue := range c.run.queues {
+		if queue.number == replacedQueue {
+			targets = append(targets, queue.daemon)
+		}
+	}
+	for _, target := range targets {
 		made := int(target.replacements.Load())
 		c.report.Replacements += made
 		if made == 0 && c.run.config.Duration > maxReplacementPause+leadTime {
--- a/internal/rehearsal/soak/report.go
+++ b/internal/rehearsal/soak/report.go
@@ -20,6 +20,8 @@
 	Incomplete       int            // attempts that broke off before a worker had received them completely
 	Pushed           int            // jobs that were pushed to durable queues
 	Accepted         int            // pushed jobs that were answered with +OK
+	Keyed            int            // requests with an idempotency key, to a durable queue whose process is replaced
+	KeyedRefused     int            // of these, those that were rejected each time, and must not be stored
 	Runs             int            // runs of jobs from durable queues, including jobs whose producer left before the reply
 	Replacements     int            // processes that were replaced by successors
 	Faults           int            // scheduled faults
@@ -46,8 +48,8 @@
 
 // String returns the report as a line that begins with the seed, and a line for each of the first violations.
 func (r Report) String() string {
-	lines := []string{fmt.Sprintf("seed %d: %d requests, %d answered in time (%d served), %d crossed a close, excused %s; %d attempts at workers, %d incomplete; %d jobs pushed, %d accepted, %d ran; %d replaced; %d faults, %.1f attempts in flight at each; timers at most %v late, %d bounds kept by lateness alone; %d violations",
-		r.Seed, r.Requests, r.Answered, r.Served, r.CrossedClose, r.excuses(), r.Attempts, r.Incomplete, r.Pushed, r.Accepted, r.Runs, r.Replacements, r.Faults, r.MeanInFlight, r.MaxTimerLateness.Round(time.Millisecond), r.KeptByLateness, len(r.Violations))}
+	lines := []string{fmt.Sprintf("seed %d: %d requests, %d answered in time (%d served), %d crossed a close, excused %s; %d attempts at workers, %d incomplete; %d jobs pushed, %d accepted, %d ran, %d of them with keys, %d refused; %d replaced; %d faults, %.1f attempts in flight at each; timers at most %v late, %d bounds kept by lateness alone; %d violations",
+		r.Seed, r.Requests, r.Answered, r.Served, r.CrossedClose, r.excuses(), r.Attempts, r.Incomplete, r.Pushed, r.Accepted, r.Runs, r.Keyed, r.KeyedRefused, r.Replacements, r.Faults, r.MeanInFlight, r.MaxTimerLateness.Round(time.Millisecond), r.KeptByLateness, len(r.Violations))}
 	lines = append(lines, r.Violations[:min(len(r.Violations), maxShownViolations)]...)
 	return strings.Join(lines, "\n  ")
 }
--- a/internal/rehearsal/soak/rules.go
+++ b/internal/rehearsal/soak/rules.go
@@ -110,6 +110,7 @@
 		c.report.Violations = append(c.report.Violations, daemon.violations()...)
 	}
 	for _, queue := range c.run.queues {
+		c.checkKeyed(queue)
 		queue.fetchInvariants()
 		c.report.Violations = append(c.report.Violations, queue.violations()...)
 		c.report.Pushed += len(queue.pushed)
--- a/internal/rehearsal/soak/soak.go
+++ b/internal/rehearsal/soak/soak.go
@@ -23,7 +23,7 @@
 	Duration      time.Duration // how long faults and clients run; default 30 s
 	Rate          float64       // requests per second to each dispatcher; default 6
 	TracedDaemons int           // number of dispatchers whose system calls fail and whose wall clocks step; default an eighth of Daemons
-	Durable       bool          // whether two more dispatchers have durable queues; always true for even seeds
+	Durable       bool          // whether three more dispatchers have durable queues; always true for even seeds
 }
 
 const (
@@ -208,6 +208,9 @@
 	}
 	for number, queue := range r.queues {
 		running.Go(func() { r.runDurable(ctx, number, queue) })
+		if queue.number == replacedQueue {
+			go queue.measureLoop(stop)
+		}
 	}
 	for number, target := range r.replaced {
 		clients := rand.New(rand.NewPCG(r.config.Seed, uint64(replacementStreamBase+1+2*number)))
--- a/internal/rehearsal/soak/soak_test.go
+++ b/internal/rehearsal/soak/soak_test.go
@@ -61,3 +61,21 @@
 		t.Errorf("%d of %d requests were served, %d of %d jobs accepted, %d ran", report.Served, report.Requests, report.Accepted, report.Pushed, report.Runs)
 	}
 }
+
+// Guards against violations while a process with durable queues is replaced and HTTP clients go on using their open
+// connections: each request must be answered, and what is accepted must be stored and run. There are two other
+// dispatchers only, so that hardly anything else can fail.
+func TestSoakReplacesDurableProcess(t *testing.T) {
+	report, err := Run(context.Background(), Config{Program: program, Seed: 10, Daemons: 2, Duration: 25 * time.Second, Durable: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	if len(report.Violations) > 0 {
+		t.Error("rules were violated")
+	}
+	if report.Keyed < 200 || report.Replacements < 5 || report.KeyedRefused == report.Keyed {
+		t.Errorf("%d requests with keys, %d of them refused, and %d replacements; want at least 200 and 5, and not all refused",
+			report.Keyed, report.KeyedRefused, report.Replacements)
+	}
+}
