Store: a file that was replaced while its lock was awaited is not used

Cause: bbolt.Open opens the file and then waits for its lock. Compact renames its copy over the path while it holds the lock of the old file, so the waiting process got the lock of a file without a name.

Change: openFile compares the locked file with the one at the path and opens the new one if they differ. Whoever replaces the file holds the lock of the current one.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"time"
 
@@ -75,17 +76,57 @@
 	return store, nil
 }
 
-// openFile opens a file. If another process has it open, it waits for up to timeout until that one closes it.
+// openFile opens a file. If another process has it open, it waits for up to timeout until that one closes it. If that
+// one has replaced the file meanwhile, openFile opens the new one.
 func openFile(path string, timeout time.Duration) (db *bbolt.DB, err error) {
-	defer recoverDamaged(path+": ", &err)
-	db, err = bbolt.Open(path, fileMode, fileOptions(timeout))
-	if errors.Is(err, bbolterrors.ErrTimeout) {
-		return nil, fmt.Errorf("%s: another process has it open", path)
+	for {
+		db, replaced, err := openLocked(path, timeout)
+		if errors.Is(err, bbolterrors.ErrTimeout) {
+			return nil, fmt.Errorf("%s: another process has it open", path)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		if !replaced {
+			return db, nil
+		}
+		if err := db.Close(); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
 	}
+}
+
+// openLocked opens a file and waits for its lock. replaced reports whether there is another file at the path by then: the
+// lock is of the file that was opened, and whoever held it may have put a new one in its place.
+func openLocked(path string, timeout time.Duration) (db *bbolt.DB, replaced bool, err error) {
+	defer recoverDamaged("", &err)
+	options := fileOptions(timeout)
+	var opened os.FileInfo
+	options.OpenFile = func(name string, flag int, mode os.FileMode) (*os.File, error) {
+		file, err := os.OpenFile(name, flag, mode)
+		if err != nil {
+			return nil, err
+		}
+		opened, err = file.Stat()
+		if err != nil {
+			file.Close()
+			return nil, err
+		}
+		return file, nil
+	}
+	db, err = bbolt.Open(path, fileMode, options)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, false, err
+	}
+	current, err := os.Stat(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return db, true, nil
+	}
+	if err != nil {
+		db.Close()
+		return nil, false, err
 	}
-	return db, nil
+	return db, !os.SameFile(opened, current), nil
 }
 
 // fileOptions are the options with which bbolt opens a file.
