Membership: the endpoint list ages while no membership server confirms it

Cause: Registry.currentState took the list for current whenever servers are followed, and the follower never told the tracker of a confirmation or a failure.

Change: the server in use confirms the list by accepting a watch and by each line of it, not by polls, which a relay without an upstream answers too. A failure while no server is in use is recorded as that of a discovery watch. A successor takes over the age of its predecessor's list.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -199,6 +199,7 @@
 // subscriptionFailed closes a subscription that has failed, and continues with another server.
 func (f *membershipFollower) subscriptionFailed(failed *subscription, cause error) {
 	loop := f.registry.dispatcher.Loop
+	failure := failed.classifyFailure(cause)
 	failed.close()
 	f.selector.MarkFailed(loop.Now(), failed.server.Address)
 	if failed == f.active {
@@ -211,5 +212,9 @@
 		f.outageLogged = true // one log line for an outage, not one for each attempt
 		f.registry.dispatcher.Log("membership: " + failed.server.Address + ": " + cause.Error())
 	}
+	if f.active == nil {
+		f.registry.freshness.tracker.Failed(loop.Now(), failure)
+		f.registry.refreshAndSchedule()
+	}
 	f.connect()
 }
--- a/internal/discovery/handover.go
+++ b/internal/discovery/handover.go
@@ -41,7 +41,11 @@
 		return err
 	}
 	if r.follower != nil {
-		return r.follower.adoptHandover(&list)
+		if err := r.follower.adoptHandover(&list); err != nil {
+			return err
+		}
+		r.recordHandoverAge(&list)
+		return nil
 	}
 	entries, err := r.parseAndAdopt(list.Endpoints)
 	if err != nil {
@@ -49,11 +53,16 @@
 	}
 	r.watch.version = max(r.watch.version, list.Version)
 	r.replaceAll(entries)
+	r.recordHandoverAge(&list)
+	return nil
+}
+
+// recordHandoverAge records how long ago the list of the predecessor was confirmed to it.
+func (r *Registry) recordHandoverAge(list *endpointList) {
 	if list.AgeMs != nil {
 		r.freshness.tracker.HandedOver(r.dispatcher.Loop.Now(), time.Duration(*list.AgeMs)*time.Millisecond)
 	}
 	r.refreshAndSchedule()
-	return nil
 }
 
 // replaceAll replaces the known workers by a complete list, which has been adopted. If the initial list is still
--- a/internal/discovery/staleness.go
+++ b/internal/discovery/staleness.go
@@ -8,8 +8,8 @@
 	"hollyyoke.example/hollyyoke/internal/freshness"
 )
 
-// listFreshness determines how far requests may be sent by the endpoint list at present. Where the discovery watch is
-// the source, the list is
+// listFreshness determines how far requests may be sent by the endpoint list at present. The list, whether its source is
+// the discovery watch or a membership server, is
 //
 //   - current until shortly before freshness.NotificationBound has passed since the source last confirmed it. Requests
 //     are sent to all listed workers.
@@ -61,11 +61,12 @@
 	}
 }
 
-// currentState returns how far the list can be relied on now. A list does not become stale if membership servers are
-// followed, if there is no source, or before it is published. If health checks are off, an unconfirmed list counts as
-// current, since the workers cannot be checked.
+// currentState returns how far the list can be relied on now. A list does not become stale if there is no source, or
+// before it is published. If health checks are off, an unconfirmed list counts as current, since the workers cannot be
+// checked.
 func (r *Registry) currentState() freshness.State {
-	if r.follower != nil || r.watch.address == "" || r.initial.withheld() {
+	hasSource := r.follower != nil || r.watch.address != ""
+	if !hasSource || r.initial.withheld() {
 		return freshness.Current
 	}
 	state := r.freshness.tracker.State(r.dispatcher.Loop.Now())
@@ -75,7 +76,8 @@
 	return state
 }
 
-// sourceConfirmed records that a complete line of the discovery watch has been applied.
+// sourceConfirmed records that the source has confirmed the list: a complete line of the discovery watch has been
+// applied, or the membership server in use has accepted a watch or sent a line of it.
 func (r *Registry) sourceConfirmed() {
 	r.freshness.tracker.Confirmed(r.dispatcher.Loop.Now())
 	r.refreshAndSchedule()
--- a/internal/discovery/subscription.go
+++ b/internal/discovery/subscription.go
@@ -8,7 +8,9 @@
 	"strconv"
 	"time"
 
+	"hollyyoke.example/hollyyoke/internal/freshness"
 	"hollyyoke.example/hollyyoke/internal/membership"
+	"hollyyoke.example/hollyyoke/internal/transport"
 )
 
 // maxObjectTime is how long one object of a watch may take to arrive. It protects against a server that sends an object
@@ -54,6 +56,7 @@
 // membershipWatch is the connection for watches, and the stream in progress.
 type membershipWatch struct {
 	conn            httpConn
+	accepted        bool // the head of the response to the last watch has arrived
 	splitter        objectSplitter
 	objectStartedAt time.Duration      // when the object that is arriving began; 0 if none is
 	versionAtEnd    membership.Version // the newest version when the server last ended the watch without an error
@@ -158,6 +161,7 @@
 		return
 	}
 	s.exclusiveUntil = s.now() + responseStagger
+	s.watch.accepted = false
 	s.watch.conn.get(s.requestTarget("watch=1&", change.version))
 	if s == follower.active {
 		follower.acknowledgement.recordSent(s.now(), s.poll.after)
@@ -186,9 +190,39 @@
 // onWatchProgress makes this server the one in use when the response to its watch begins, if no server is in use.
 func (s *subscription) onWatchProgress() {
 	follower := s.follower
-	if follower.active == nil && s.watch.conn.response.headRead {
+	if !s.watch.conn.response.headRead {
+		return
+	}
+	if follower.active == nil {
 		follower.activate(s)
 	}
+	if !s.watch.accepted {
+		s.watch.accepted = true
+		s.confirmList()
+	}
+}
+
+// confirmList records that the server vouches for the state in force, if it is the server in use. It does so by accepting
+// a watch and by each line of it: a server without a source of its own accepts no watch, but it answers polls.
+func (s *subscription) confirmList() {
+	if s == s.follower.active {
+		s.follower.registry.sourceConfirmed()
+	}
+}
+
+// classifyFailure decides whether a failure of the subscription counts as one that did not reach the server, or as one
+// that reached it and broke off. It must be called before close.
+func (s *subscription) classifyFailure(cause error) freshness.Failure {
+	var status statusError
+	switch {
+	case errors.As(cause, &status), transport.IsLocalError(cause):
+		return freshness.SourceUnreachable
+	case cause == errWatchEnded && !s.watch.splitter.midObject(): // as in an orderly shutdown
+		return freshness.SourceUnreachable
+	case s.poll.conn.response.headRead, s.watch.conn.response.headRead:
+		return freshness.IncompleteResponse
+	}
+	return freshness.SourceUnreachable
 }
 
 // onWatchEnded handles the end of the watch. A server ends the watch without an error if a change is better fetched by a
@@ -244,6 +278,7 @@
 	if s != follower.active && s.version >= follower.inForce.version {
 		follower.activate(s)
 	}
+	s.confirmList()
 	return nil
 }
 
