Replacement: the store is kept until HTTP workers have ended their durable jobs

Callers saw: at a replacement's SIGTERM the attempts of durable renewals at HTTP workers were cut off.

Cause: the release cancelled every job, as 'their leases stay in force: the workers report to the next process'. An HTTP worker has only the connection that this closes.

Change: the scheduler knows which attempts are at workers that report to this process alone.

--- a/cmd/dispatcher/durableconnections_test.go
+++ b/cmd/dispatcher/durableconnections_test.go
@@ -295,6 +295,22 @@
 	}
 }
 
+// respondOneAtATime returns a responder that runs requests one after the other. It sends a
+// value to started when it has received one, as long as there is space.
+func respondOneAtATime(runTime time.Duration, started chan<- struct{}) responder {
+	var running sync.Mutex
+	return func(id string, conn net.Conn) bool {
+		select {
+		case started <- struct{}{}:
+		default:
+		}
+		running.Lock()
+		defer running.Unlock()
+		time.Sleep(runTime)
+		return respondDone(id, conn)
+	}
+}
+
 // A successor is ended before its predecessor gives up the store, and the predecessor right
 // after it. The successor must not take the store over: it would go on running the jobs that
 // wait in it until it is killed, which leaves those at workers in doubt.
@@ -315,13 +331,7 @@
 	})
 	successor := daemon.startSuccessor()
 	successor.waitUntil("the successor is ready", successor.ready)
-	var running sync.Mutex
-	daemon.worker.setRespond(func(id string, conn net.Conn) bool {
-		running.Lock()
-		defer running.Unlock()
-		time.Sleep(runTime)
-		return respondDone(id, conn)
-	})
+	daemon.worker.setRespond(respondOneAtATime(runTime, make(chan struct{}, waitingJobs)))
 	signalledAt := time.Now()
 	successor.signal(syscall.SIGTERM)
 	successor.waitUntil("the successor ends", func() bool { return !successor.ready() })
@@ -336,3 +346,39 @@
 		t.Error("the successor took the store over after its own SIGTERM")
 	}
 }
+
+// A process is replaced while HTTP workers run renewals, one at a time, so that others wait
+// at the worker. The workers can report only to the process that sent them the renewals: it
+// must keep the store until they have, or the renewals are in doubt although nothing failed.
+func TestReplacementAwaitsRenewalsOfHTTPWorkers(t *testing.T) {
+	const runTime = 300 * time.Millisecond
+	daemon := startHandedOverDaemon(t)
+	daemon.worker.setRespond(respondDone)
+	started := make(chan struct{}, 100)
+	connections := daemon.connectServed(4) // the predecessor accepts no others once the successor serves
+	successor := daemon.startSuccessor()
+	successor.waitUntil("the successor is ready", successor.ready)
+	daemon.worker.setRespond(respondOneAtATime(runTime, started))
+	var keys []string
+	for i, connection := range connections {
+		key := fmt.Sprint("running-", i)
+		keys = append(keys, key)
+		connection.sendDurable(key, 8*time.Second)
+	}
+	<-started
+	daemon.signal(syscall.SIGTERM)
+	if code := daemon.waitForExit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	successor.waitForLog("durable jobs taken over")
+	for _, key := range keys {
+		if status := daemon.renewUntilDone(key); status != http.StatusOK {
+			t.Errorf("%s, asked again: status %d", key, status)
+		}
+	}
+	for id, runs := range daemon.worker.runsByID() {
+		if runs != 1 {
+			t.Errorf("%s ran %d times", id, runs)
+		}
+	}
+}
--- a/internal/durable/leasing.go
+++ b/internal/durable/leasing.go
@@ -68,6 +68,9 @@
 	s := a.scheduler
 	s.markLeased(a.assignment)
 	if !s.workers.SendsHeartbeats(job.Worker) { // instead, the attempt shows that it is alive, up to its deadline
+		if a.assignment != nil {
+			a.assignment.bound = true
+		}
 		deadline := s.dispatcher.Settings.Classes[s.classes[job.Class]].Deadline
 		s.service.Extend(job.ID, job.Fence, s.dispatcher.Loop.Now()+deadline)
 	}
@@ -95,6 +98,7 @@
 		return
 	}
 	assignment.leased = false
+	assignment.bound = false
 	s.unleasedAssignments++
 }
 
--- a/internal/durable/scheduler.go
+++ b/internal/durable/scheduler.go
@@ -69,6 +69,7 @@
 	request uint64 // the dispatcher's handle of the request
 	class   int
 	leased  bool // the lease of an attempt is on disk, so the job needs no other free slot
+	bound   bool // its attempt is at a worker that can report the result to this process only
 }
 
 // NewScheduler connects a service to a dispatcher. The service must be started after that.
@@ -100,8 +101,20 @@
 // Stop begins a graceful shutdown: no more jobs are passed to the dispatcher.
 func (s *Scheduler) Stop() { s.stopped = true }
 
+// BoundAttempts returns the number of attempts that are at workers which can report only to this process, since they
+// answer on the connection that the attempt came on. If such an attempt is cancelled, its job is in doubt.
+func (s *Scheduler) BoundAttempts() int {
+	count := 0
+	for _, assignment := range s.assignmentsByJob {
+		if assignment.bound {
+			count++
+		}
+	}
+	return count
+}
+
 // Release cancels all jobs at the dispatcher. Their leases stay in force: the workers report to the next process that
-// opens the store.
+// opens the store, if they can.
 func (s *Scheduler) Release() {
 	s.stopped = true
 	for _, assignment := range s.assignmentsByJob {
--- a/internal/faktory/release.go
+++ b/internal/faktory/release.go
@@ -10,40 +10,59 @@
 	// yet, before it closes the store, which answers them.
 	releaseTimeout = time.Second
 
-	// releasePollInterval is how often a release checks for such connections.
+	// releaseMargin is the time before the end of a release at which attempts are given up,
+	// so that the store can be closed.
+	releaseMargin = 300 * time.Millisecond
+
+	// releasePollInterval is how often a release checks what it waits for.
 	releasePollInterval = 5 * time.Millisecond
 )
 
-// releaseDurable closes each connection once its command is answered, then closes
-// the store and calls done. The workers reconnect to the successor and report
-// their jobs there.
+// releaseDurable waits for the attempts whose workers can report only to this process.
+// Then it closes each connection once its command is answered, closes the store and calls
+// done. The other workers reconnect to the successor and report their jobs there.
 func (s *Server) releaseDurable(answerBy time.Duration, done func()) {
-	s.acceptor.Close()
-	s.durable.scheduler.Release()
 	release := &storeRelease{
-		server:    s,
-		waitUntil: min(s.dispatcher.Loop.Now()+releaseTimeout, answerBy),
-		answerBy:  answerBy,
-		done:      done,
+		server:        s,
+		attemptsUntil: answerBy - releaseMargin,
+		answerBy:      answerBy,
+		done:          done,
 	}
-	release.advance()
+	release.awaitAttempts()
 }
 
 // storeRelease is a release of the store in progress.
 type storeRelease struct {
-	server    *Server
-	waitUntil time.Duration // loop time until which commands are awaited before the store is closed
-	answerBy  time.Duration // loop time by which all commands are answered
-	done      func()
+	server        *Server
+	attemptsUntil time.Duration // loop time until which attempts are awaited
+	commandsUntil time.Duration // loop time until which commands are awaited before the store is closed
+	answerBy      time.Duration // loop time by which all commands are answered
+	done          func()
+}
+
+// awaitAttempts begins to close the connections once no attempt is at a worker that can
+// report only to this process, or the time has come. Until then the front end serves its
+// clients, and stores what they report.
+func (r *storeRelease) awaitAttempts() {
+	loop := r.server.dispatcher.Loop
+	scheduler := r.server.durable.scheduler
+	if scheduler.BoundAttempts() > 0 && loop.Now() < r.attemptsUntil {
+		loop.After(releasePollInterval, r.awaitAttempts)
+		return
+	}
+	r.server.acceptor.Close()
+	scheduler.Release()
+	r.commandsUntil = min(loop.Now()+releaseTimeout, r.answerBy)
+	r.awaitCommands()
 }
 
-// advance closes the connections that can be closed, and the store once none is left
+// awaitCommands closes the connections that can be closed, and the store once none is left
 // or the time has come.
-func (r *storeRelease) advance() {
+func (r *storeRelease) awaitCommands() {
 	loop := r.server.dispatcher.Loop
 	r.server.closeAnswered()
-	if r.server.connections.Len() > 0 && loop.Now() < r.waitUntil {
-		loop.After(releasePollInterval, r.advance)
+	if r.server.connections.Len() > 0 && loop.Now() < r.commandsUntil {
+		loop.After(releasePollInterval, r.awaitCommands)
 		return
 	}
 	r.server.closeStore(r.answerBy, func() {
