--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -133,7 +133,7 @@
 // deadlineOf returns the clock time by which the final response to a request must leave, counted from the arrival of the
 // request. It is not before now.
 func (d *Dispatcher) deadlineOf(request *Request, now time.Duration) time.Duration {
-	return max(request.ArrivedAt+d.timeoutOf(request)-responseMargin, now)
+	return max(request.ArrivedAt+d.ClientTimeout(request)-responseMargin, now)
 }
 
 // timeLeftOf is timeLeftToDecide for the request with a handle. It returns 0 if the request has ended.
@@ -152,11 +152,11 @@
 	if open.deadline <= now {
 		return 0
 	}
-	return max(open.ReceivedAt+d.timeoutOf(&open.Request)-responseMargin-now, 0)
+	return max(open.ReceivedAt+d.ClientTimeout(&open.Request)-responseMargin-now, 0)
 }
 
-// timeoutOf returns how long the client of a request waits for the response.
-func (d *Dispatcher) timeoutOf(request *Request) time.Duration {
+// ClientTimeout returns how long the client of a request waits for the response, counted from the request's arrival.
+func (d *Dispatcher) ClientTimeout(request *Request) time.Duration {
 	timeout := d.Settings.Classes[request.Class].Deadline
 	if request.TimeLeft > 0 {
 		timeout = min(timeout, request.TimeLeft)
--- a/internal/durable/diskfull_test.go
+++ b/internal/durable/diskfull_test.go
@@ -158,18 +158,24 @@
 	}
 }
 
-// An operator's change whose first write fails is written again until the disk takes it. The operator must be told that
-// it is done only then: not by the success of a later write, and not with an error while the change is still coming.
-func TestOperatorChangeIsConfirmedOnceItIsOnDisk(t *testing.T) {
-	var failNext atomic.Int32
+// openFailing opens a service whose next writes fail, as many as failNext says. It returns the path of its store too.
+func openFailing(t *testing.T, failNext *atomic.Int32) (service *testService, path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "jobs.db")
 	writeError := func() error {
 		if failNext.Add(-1) >= 0 {
 			return syscall.ENOSPC
 		}
 		return nil
 	}
-	path := filepath.Join(t.TempDir(), "jobs.db")
-	s := openTest(t, Config{Path: path, Store: store.Options{InjectWriteError: writeError}})
+	return openTest(t, Config{Path: path, Store: store.Options{InjectWriteError: writeError}}), path
+}
+
+// An operator's change whose first write fails is written again until the disk takes it. The operator must be told that
+// it is done only then: not by the success of a later write, and not with an error while the change is still coming.
+func TestOperatorChangeIsConfirmedOnceItIsOnDisk(t *testing.T) {
+	var failNext atomic.Int32
+	s, path := openFailing(t, &failNext)
 	if err := s.push(jobs.Job{ID: "r", Class: "renewal", NonIdempotent: true}); err != nil {
 		t.Fatal(err)
 	}
@@ -200,14 +206,7 @@
 // write fails.
 func TestAuditSurvivesFailedWrite(t *testing.T) {
 	var failNext atomic.Int32
-	writeError := func() error {
-		if failNext.Add(-1) >= 0 {
-			return syscall.ENOSPC
-		}
-		return nil
-	}
-	path := filepath.Join(t.TempDir(), "jobs.db")
-	s := openTest(t, Config{Path: path, Store: store.Options{InjectWriteError: writeError}})
+	s, path := openFailing(t, &failNext)
 	for _, id := range []string{"discarded", "killed"} {
 		if err := s.push(jobs.Job{ID: id, Class: "renewal", NonIdempotent: true}); err != nil {
 			t.Fatal(err)
--- a/internal/httpfront/idempotency.go
+++ b/internal/httpfront/idempotency.go
@@ -44,7 +44,7 @@
 	job := frontEnd.durableJob(request, message.Body, key)
 	c.input.consume(message.Size)
 	c.beginService()
-	pending := newDurableRequest(c, frontEnd.durable, job.ID, request.ArrivedAt+frontEnd.clientTimeout(request))
+	pending := newDurableRequest(c, frontEnd.durable, job.ID, request.ArrivedAt+frontEnd.dispatcher.ClientTimeout(&request))
 	c.response.durable = pending
 	frontEnd.durable.Push(job, 0, pending.onPushed)
 }
@@ -71,12 +71,3 @@
 	}
 	return stored.Job(key, class.Name, class.Idempotency != decision.Idempotent)
 }
-
-// clientTimeout returns how long the client of a request waits for the response, counted from the request's arrival.
-func (f *FrontEnd) clientTimeout(request dispatch.Request) time.Duration {
-	timeout := f.dispatcher.Settings.Classes[request.Class].Deadline
-	if request.TimeLeft > 0 {
-		timeout = min(timeout, request.TimeLeft)
-	}
-	return timeout
-}
