Replacement: Faktory clients are served for as long as the predecessor keeps the store

Callers saw (since the store is kept for HTTP workers): 1.5 s after SIGTERM the predecessor closed idle Faktory connections, and new ones within 10 ms, although the successor did not have the store yet; a producer's PUSH got no reply.

Cause: the handover closed idle connections of both front ends at the same time.

Change: idle Faktory connections are closed once the store is released.

Evidence: TestFaktoryClientsAreServedWhileHTTPWorkersAreAwaited (real processes, a job at an HTTP worker for 1.8 s): EOF before, +OK here.

--- a/cmd/dispatcher/durablehandover_test.go
+++ b/cmd/dispatcher/durablehandover_test.go
@@ -166,3 +166,34 @@
 		t.Errorf("the successor's admin API: %s", scheduled)
 	}
 }
+
+// A process is replaced while an HTTP worker has a job for longer than idle connections are
+// kept. Faktory workers and producers must be served by the predecessor for as long as it keeps
+// the store: nobody else can take their reports and jobs.
+func TestFaktoryClientsAreServedWhileHTTPWorkersAreAwaited(t *testing.T) {
+	daemon := startHandedOverDaemon(t)
+	if status := daemon.renewOnNewConnection(); status != 202 {
+		t.Fatalf("a request that does not end in its time: %d", status)
+	}
+	<-daemon.slowArrived
+	producer := daemon.connectFaktory("")
+	worker := daemon.connectFaktory("w1")
+	leased := daemon.pushUntilLeased(producer, worker)
+	successor := daemon.startSuccessor()
+	successor.waitUntil("the successor is ready", successor.ready)
+	daemon.signal(syscall.SIGTERM)
+	const longerThanIdle = 1800 * time.Millisecond
+	time.Sleep(longerThanIdle)
+	worker.expect(t, `ACK {"jid":"`+leased+`"}`, "+OK")
+	producer.expect(t, pushRenewal("meanwhile", "[1]", ""), "+OK")
+	daemon.releaseSlow()
+	successor.waitForLog("durable jobs taken over")
+	if code := daemon.waitForExit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	producer = daemon.connectFaktory("")
+	producer.expect(t, "TRACK GET "+leased, `{"jid":"`+leased+`","state":"success"`)
+	if status := daemon.renewOnNewConnection(); status != 200 {
+		t.Errorf("the request that the HTTP worker had: %d", status)
+	}
+}
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -66,7 +66,10 @@
 	p := r.process
 	now := p.dispatcher.Loop.Now()
 	if now >= r.closeIdleAt {
-		p.frontEnds.closeIdle()
+		p.frontEnds.http.CloseIdle()
+	}
+	if now >= r.closeIdleAt && p.replacement.storeReleased { // until then workers report here
+		p.frontEnds.faktory.CloseIdle()
 	}
 	if now >= r.expireRequestsAt {
 		p.frontEnds.http.StopReading()
