Fault injection and its tests run on arm64 too

Cause: internal/rehearsal/faultinject was built on linux/amd64 alone, and tests in cmd/dispatcher import it, so that lint failed on arm64.

Change: what depends on the machine (registers, system call numbers, how a call is skipped) moved to registers_linux_amd64.go and registers_linux_arm64.go; the rest of the package, the tracers of the soak and the tests that use them are built on both. On amd64 the same registers are read and written as before.

Measured on arm64: lint passes; the tests of faultinject, the traced tests of cmd/dispatcher and scale's test with differing wall clocks pass under the race detector. GOARCH=amd64 go vet ./... passes. Nothing was run on amd64.

--- a/internal/rehearsal/faultinject/descriptor.go
+++ b/internal/rehearsal/faultinject/descriptor.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package faultinject
 
--- a/internal/rehearsal/faultinject/memory.go
+++ b/internal/rehearsal/faultinject/memory.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package faultinject
 
@@ -8,7 +8,7 @@
 	"syscall"
 )
 
-// wordBytes is the size of a machine word on amd64.
+// wordBytes is the size of a machine word on amd64 and arm64.
 const wordBytes = 8
 
 // peek reads one word of a stopped thread's memory.
--- a/internal/rehearsal/faultinject/syscallstop.go
+++ b/internal/rehearsal/faultinject/syscallstop.go
@@ -1,60 +1,57 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package faultinject
 
 import "syscall"
 
-// noSyscall is a system call number that makes the kernel skip the call.
-const noSyscall = ^uint64(0)
-
 // handleSyscallStop handles a stop at the entry or at the exit of a system call. The
 // stops of a thread alternate between the two.
 func (p *Process) handleSyscallStop(tid int, stopped *thread) {
-	var registers syscall.PtraceRegs
-	if syscall.PtraceGetRegs(tid, &registers) != nil {
+	current, err := readRegisters(tid)
+	if err != nil {
 		return
 	}
 	stopped.inCall = !stopped.inCall
 	if stopped.inCall {
-		p.enterSyscall(tid, stopped, &registers)
+		p.enterSyscall(tid, stopped, current)
 	} else {
-		p.exitSyscall(tid, stopped, &registers)
+		p.exitSyscall(tid, stopped, current)
 	}
 }
 
 // enterSyscall applies the plan's rules to a call that a thread is about to make, and
 // notes where a call that reads the wall clock will write it.
-func (p *Process) enterSyscall(tid int, stopped *thread, registers *syscall.PtraceRegs) {
+func (p *Process) enterSyscall(tid int, stopped *thread, current *registers) {
 	stopped.injectedError = 0
 	stopped.timespecAddr = 0
-	if registers.Orig_rax == syscall.SYS_CLOCK_GETTIME {
-		if isWallClock(registers.Rdi) {
-			stopped.timespecAddr = registers.Rsi
+	if current.callNumber() == syscall.SYS_CLOCK_GETTIME {
+		if isWallClock(current.firstArgument()) {
+			stopped.timespecAddr = current.secondArgument()
 		}
 		return
 	}
-	rule := p.drawRule(registers)
+	rule := p.drawRule(current)
 	if rule == nil {
 		return
 	}
 	p.injections[rule.Call].Add(1)
 	if rule.Error != 0 {
 		stopped.injectedError = rule.Error
-		registers.Orig_rax = noSyscall
+		_ = current.skipCall(tid)
 	} else {
-		registers.Rdx = min(registers.Rdx, uint64(rule.MaxBytes))
+		current.setThirdArgument(min(current.thirdArgument(), uint64(rule.MaxBytes)))
+		_ = current.write(tid)
 	}
-	_ = syscall.PtraceSetRegs(tid, registers)
 }
 
 // exitSyscall sets the result of a call that the plan made fail, and adds the clock
 // offset to a wall-clock time that the call has read.
-func (p *Process) exitSyscall(tid int, stopped *thread, registers *syscall.PtraceRegs) {
+func (p *Process) exitSyscall(tid int, stopped *thread, current *registers) {
 	if stopped.injectedError != 0 {
-		registers.Rax = uint64(-int64(stopped.injectedError))
-		_ = syscall.PtraceSetRegs(tid, registers)
+		current.setResult(-int64(stopped.injectedError))
+		_ = current.write(tid)
 	}
-	succeeded := int64(registers.Rax) == 0
+	succeeded := current.result() == 0
 	if stopped.timespecAddr == 0 || !succeeded {
 		return
 	}
@@ -65,14 +62,14 @@
 }
 
 // drawRule returns the rule that applies to the current call, or nil if none does.
-func (p *Process) drawRule(registers *syscall.PtraceRegs) *Rule {
+func (p *Process) drawRule(current *registers) *Rule {
 	elapsed := p.elapsed()
 	for i := range p.plan.Rules {
 		rule := &p.plan.Rules[i]
-		if !rule.inForce(elapsed) || !p.matches(rule, registers) || p.random.Float64() >= rule.Probability {
+		if !rule.inForce(elapsed) || !p.matches(rule, current) || p.random.Float64() >= rule.Probability {
 			continue
 		}
-		if rule.Error == 0 && registers.Rdx <= uint64(rule.MaxBytes) {
+		if rule.Error == 0 && current.thirdArgument() <= uint64(rule.MaxBytes) {
 			return nil // the call does not transfer more bytes than the rule allows
 		}
 		return rule
@@ -82,9 +79,9 @@
 
 // matches reports whether the current call belongs to the rule's group and, if it reads
 // or writes, whether its descriptor is one to which the rule applies.
-func (p *Process) matches(rule *Rule, registers *syscall.PtraceRegs) bool {
-	number := registers.Orig_rax
-	firstArgument := registers.Rdi
+func (p *Process) matches(rule *Rule, current *registers) bool {
+	number := current.callNumber()
+	firstArgument := current.firstArgument()
 	switch rule.Call {
 	case SocketRead:
 		return number == syscall.SYS_READ && p.isConnection(firstArgument, rule.PeerPort)
@@ -97,7 +94,7 @@
 	case Connect:
 		return number == syscall.SYS_CONNECT
 	case Wait:
-		return number == syscall.SYS_EPOLL_WAIT || number == syscall.SYS_EPOLL_PWAIT
+		return isEpollWait(number)
 	case SetOption:
 		return number == syscall.SYS_SETSOCKOPT
 	case FileWrite:
--- a/internal/rehearsal/faultinject/wallclock.go
+++ b/internal/rehearsal/faultinject/wallclock.go
@@ -1,10 +1,9 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package faultinject
 
 import (
 	"fmt"
-	"syscall"
 	"time"
 )
 
@@ -68,13 +67,12 @@
 // auxiliaryVector returns the address of the auxiliary vector. On the stack, it follows
 // the number of arguments, the arguments and the environment.
 func (p *Process) auxiliaryVector() (uintptr, error) {
-	var registers syscall.PtraceRegs
-	if err := syscall.PtraceGetRegs(p.PID, &registers); err != nil {
+	current, err := readRegisters(p.PID)
+	if err != nil {
 		return 0, fmt.Errorf("faultinject: reading registers: %w", err)
 	}
-	addr := uintptr(registers.Rsp) + wordBytes
+	addr := current.stackPointer() + wordBytes
 	for range argumentVectors {
-		var err error
 		addr, err = p.skipPastNull(addr)
 		if err != nil {
 			return 0, err
--- a/internal/rehearsal/scale/clocks_linux_amd64_test.go
+++ b/internal/rehearsal/scale/clocks_linux_test.go
@@ -1,3 +1,5 @@
+//go:build linux && (amd64 || arm64)
+
 package scale
 
 import (
