--- a/internal/rehearsal/soak/disktracer_linux.go
+++ b/internal/rehearsal/soak/disktracer_linux_amd64.go
@@ -1,5 +1,3 @@
-//go:build linux && (amd64 || arm64)
-
 package soak
 
 import (
